--- /dev/null
+++ b/gentianthread/__init__.py
@@ -0,0 +1,3 @@
+"""Overload control for service call graphs."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/gentianthread/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Parse command lines and call the verbs of the lower layers."""
--- /dev/null
+++ b/gentianthread/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Combine nodes: request path, admission, routing, quota, membership, configuration."""
--- /dev/null
+++ b/gentianthread/events.py
@@ -0,0 +1,90 @@
+"""Catalogue the numbered log events.
+
+Numbers are never reused. `docs/log-events.md` lists every event for operators; a test keeps both
+together.
+"""
+
+from enum import Enum
+
+import attrs
+
+
+class Level(Enum):
+    """Rank log events."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@attrs.frozen
+class Event:
+    """Describe one kind of log event.
+
+    Attributes:
+        number: Unique number; hundreds group subsystems.
+        level: Severity.
+        text: Format string over the fields of the event.
+    """
+
+    number: int
+    level: Level
+    text: str
+
+
+_catalogue: dict[int, Event] = {}
+
+
+def _event(number: int, level: Level, text: str) -> Event:
+    if number in _catalogue:
+        raise ValueError(f"log event {number} is defined twice")
+    _catalogue[number] = Event(number, level, text)
+    return _catalogue[number]
+
+
+def catalogue() -> list[Event]:
+    """Return all events by number."""
+    return [_catalogue[number] for number in sorted(_catalogue)]
+
+
+# 100: process
+NODE_STARTED = _event(100, Level.INFO, "node of {upstream_id} started in {availability_zone}")
+NODE_LEAVING = _event(101, Level.INFO, "node is leaving with {running} requests running")
+NODE_STOPPED = _event(102, Level.INFO, "node stopped")
+PROCESS_PAUSED = _event(103, Level.WARNING, "process was paused for {gap_ms:.0f} ms")
+TASK_FAILED = _event(104, Level.ERROR, "task {task} failed: {error}")
+
+# 200: peer links and membership
+LINK_OPENED = _event(200, Level.INFO, "link to {peer} opened")
+LINK_CLOSED = _event(201, Level.INFO, "link to {peer} closed: {problem}")
+LINK_REFUSED = _event(202, Level.WARNING, "connection from {address} refused: {problem}")
+FRAME_DROPPED = _event(203, Level.DEBUG, "frame from {peer} dropped: {problem}")
+MEMBER_CHANGED = _event(204, Level.INFO, "member {upstream_id} is now {state}")
+
+# 300: configuration
+CONFIG_ACCEPTED = _event(300, Level.INFO, "configuration version {version} accepted from {source}")
+CONFIG_REFUSED = _event(301, Level.ERROR, "configuration from {source} refused: {error}")
+CONFIG_READ_FAILED = _event(302, Level.WARNING, "configuration service: {error}")
+KEY_WITHDRAWN = _event(303, Level.INFO, "key {key_id} withdrawn by version {version}")
+
+# 400: requests
+REQUEST_REFUSED = _event(400, Level.DEBUG, "request {request_id} refused: {reason}")
+REQUEST_ABORTED = _event(401, Level.INFO, "request {request_id} aborted: {problem}")
+REQUEST_CANCELLED = _event(402, Level.DEBUG, "request {request_id} cancelled by its caller")
+
+# 500: overload
+UPSTREAM_EJECTED = _event(
+    500, Level.WARNING, "upstream {upstream_id} ejected for {duration_ms:.0f} ms"
+)
+UPSTREAM_RETURNED = _event(501, Level.INFO, "upstream {upstream_id} back in routing")
+OVERLOAD_STARTED = _event(
+    502, Level.WARNING, "overload at {upstream_id}: queue delay {delay_ms:.0f} ms"
+)
+OVERLOAD_ENDED = _event(
+    503, Level.INFO, "overload at {upstream_id} ended after {duration_ms:.0f} ms"
+)
+
+# 600: quota
+HOLDER_CHANGED = _event(600, Level.INFO, "{role} holder is now {upstream_id}")
+DELEGATION_LAPSED = _event(601, Level.INFO, "delegation of {upstream_id} lapsed")
--- /dev/null
+++ b/gentianthread/ids.py
@@ -0,0 +1,80 @@
+"""Define ids, the identity of a node and the enums that several layers share."""
+
+from enum import Enum, IntEnum
+from typing import NewType
+
+import attrs
+
+OrganisationId = NewType("OrganisationId", str)
+KeyId = NewType("KeyId", str)
+ServiceId = NewType("ServiceId", str)
+RouteId = NewType("RouteId", str)
+UpstreamId = NewType("UpstreamId", str)
+ProfileId = NewType("ProfileId", str)
+AvailabilityZoneId = NewType("AvailabilityZoneId", str)
+RequestId = NewType("RequestId", str)
+StartNumber = NewType("StartNumber", int)
+ConfigVersion = NewType("ConfigVersion", int)
+
+# Organisation of requests that come without a key on routes open to all.
+ANONYMOUS = OrganisationId("anonymous")
+
+
+@attrs.frozen(order=True)
+class NodeIdentity:
+    """Identify one process beside one upstream.
+
+    Attributes:
+        upstream_id: The upstream whose target the node serves.
+        availability_zone: Where the node runs.
+        start_number: Wall clock at process start in ms; a newer process has a larger one.
+    """
+
+    upstream_id: UpstreamId
+    availability_zone: AvailabilityZoneId
+    start_number: StartNumber
+
+
+class Priority(IntEnum):
+    """Rank requests; the larger value is shed later."""
+
+    BACKGROUND = 0
+    NORMAL = 1
+    IMPORTANT = 2
+    CRITICAL = 3
+
+
+class Outcome(Enum):
+    """Tell how an attempt at a target ended."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    REFUSED = "refused"
+    TIMEOUT = "timeout"
+    CANCELLED = "cancelled"
+    LOST = "lost"
+
+
+class RefusalReason(Enum):
+    """Name every reason for which a request is refused."""
+
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN = "key_unknown"
+    KEY_MISPLACED = "key_misplaced"
+    ROUTE_UNKNOWN = "route_unknown"
+    CONTEXT_UNKNOWN = "context_unknown"
+    DEPTH_EXCEEDED = "depth_exceeded"
+    HEADER_INVALID = "header_invalid"
+    RATE_EXCEEDED = "rate_exceeded"
+    SHED = "shed"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    DOOMED = "doomed"
+    NO_UPSTREAM = "no_upstream"
+    LEAVING = "leaving"
+    NOT_READY = "not_ready"
+    TARGET_UNREACHABLE = "target_unreachable"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    IN_PROGRESS = "in_progress"
+    ALREADY_RUN = "already_run"
+    RECORDS_FULL = "records_full"
--- /dev/null
+++ b/gentianthread/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Give bytes their meaning: typed messages, handshake, streams and HTTP headers."""
--- /dev/null
+++ b/gentianthread/protocol/codec.py
@@ -0,0 +1,188 @@
+"""Encode typed messages in CBOR.
+
+A message is an `attrs` class registered with `@message(code)`. On the wire it is one CBOR array:
+the code, then the fields in the order of the class. Field types are checked on decoding.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+from types import NoneType, UnionType
+from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
+
+import attrs
+import cbor2
+
+from ..errors import MessageError
+
+T = TypeVar("T")
+
+# Peers refuse longer messages; body chunks are at most 16 KiB, configuration parts 1 MB.
+MESSAGE_LIMIT_BYTES = 1_200_000
+
+Converter = Callable[[Any], Any]
+
+_types_by_code: dict[int, type] = {}
+_codes_by_type: dict[type, int] = {}
+_decoders: dict[type, tuple[Converter, ...]] = {}
+_encoders: dict[type, Callable[[Any], list]] = {}
+
+
+def message(code: int) -> Callable[[type[T]], type[T]]:
+    """Return a class decorator that registers a message type.
+
+    Args:
+        code: Unique number on the wire.
+
+    Raises:
+        ValueError: The code is taken.
+    """
+
+    def add(cls: type[T]) -> type[T]:
+        if code in _types_by_code:
+            raise ValueError(f"message code {code} is used twice")
+        _types_by_code[code] = cls
+        _codes_by_type[cls] = code
+        return cls
+
+    return add
+
+
+def encode(value: Any) -> bytes:
+    """Return the wire form of a message.
+
+    Raises:
+        MessageError: The type is not registered.
+    """
+    cls = type(value)
+    encoder = _encoders.get(cls)
+    if encoder is None:
+        encoder = _encoders[cls] = _make_encoder(cls)
+    return cbor2.dumps(encoder(value))
+
+
+def decode(data: bytes) -> Any:
+    """Return the message of a wire form.
+
+    Raises:
+        MessageError: The data is no valid message.
+    """
+    if len(data) > MESSAGE_LIMIT_BYTES:
+        raise MessageError("?", f"{len(data)} bytes exceed {MESSAGE_LIMIT_BYTES}")
+    try:
+        items = cbor2.loads(data)
+    except Exception as error:  # cbor2 lets several exception types out on bad input.
+        raise MessageError("?", f"not CBOR: {type(error).__name__}") from error
+    if not isinstance(items, list) or not items or not _is_int(items[0]):
+        raise MessageError("?", "not an array that starts with a code")
+    cls = _types_by_code.get(items[0])
+    if cls is None:
+        raise MessageError(str(items[0]), "unknown code")
+    return _build(cls, items[1:])
+
+
+def _make_encoder(cls: type) -> Callable[[Any], list]:
+    if cls not in _codes_by_type:
+        raise MessageError(cls.__name__, "type is not registered")
+    code = _codes_by_type[cls]
+    names = [field.name for field in attrs.fields(cls)]
+    return lambda value: [code, *[_pack(getattr(value, name)) for name in names]]
+
+
+def _pack(value: Any) -> Any:
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, tuple | list):
+        return [_pack(item) for item in value]
+    if isinstance(value, dict):
+        return {_pack(key): _pack(item) for key, item in value.items()}
+    if attrs.has(type(value)):
+        return [_pack(getattr(value, field.name)) for field in attrs.fields(type(value))]
+    return value
+
+
+def _build(cls: type, items: list) -> Any:
+    decoders = _decoders.get(cls)
+    if decoders is None:
+        hints = get_type_hints(cls)
+        decoders = tuple(_converter(hints[field.name]) for field in attrs.fields(cls))
+        _decoders[cls] = decoders
+    if len(items) != len(decoders):
+        raise MessageError(cls.__name__, f"{len(items)} fields in place of {len(decoders)}")
+    try:
+        return cls(*[convert(item) for convert, item in zip(decoders, items, strict=True)])
+    except (TypeError, ValueError) as error:
+        raise MessageError(cls.__name__, str(error)) from error
+
+
+def _is_int(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _expect(accepted: type | tuple[type, ...], name: str) -> Converter:
+    def convert(value: Any) -> Any:
+        if not isinstance(value, accepted) or (isinstance(value, bool) and accepted is not bool):
+            raise TypeError(f"{type(value).__name__} in place of {name}")
+        return value
+
+    return convert
+
+
+def _float(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{type(value).__name__} in place of a number")
+    number = float(value)
+    if number != number or number in (float("inf"), float("-inf")):
+        raise ValueError("a number that is not finite")
+    return number
+
+
+def _converter(hint: Any) -> Converter:
+    """Return the function that checks and converts values of a type hint."""
+    hint = getattr(hint, "__supertype__", hint)
+    origin = get_origin(hint)
+    if origin in (Union, UnionType):
+        return _optional(hint)
+    if origin is tuple:
+        return _tuple(get_args(hint))
+    if origin is dict:
+        return _dict(get_args(hint))
+    if hint is float:
+        return _float
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return hint
+    if isinstance(hint, type) and attrs.has(hint):
+        return _nested(hint)
+    return _expect(hint, hint.__name__)
+
+
+def _optional(hint: Any) -> Converter:
+    inner = [part for part in get_args(hint) if part is not NoneType]
+    if len(inner) != 1:
+        raise TypeError(f"unsupported field type {hint}")
+    convert = _converter(inner[0])
+    return lambda value: None if value is None else convert(value)
+
+
+def _tuple(parts: tuple) -> Converter:
+    check = _expect(list, "an array")
+    if len(parts) == 2 and parts[1] is Ellipsis:
+        each = _converter(parts[0])
+        return lambda value: tuple(each(item) for item in check(value))
+    converters = tuple(_converter(part) for part in parts)
+
+    def convert(value: Any) -> tuple:
+        items = check(value)
+        return tuple(one(item) for one, item in zip(converters, items, strict=True))
+
+    return convert
+
+
+def _dict(parts: tuple) -> Converter:
+    check = _expect(dict, "a map")
+    key, item = _converter(parts[0]), _converter(parts[1])
+    return lambda value: {key(k): item(v) for k, v in check(value).items()}
+
+
+def _nested(cls: type) -> Converter:
+    check = _expect(list, "an array")
+    return lambda value: _build(cls, check(value))
--- /dev/null
+++ b/gentianthread/protocol/streams.py
@@ -0,0 +1,186 @@
+"""Define a request stream between two nodes and its memory implementation."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from typing import Any
+
+from ..errors import StreamAborted
+from .codec import decode, encode
+
+# Longest body chunk in one frame; longer ones would delay the other streams of a link.
+CHUNK_LIMIT_BYTES = 16 * 1024
+
+# Bytes that a sender may have unread at the receiver, for each stream and direction.
+STREAM_CREDIT_BYTES = 256 * 1024
+
+
+class Stream(ABC):
+    """Carry one request and its answer.
+
+    Both ends send one head, chunks, and a finish mark. The end that opened the stream passes its
+    head on opening. Reading after an abort raises; a body is complete only after its finish mark.
+    """
+
+    @abstractmethod
+    async def send_head(self, head: Any) -> None:
+        """Send the head of this direction.
+
+        Raises:
+            StreamAborted: The stream ended early.
+        """
+
+    @abstractmethod
+    async def receive_head(self) -> Any:
+        """Wait for the head of the other direction.
+
+        Raises:
+            StreamAborted: The stream ended early.
+        """
+
+    @abstractmethod
+    async def send_chunk(self, data: bytes) -> None:
+        """Send body bytes, waiting while the receiver has no credit left.
+
+        Raises:
+            StreamAborted: The stream ended early.
+        """
+
+    @abstractmethod
+    async def receive_chunk(self) -> bytes | None:
+        """Return the next body bytes, or None after the finish mark.
+
+        Raises:
+            StreamAborted: The stream ended before the finish mark.
+        """
+
+    @abstractmethod
+    async def finish(self, summary: Any = None) -> None:
+        """End this direction completely.
+
+        Args:
+            summary: A message that the other end finds in `summary`.
+
+        Raises:
+            StreamAborted: The stream ended early.
+        """
+
+    @property
+    @abstractmethod
+    def summary(self) -> Any:
+        """Return the message that came with the other end's finish mark, or None."""
+
+    @abstractmethod
+    def abort(self, problem: str) -> None:
+        """End both directions at once; the other end learns it within one link delay."""
+
+    @abstractmethod
+    async def aborted(self) -> str:
+        """Wait until the stream is aborted by either end and return the problem."""
+
+    @property
+    @abstractmethod
+    def may_have_sent(self) -> bool:
+        """Return whether the opening head may have reached the other end."""
+
+
+class MemoryStream(Stream):
+    """Join two ends in one process; see `memory_stream_pair`."""
+
+    def __init__(self) -> None:
+        self.other: MemoryStream = self
+        self._head: asyncio.Future = asyncio.get_running_loop().create_future()
+        self._chunks: deque[bytes] = deque()
+        self._unread_bytes = 0
+        self._finished = False
+        self._summary: Any = None
+        self._problem: asyncio.Future = asyncio.get_running_loop().create_future()
+        self._changed = asyncio.Condition()
+
+    async def send_head(self, head: Any) -> None:
+        """Hand the head to the other end."""
+        self._check()
+        if not self.other._head.done():
+            self.other._head.set_result(decode(encode(head)))
+
+    async def receive_head(self) -> Any:
+        """Wait for the other end's head."""
+        await asyncio.wait([self._head, self._problem], return_when=asyncio.FIRST_COMPLETED)
+        if self._head.done():
+            return self._head.result()
+        raise StreamAborted(self._problem.result())
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Hand bytes to the other end while it has room."""
+        for start in range(0, len(data), CHUNK_LIMIT_BYTES):
+            await self._send_part(data[start : start + CHUNK_LIMIT_BYTES])
+
+    async def _send_part(self, part: bytes) -> None:
+        async with self.other._changed:
+            while self.other._unread_bytes + len(part) > STREAM_CREDIT_BYTES:
+                self._check()
+                await self.other._changed.wait()
+            self._check()
+            self.other._chunks.append(part)
+            self.other._unread_bytes += len(part)
+            self.other._changed.notify_all()
+
+    async def receive_chunk(self) -> bytes | None:
+        """Take the next bytes."""
+        async with self._changed:
+            while not self._chunks and not self._finished:
+                self._check()
+                await self._changed.wait()
+            if not self._chunks:
+                return None
+            part = self._chunks.popleft()
+            self._unread_bytes -= len(part)
+            self._changed.notify_all()
+            return part
+
+    async def finish(self, summary: Any = None) -> None:
+        """Mark this direction complete."""
+        self._check()
+        async with self.other._changed:
+            self.other._summary = summary if summary is None else decode(encode(summary))
+            self.other._finished = True
+            self.other._changed.notify_all()
+
+    @property
+    def summary(self) -> Any:
+        """Return the other end's summary."""
+        return self._summary
+
+    def abort(self, problem: str) -> None:
+        """End both ends."""
+        for end in (self, self.other):
+            if not end._problem.done():
+                end._problem.set_result(problem)
+                end._wake()
+
+    async def aborted(self) -> str:
+        """Wait for an abort."""
+        return await asyncio.shield(self._problem)
+
+    @property
+    def may_have_sent(self) -> bool:
+        """Return True: memory streams deliver their head on opening."""
+        return True
+
+    def _check(self) -> None:
+        if self._problem.done():
+            raise StreamAborted(self._problem.result())
+
+    def _wake(self) -> None:
+        async def notify() -> None:
+            async with self._changed:
+                self._changed.notify_all()
+
+        self._waker = asyncio.ensure_future(notify())
+
+
+def memory_stream_pair() -> tuple[MemoryStream, MemoryStream]:
+    """Return the two ends of a memory stream."""
+    first, second = MemoryStream(), MemoryStream()
+    first.other, second.other = second, first
+    return first, second
--- /dev/null
+++ b/gentianthread/registry.py
@@ -0,0 +1,60 @@
+"""Hold implementations of a behaviour by name, registered by decorator."""
+
+from collections.abc import Callable, Iterator
+from typing import Generic, TypeVar
+
+from .errors import UnknownEntryError
+
+T = TypeVar("T")
+
+
+class Registry(Generic[T]):
+    """Map names to implementations."""
+
+    def __init__(self, kind: str):
+        """Create an empty registry.
+
+        Args:
+            kind: What it holds, for error messages.
+        """
+        self.kind = kind
+        self._entries: dict[str, T] = {}
+
+    def register(self, name: str) -> Callable[[T], T]:
+        """Return a decorator that adds an implementation.
+
+        Args:
+            name: The name by which declarations choose it.
+
+        Raises:
+            ValueError: The name is taken.
+        """
+
+        def add(entry: T) -> T:
+            if name in self._entries:
+                raise ValueError(f"{self.kind} {name!r} is registered twice")
+            self._entries[name] = entry
+            return entry
+
+        return add
+
+    def get(self, name: str) -> T:
+        """Return the implementation with a name.
+
+        Raises:
+            UnknownEntryError: No implementation has the name.
+        """
+        try:
+            return self._entries[name]
+        except KeyError:
+            raise UnknownEntryError(self.kind, name, self.names()) from None
+
+    def names(self) -> list[str]:
+        """Return all names in order."""
+        return sorted(self._entries)
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._entries
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self.names())
--- /dev/null
+++ b/gentianthread/state/__init__.py
@@ -0,0 +1,1 @@
+"""Hold accepted configuration, tables and policies in memory, without input or output."""
--- /dev/null
+++ b/gentianthread/state/plan.py
@@ -0,0 +1,239 @@
+"""Model the content of one configuration version."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from ..ids import (
+    AvailabilityZoneId,
+    ConfigVersion,
+    KeyId,
+    OrganisationId,
+    Priority,
+    ProfileId,
+    RouteId,
+    ServiceId,
+    UpstreamId,
+)
+
+
+@attrs.frozen
+class Profile:
+    """Set how a service behaves under load.
+
+    Attributes:
+        profile_id: Name of the profile.
+        queue_target_ms: Queueing delay above which the target node counts as overloaded.
+        queue_limit: Largest number of waiting requests.
+        limiter: Name of the concurrency limiter in its registry.
+        min_concurrency: Lower bound of the learned limit.
+        max_concurrency: Upper bound of the learned limit; 0 means the published slots.
+        queue_order: Name of the queue order in its registry.
+        chooser: Name of the upstream chooser in its registry.
+        retry_allowance: Extra attempts that one root request may use in all.
+        retry_ratio: Retries that a service accepts per first attempt.
+        hedging: Whether idempotent requests may be sent twice when the first is slow.
+        hedge_delay_ms: How long a hedged request waits before the second attempt.
+        deadline_ms: Default deadline of routes that set none.
+        slow_start_ms: How long a cold target takes to its full limit.
+        probe_interval_ms: Mean time between health probes of the target.
+    """
+
+    profile_id: ProfileId
+    queue_target_ms: float = 20.0
+    queue_limit: int = 100
+    limiter: str = "gradient"
+    min_concurrency: int = 1
+    max_concurrency: int = 0
+    queue_order: str = "priority"
+    chooser: str = "two-choices"
+    retry_allowance: int = 3
+    retry_ratio: float = 0.1
+    hedging: bool = False
+    hedge_delay_ms: float = 50.0
+    deadline_ms: float = 2_000.0
+    slow_start_ms: float = 5_000.0
+    probe_interval_ms: float = 2_000.0
+
+
+@attrs.frozen
+class Service:
+    """Name a service and the profile that it picks."""
+
+    service_id: ServiceId
+    profile_id: ProfileId
+
+
+@attrs.frozen
+class Route:
+    """Say how requests with one method and path prefix are treated.
+
+    Attributes:
+        route_id: Name of the route.
+        service_id: Service that answers it.
+        method: HTTP method in upper case, or "*".
+        path_prefix: Path prefix; the longest match wins. Matches whole path segments.
+        idempotent: Whether running it twice has the effect of running it once.
+        priority: Priority of root requests on the route.
+        open_to_all: Whether it is served without a key.
+        deadline_ms: Longest and default deadline in ms.
+    """
+
+    route_id: RouteId
+    service_id: ServiceId
+    method: str
+    path_prefix: str
+    idempotent: bool
+    priority: Priority
+    open_to_all: bool
+    deadline_ms: float
+
+
+@attrs.frozen
+class Upstream:
+    """Declare a place where a target of a service runs.
+
+    Attributes:
+        upstream_id: Name of the upstream.
+        service_id: Service that it serves.
+        availability_zone: Where it is.
+        host: IP address of the instance.
+        peer_port: Port of its node's peer listener.
+        caller_port: Port of its node's caller listener.
+        target_port: Port of the target.
+        slots: Requests that the target runs at once.
+        connections: Connections that the target accepts.
+        draining: Whether operators take it out of service.
+    """
+
+    upstream_id: UpstreamId
+    service_id: ServiceId
+    availability_zone: AvailabilityZoneId
+    host: str
+    peer_port: int
+    caller_port: int
+    target_port: int
+    slots: int
+    connections: int
+    draining: bool = False
+
+
+@attrs.frozen
+class Organisation:
+    """Set the share of an organisation.
+
+    Attributes:
+        organisation_id: Name of the organisation.
+        rate_per_s: Whole requests per second across the fleet.
+        burst: Requests above the rate that may come at once.
+        weight: Weight in max-min fairness.
+    """
+
+    organisation_id: OrganisationId
+    rate_per_s: float
+    burst: float
+    weight: float = 1.0
+
+
+@attrs.frozen
+class Key:
+    """Hold the published digest of an organisation's key.
+
+    Attributes:
+        key_id: The id inside the key.
+        organisation_id: Whose key it is.
+        salt: Random bytes.
+        digest: SHA-256 of salt and key.
+    """
+
+    key_id: KeyId
+    organisation_id: OrganisationId
+    salt: bytes
+    digest: bytes
+
+
+@attrs.frozen
+class Link:
+    """Describe the network between two availability zones.
+
+    Attributes:
+        first: One zone.
+        second: The other zone.
+        delay_ms: Usual one-way delay.
+    """
+
+    first: AvailabilityZoneId
+    second: AvailabilityZoneId
+    delay_ms: float
+
+
+@attrs.frozen(eq=False)
+class Plan:
+    """Hold one accepted configuration version with prepared look-up tables.
+
+    Attributes:
+        version: Version number; only rises.
+        availability_zones: All zones.
+        links: Networks between zones.
+        profiles: Profiles by id.
+        services: Services by id.
+        routes: Routes by id.
+        upstreams: Upstreams by id.
+        organisations: Organisations by id.
+        keys: Keys by id; a withdrawn key is absent.
+        fractions: Fixed fraction of every organisation's rate and burst that each upstream owns;
+            they sum to at most 1.
+        upstreams_by_service: Upstreams of each service in id order.
+    """
+
+    version: ConfigVersion
+    availability_zones: tuple[AvailabilityZoneId, ...] = ()
+    links: tuple[Link, ...] = ()
+    profiles: Mapping[ProfileId, Profile] = attrs.field(factory=dict)
+    services: Mapping[ServiceId, Service] = attrs.field(factory=dict)
+    routes: Mapping[RouteId, Route] = attrs.field(factory=dict)
+    upstreams: Mapping[UpstreamId, Upstream] = attrs.field(factory=dict)
+    organisations: Mapping[OrganisationId, Organisation] = attrs.field(factory=dict)
+    keys: Mapping[KeyId, Key] = attrs.field(factory=dict)
+    fractions: Mapping[UpstreamId, float] = attrs.field(factory=dict)
+    upstreams_by_service: Mapping[ServiceId, tuple[Upstream, ...]] = attrs.field(init=False)
+    _routes_by_path: Mapping[str, tuple[Route, ...]] = attrs.field(init=False, repr=False)
+
+    @upstreams_by_service.default
+    def _group_upstreams(self) -> dict[ServiceId, tuple[Upstream, ...]]:
+        groups: dict[ServiceId, list[Upstream]] = {name: [] for name in self.services}
+        for upstream_id in sorted(self.upstreams):
+            upstream = self.upstreams[upstream_id]
+            groups.setdefault(upstream.service_id, []).append(upstream)
+        return {name: tuple(members) for name, members in groups.items()}
+
+    @_routes_by_path.default
+    def _index_routes(self) -> dict[str, tuple[Route, ...]]:
+        index: dict[str, list[Route]] = {}
+        for route in self.routes.values():
+            index.setdefault(route.path_prefix.rstrip("/"), []).append(route)
+        return {path: tuple(routes) for path, routes in index.items()}
+
+    def profile_of(self, service_id: ServiceId) -> Profile:
+        """Return the profile that a service picks.
+
+        Raises:
+            KeyError: The plan has no such service.
+        """
+        return self.profiles[self.services[service_id].profile_id]
+
+    def match_route(self, method: str, path: str) -> Route | None:
+        """Return the route with the longest matching path prefix, or None.
+
+        Args:
+            method: HTTP method in upper case.
+            path: Path without the query.
+        """
+        prefix = path.rstrip("/")
+        while True:
+            for route in self._routes_by_path.get(prefix, ()):
+                if route.method in (method, "*"):
+                    return route
+            if not prefix:
+                return None
+            prefix = prefix.rpartition("/")[0]
--- /dev/null
+++ b/gentianthread/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Move bytes: peer connections, HTTP servers and clients, platform adapters."""
--- /dev/null
+++ b/tests/protocol/test_codec.py
@@ -0,0 +1,69 @@
+import attrs
+import cbor2
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gentianthread.errors import MessageError
+from gentianthread.ids import Priority, UpstreamId
+from gentianthread.protocol.codec import decode, encode, message
+
+from ..base import TestCase
+
+
+@attrs.frozen
+class Item:
+    name: str
+    number: int
+
+
+@message(99_001)
+@attrs.frozen
+class Sample:
+    upstream_id: UpstreamId
+    level: float
+    priority: Priority
+    items: tuple[Item, ...]
+    note: bytes | None
+    table: dict[str, int]
+
+
+SAMPLE = Sample(UpstreamId("a"), 1.5, Priority.IMPORTANT, (Item("x", 3),), b"n", {"k": 1})
+
+
+class TestCodec(TestCase):
+    def test_round_trip(self):
+        """Guards against a field that changes on the wire."""
+        self.assertEqual(SAMPLE, decode(encode(SAMPLE)))
+
+    def test_wrong_fields_are_refused(self):
+        """Guards against untyped values that reach the handlers."""
+        good = cbor2.loads(encode(SAMPLE))
+        bad = {1: 7, 2: "x", 3: 99, 4: [["x"]], 5: 8, 6: [1]}
+        for index, value in bad.items():
+            changed = [value if place == index else item for place, item in enumerate(good)]
+            self.assertRaises(MessageError, decode, cbor2.dumps(changed))
+
+    def test_number_must_be_finite(self):
+        """Guards against NaN levels that pass every comparison."""
+        changed = [*cbor2.loads(encode(SAMPLE))]
+        changed[2] = float("nan")
+        self.assertRaises(MessageError, decode, cbor2.dumps(changed))
+
+    @given(st.binary(max_size=200))
+    @settings(max_examples=300, derandomize=True, database=None)
+    def test_any_bytes_give_a_message_or_a_typed_error(self, data):
+        """Guards against a peer that ends the process with malformed bytes."""
+        try:
+            decode(data)
+        except MessageError:
+            pass
+
+    @given(st.integers(min_value=0, max_value=60), st.binary(min_size=1, max_size=4))
+    @settings(max_examples=300, derandomize=True, database=None)
+    def test_damaged_message_gives_a_message_or_a_typed_error(self, place, junk):
+        """Guards against damage that raises an untyped error."""
+        data = encode(SAMPLE)
+        try:
+            decode(data[:place] + junk + data[place + len(junk) :])
+        except MessageError:
+            pass
