--- a/gentianthread/state/rendezvous.py
+++ b/gentianthread/state/rendezvous.py
@@ -30,4 +30,4 @@
 
 
 def _weight(key: str, candidate: str) -> int:
-    return xxhash.xxh64_intdigest(f"{key}\0{candidate}")
+    return xxhash.xxh64_intdigest(f"{key}\0{candidate}".encode())
