--- a/gentianthread/coordination/peer_network.py
+++ b/gentianthread/coordination/peer_network.py
@@ -85,6 +85,27 @@
             PeerUnreachable: No connection can be opened; nothing was sent.
         """
 
+    async def open_whole(
+        self, upstream_id: UpstreamId, head: Any, body: bytes = b"", summary: Any = None
+    ) -> Stream:
+        """Open a request stream, send its body and finish; a short one travels in one message.
+
+        Args:
+            upstream_id: The peer.
+            head: The opening message.
+            body: The whole body.
+            summary: A message that the other end finds in `summary`.
+
+        Raises:
+            PeerUnreachable: No connection can be opened; nothing was sent.
+            StreamAborted: The stream ended early; its head may have been sent.
+        """
+        stream = await self.open_stream(upstream_id, head)
+        if body:
+            await stream.send_chunk(body)
+        await stream.finish(summary)
+        return stream
+
     @abstractmethod
     def connected(self) -> frozenset[UpstreamId]:
         """Return the peers that an open, live link reaches."""
--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -109,6 +109,18 @@
         super().__init__(f"peer handshake failed: {problem}")
 
 
+class FrameError(ProtocolError):
+    """Report a frame that violates the link protocol.
+
+    Attributes:
+        problem: What is wrong with it.
+    """
+
+    def __init__(self, problem: str):
+        self.problem = problem
+        super().__init__(f"bad frame: {problem}")
+
+
 class TransportError(GentianError):
     """Be the base of failures of connections."""
 
@@ -127,6 +139,18 @@
         super().__init__(f"connection to {peer} lost: {problem}")
 
 
+class ConnectionSilent(ConnectionLost):
+    """Report a connection on which nothing arrived for too long.
+
+    Attributes:
+        silence_ms: How long nothing arrived.
+    """
+
+    def __init__(self, peer: str, silence_ms: float):
+        self.silence_ms = silence_ms
+        super().__init__(peer, f"silent for {silence_ms:.0f} ms")
+
+
 class PeerUnreachable(TransportError):
     """Report a peer that no connection reaches.
 
--- /dev/null
+++ b/gentianthread/protocol/handshake.py
@@ -0,0 +1,174 @@
+"""Prove to each other that two nodes know the fleet secret.
+
+The dialling node sends `Hello`, gets `Challenge`, sends `DialerProof`, gets `AcceptorProof` and
+sends an empty message. The dialling node proves itself first, so that a stranger who dials a node
+gets no HMAC to guess the secret from.
+
+The accepting node sends nothing after its proof until the empty message arrives: the dialling node
+raises its message limit only when it has checked the proof, and a long message right behind the
+proof would still meet the low limit.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import secrets
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from enum import Enum
+from typing import TypeVar
+
+import attrs
+import cbor2
+
+from ..errors import HandshakeError, MessageError
+from ..ids import NodeIdentity, UpstreamId
+from ..transport.connections import MessageConnection
+from .codec import decode, encode
+from .frames import LINK_MESSAGE_LIMIT_BYTES
+from .messages_links import AcceptorProof, Challenge, DialerProof, Hello
+
+PROTOCOL_VERSION = 1
+NONCE_BYTES = 32
+
+# Longest life of a connection whose peer has not proven its identity.
+HANDSHAKE_TIMEOUT_MS = 2_000
+
+T = TypeVar("T")
+
+Admit = Callable[[NodeIdentity], None]
+
+
+class Role(Enum):
+    """Tell which end a proof belongs to, so that a proof sent back to its maker is wrong."""
+
+    DIALER = "dialer"
+    ACCEPTOR = "acceptor"
+
+
+def make_proof(secret: bytes, role: Role, hello: Hello, challenge: Challenge) -> bytes:
+    """Return the HMAC-SHA-256 of one end over both nonces and both identities.
+
+    Args:
+        secret: The fleet secret.
+        role: The end that proves itself.
+        hello: What the dialling node sent.
+        challenge: What the accepting node sent.
+    """
+    text = cbor2.dumps(
+        [
+            "gentianthread link",
+            hello.version,
+            role.value,
+            hello.nonce,
+            challenge.nonce,
+            list(attrs.astuple(hello.identity)),
+            list(attrs.astuple(challenge.identity)),
+        ]
+    )
+    return hmac.digest(secret, text, hashlib.sha256)
+
+
+async def dial_peer(
+    connection: MessageConnection,
+    local: NodeIdentity,
+    secret: bytes,
+    expected: UpstreamId,
+    admit: Admit,
+) -> NodeIdentity:
+    """Run the handshake at the dialling end and return the proven identity of the peer.
+
+    Args:
+        connection: A new connection.
+        local: Identity of this node.
+        secret: The fleet secret.
+        expected: Upstream whose node must answer.
+        admit: Raises `HandshakeError` for a proven identity that is not wanted.
+
+    Raises:
+        HandshakeError: The peer did not prove the expected identity in time.
+        ConnectionLost: The connection closed.
+    """
+    async with _deadline(connection):
+        hello = Hello(PROTOCOL_VERSION, local, secrets.token_bytes(NONCE_BYTES))
+        await connection.send(encode(hello))
+        challenge = await _receive(connection, Challenge)
+        _check_nonce(challenge.nonce)
+        if challenge.identity.upstream_id != expected:
+            raise HandshakeError(f"{challenge.identity.upstream_id} in place of {expected}")
+        proof = make_proof(secret, Role.DIALER, hello, challenge)
+        await connection.send(encode(DialerProof(proof)))
+        answer = await _receive(connection, AcceptorProof)
+        _check_proof(answer.proof, make_proof(secret, Role.ACCEPTOR, hello, challenge))
+        admit(challenge.identity)
+        connection.raise_limit(LINK_MESSAGE_LIMIT_BYTES)
+        await connection.send(b"")
+        return challenge.identity
+
+
+async def accept_peer(
+    connection: MessageConnection, local: NodeIdentity, secret: bytes, admit: Admit
+) -> NodeIdentity:
+    """Run the handshake at the accepting end and return the proven identity of the peer.
+
+    Args:
+        connection: A new connection.
+        local: Identity of this node.
+        secret: The fleet secret.
+        admit: Raises `HandshakeError` for a proven identity that is not wanted.
+
+    Raises:
+        HandshakeError: The peer did not prove an identity in time.
+        ConnectionLost: The connection closed.
+    """
+    async with _deadline(connection):
+        hello = await _receive(connection, Hello)
+        if hello.version != PROTOCOL_VERSION:
+            raise HandshakeError(f"link protocol version {hello.version}")
+        _check_nonce(hello.nonce)
+        if hello.identity.upstream_id == local.upstream_id:
+            raise HandshakeError("the peer claims the upstream of this node")
+        challenge = Challenge(local, secrets.token_bytes(NONCE_BYTES))
+        await connection.send(encode(challenge))
+        answer = await _receive(connection, DialerProof)
+        _check_proof(answer.proof, make_proof(secret, Role.DIALER, hello, challenge))
+        admit(hello.identity)
+        # Raised before the proof goes out: the dialling end may send long messages as soon as it
+        # has the proof.
+        connection.raise_limit(LINK_MESSAGE_LIMIT_BYTES)
+        proof = make_proof(secret, Role.ACCEPTOR, hello, challenge)
+        await connection.send(encode(AcceptorProof(proof)))
+        if await connection.receive():
+            raise HandshakeError("bytes in place of the empty message")
+        return hello.identity
+
+
+@asynccontextmanager
+async def _deadline(connection: MessageConnection) -> AsyncIterator[None]:
+    try:
+        async with asyncio.timeout_at(connection.opened_at_s + HANDSHAKE_TIMEOUT_MS / 1000):
+            yield
+    except TimeoutError:
+        raise HandshakeError(f"not finished in {HANDSHAKE_TIMEOUT_MS} ms") from None
+
+
+async def _receive(connection: MessageConnection, expected: type[T]) -> T:
+    data = await connection.receive()
+    try:
+        received = decode(data)
+    except MessageError as error:
+        raise HandshakeError(f"bad message: {error.problem}") from error
+    if not isinstance(received, expected):
+        name = type(received).__name__
+        raise HandshakeError(f"{name} in place of {expected.__name__}")
+    return received
+
+
+def _check_nonce(nonce: bytes) -> None:
+    if len(nonce) != NONCE_BYTES:
+        raise HandshakeError(f"nonce of {len(nonce)} bytes")
+
+
+def _check_proof(found: bytes, expected: bytes) -> None:
+    if not hmac.compare_digest(found, expected):
+        raise HandshakeError("wrong proof")
--- /dev/null
+++ b/gentianthread/protocol/link.py
@@ -0,0 +1,603 @@
+"""Multiplex control messages and request streams over one connection."""
+
+import asyncio
+import inspect
+import struct
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Coroutine
+from typing import Any
+
+from ..errors import (
+    ConnectionLost,
+    ConnectionSilent,
+    FrameError,
+    GentianError,
+    MessageError,
+    ProtocolError,
+    TransportError,
+)
+from ..events import FRAME_DROPPED, TASK_FAILED
+from ..ids import NodeIdentity
+from ..logs import log
+from ..metrics import Metrics
+from ..transport.connections import MessageConnection
+from .codec import MESSAGE_LIMIT_BYTES, decode, encode
+from .frames import BATCH_BYTES, FRAME_LIMIT_BYTES, FrameKind, frame_header, read_frames
+from .link_stream import LinkStream, Signal, encode_head
+
+HEARTBEAT_MS = 250
+SILENCE_MS = 1_000
+
+# A timer that fires this late shows that this process was held up; frames may wait unread then.
+LATE_TIMER_MS = 100
+
+# Streams that one end may have open. With a full credit unread on each, a peer can make the node
+# hold 256 MiB; the receiver stops returning credit long before.
+OPEN_STREAMS_LIMIT = 1_024
+
+# Unread bytes of all streams of a link above which no credit is returned.
+UNREAD_LIMIT_BYTES = 16 * 1024 * 1024
+
+# Bytes that the streams of a link may have queued before senders wait.
+QUEUE_LIMIT_BYTES = 4 * 1024 * 1024
+
+# Control bytes that may be queued. More shows that the peer has stopped reading.
+CONTROL_LIMIT_BYTES = 8 * 1024 * 1024
+
+# Control messages of one peer that may be handled at the same time; more are dropped.
+HANDLERS_LIMIT = 1_024
+
+# Ids have 32 bits; a link that comes near the end is replaced.
+LAST_STREAM_ID = 2**32 - 1_000
+
+FLUSH_TIMEOUT_MS = 500
+
+_CREDIT = struct.Struct("!I")
+
+
+class LinkOwner(ABC):
+    """Receive what arrives on links."""
+
+    @abstractmethod
+    def on_message(self, link: "Link", message: Any) -> Any:
+        """Handle a control message and return the answer, None, or an awaitable of them."""
+
+    @abstractmethod
+    def on_stream(self, link: "Link", head: Any, stream: LinkStream) -> Coroutine[Any, Any, None]:
+        """Return the coroutine that serves a stream that the peer opened."""
+
+    @abstractmethod
+    def on_closed(self, link: "Link", error: GentianError, unsent: list[LinkStream]) -> None:
+        """Learn that a link closed.
+
+        Args:
+            link: The link.
+            error: Why it closed.
+            unsent: Streams opened here of which nothing was sent; the owner moves or ends them.
+        """
+
+
+class Link:
+    """Be one end of an authenticated connection between two nodes."""
+
+    def __init__(
+        self,
+        connection: MessageConnection,
+        peer: NodeIdentity,
+        owner: LinkOwner,
+        metrics: Metrics,
+        *,
+        dialed: bool,
+    ):
+        """Create a link; `run` serves it.
+
+        Args:
+            connection: The connection, after the handshake.
+            peer: The proven identity of the other end.
+            owner: Receives what arrives.
+            metrics: Counts frames.
+            dialed: Whether this end opened the connection.
+        """
+        self.connection = connection
+        self.peer = peer
+        self.dialed = dialed
+        self.error: GentianError | None = None
+        self.draining = False
+        self.peer_draining = False
+        self.streams: dict[int, LinkStream] = {}
+        self._owner = owner
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+        # Each end numbers the streams and requests that it opens; parity keeps both apart.
+        self._next_id = 1 if dialed else 2
+        self._last_peer_id = 0
+        self._opened_here = 0
+        self._requests: dict[int, asyncio.Future] = {}
+        self._control: deque[tuple[int, int, bytes]] = deque()
+        self._control_bytes = 0
+        self._ready: deque[LinkStream] = deque()
+        self._queued_bytes = 0
+        self._unread_bytes = 0
+        self._withheld: dict[int, int] = {}
+        self._partial = bytearray()
+        self._waker: asyncio.Future | None = None
+        self._writing = False
+        self._tasks: set[asyncio.Task] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._heartbeat_due = False
+        self._closing = False
+        self._settled = Signal()
+        now_s = self._loop.time()
+        self._received_s = self._sent_s = self.used_s = self.opened_s = now_s
+        self._accepts = {
+            FrameKind.OPEN: self._on_open,
+            FrameKind.HEAD: self._on_head,
+            FrameKind.DATA: self._on_data,
+            FrameKind.FINISH: self._on_finish,
+            FrameKind.CREDIT: self._on_credit,
+            FrameKind.ABORT: self._on_abort,
+            FrameKind.MESSAGE: self._on_message,
+            FrameKind.REQUEST: self._on_request,
+            FrameKind.ANSWER: self._on_answer,
+            FrameKind.PART: self._on_part,
+            FrameKind.DRAIN: self._on_drain,
+        }
+
+    # The side of the owner.
+
+    @property
+    def usable(self) -> bool:
+        """Return whether new streams and messages may go here."""
+        return (
+            self.error is None
+            and not self.draining
+            and not self.peer_draining
+            and self._next_id < LAST_STREAM_ID
+        )
+
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing is open, awaited or queued."""
+        return not (self.streams or self._requests or self._ready or self._control or self._writing)
+
+    async def run(self) -> None:
+        """Serve the link until it closes; what went wrong is in `error`."""
+        self._schedule_timer()
+        writer = asyncio.create_task(self._write())
+        try:
+            await self._read()
+        except (TransportError, ProtocolError) as error:
+            self.fail(error)
+        finally:
+            writer.cancel()
+            self.fail(ConnectionLost(self.connection.peer_address, "link ended"))
+
+    def cancel_handlers(self) -> None:
+        """Cancel the handlers that still run.
+
+        A link that closes leaves them running: they learn it from their streams, and a request that
+        a target runs has to be recorded.
+        """
+        for task in self._tasks:
+            task.cancel()
+
+    def open_stream(self, head: Any) -> LinkStream:
+        """Open a stream; its head waits for its turn.
+
+        Raises:
+            ConnectionLost: The link takes no more streams; nothing was sent.
+        """
+        data = encode_head(head)
+        self._check_open_limit()
+        stream = LinkStream(self, self._take_id(), opened_here=True)
+        self._add(stream)
+        stream.queue_open(data)
+        return stream
+
+    def adopt(self, stream: LinkStream) -> None:
+        """Take over a stream of another link of which nothing was sent.
+
+        Raises:
+            ConnectionLost: The link takes no more streams.
+        """
+        self._check_open_limit()
+        stream.move(self, self._take_id())
+        self._add(stream)
+        stream.scheduled = False
+        self.schedule(stream)
+
+    def send_message(self, message: Any) -> None:
+        """Queue a one-way control message.
+
+        Raises:
+            ConnectionLost: The link is closed.
+        """
+        self._send_whole(FrameKind.MESSAGE, 0, encode(message))
+
+    async def request(self, message: Any) -> Any:
+        """Queue a control request and wait for its answer.
+
+        Raises:
+            ConnectionLost: The link closed before the answer came.
+        """
+        request_id = self._take_id()
+        answered = self._loop.create_future()
+        self._send_whole(FrameKind.REQUEST, request_id, encode(message))
+        self._requests[request_id] = answered
+        try:
+            return await answered
+        finally:
+            self._requests.pop(request_id, None)
+
+    def drain(self) -> None:
+        """Open nothing more here; the link closes when both ends drain and nothing is open."""
+        if not self.draining and self.error is None:
+            self.draining = True
+            self.send_control(FrameKind.DRAIN, 0, b"")
+            self._close_if_drained()
+
+    async def close(self, problem: str) -> None:
+        """Send what is queued, bounded in time, and close.
+
+        Args:
+            problem: Why, for the log and the streams that are still open.
+        """
+        try:
+            async with asyncio.timeout(FLUSH_TIMEOUT_MS / 1000):
+                while (self._control or self._ready or self._writing) and self.error is None:
+                    await self._settled.wait()
+        except TimeoutError:
+            pass
+        self.fail(ConnectionLost(str(self.peer.upstream_id), problem), graceful=True)
+        await self.connection.close()
+
+    async def wait_for_streams(self, timeout_ms: float) -> None:
+        """Wait until no stream is open, the link closed, or the time is over."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                while self.streams and self.error is None:
+                    await self._settled.wait()
+        except TimeoutError:
+            pass
+
+    def fail(self, error: GentianError, *, graceful: bool = False) -> None:
+        """Close at once and end everything that is open.
+
+        Args:
+            error: Why.
+            graceful: Whether the caller closes the connection.
+        """
+        if self.error is not None:
+            return
+        self.error = error
+        if self._timer is not None:
+            self._timer.cancel()
+        if not graceful:
+            self.connection.abort()
+        self._wake()
+        self._settled.notify()
+        unsent = []
+        for stream in list(self.streams.values()):
+            if stream.may_have_sent:
+                stream.end(str(error))
+            else:
+                unsent.append(stream)
+        self.streams.clear()
+        for answered in self._requests.values():
+            if not answered.done():
+                answered.set_exception(error)
+        self._requests.clear()
+        self._control.clear()
+        self._ready.clear()
+        self._owner.on_closed(self, error, unsent)
+
+    # The side of the streams.
+
+    def schedule(self, stream: LinkStream) -> None:
+        """Serve a stream in its turn."""
+        if not stream.scheduled and self.error is None:
+            stream.scheduled = True
+            self._ready.append(stream)
+            self._wake()
+
+    def send_control(self, kind: int, frame_id: int, payload: bytes) -> None:
+        """Queue a frame before those of the streams."""
+        if self.error is not None:
+            return
+        self._control.append((kind, frame_id, payload))
+        self._control_bytes += len(payload)
+        if self._control_bytes > CONTROL_LIMIT_BYTES:
+            self.fail(ConnectionLost(str(self.peer.upstream_id), "control queue full"))
+            return
+        self._wake()
+
+    def send_credit(self, stream_id: int, amount_bytes: int) -> None:
+        """Return credit, or withhold it while the streams hold too much unread."""
+        if self._unread_bytes > UNREAD_LIMIT_BYTES:
+            self._withheld[stream_id] = self._withheld.get(stream_id, 0) + amount_bytes
+            return
+        self.send_control(FrameKind.CREDIT, stream_id, _CREDIT.pack(amount_bytes))
+
+    def queued(self, change_bytes: int) -> None:
+        """Count bytes that wait in streams to be sent."""
+        was_full = self.queue_full()
+        self._queued_bytes += change_bytes
+        if was_full and not self.queue_full():
+            for stream in self.streams.values():
+                stream.wake_sender()
+
+    def queue_full(self) -> bool:
+        """Return whether senders have to wait."""
+        return self._queued_bytes >= QUEUE_LIMIT_BYTES
+
+    def unread(self, change_bytes: int) -> None:
+        """Count bytes that wait in streams to be read."""
+        self._unread_bytes += change_bytes
+        if self._withheld and self._unread_bytes <= UNREAD_LIMIT_BYTES:
+            withheld, self._withheld = self._withheld, {}
+            for stream_id, amount_bytes in withheld.items():
+                self.send_control(FrameKind.CREDIT, stream_id, _CREDIT.pack(amount_bytes))
+
+    def forget(self, stream: LinkStream) -> None:
+        """Let go of a stream that is complete or aborted."""
+        if self.streams.pop(stream.stream_id, None) is not None:
+            self._opened_here -= stream.opened_here
+            self._withheld.pop(stream.stream_id, None)
+            if not self.streams:
+                self._settled.notify()
+            self._close_if_drained()
+
+    # Sending.
+
+    def _take_id(self) -> int:
+        taken = self._next_id
+        self._next_id += 2
+        self.used_s = self._loop.time()
+        return taken
+
+    def _check_open_limit(self) -> None:
+        if self.error is not None or self._opened_here >= OPEN_STREAMS_LIMIT:
+            problem = "closed" if self.error else f"{self._opened_here} streams are open"
+            raise ConnectionLost(str(self.peer.upstream_id), problem)
+
+    def _add(self, stream: LinkStream) -> None:
+        self.streams[stream.stream_id] = stream
+        self._opened_here += stream.opened_here
+
+    def _send_whole(self, kind: int, frame_id: int, data: bytes) -> None:
+        if self.error is not None:
+            raise ConnectionLost(str(self.peer.upstream_id), "closed")
+        if len(data) > MESSAGE_LIMIT_BYTES:
+            raise MessageError("?", f"{len(data)} bytes exceed {MESSAGE_LIMIT_BYTES}")
+        self.used_s = self._loop.time()
+        start = 0
+        while len(data) - start > FRAME_LIMIT_BYTES:
+            self.send_control(FrameKind.PART, 0, data[start : start + FRAME_LIMIT_BYTES])
+            start += FRAME_LIMIT_BYTES
+        self.send_control(kind, frame_id, data[start:] if start else data)
+
+    def _wake(self) -> None:
+        waker = self._waker
+        if waker is not None and not waker.done():
+            waker.set_result(None)
+
+    async def _write(self) -> None:
+        connection = self.connection
+        try:
+            while self.error is None:
+                if not self._ready and not self._control and not self._heartbeat_due:
+                    self._settled.notify()
+                    self._close_if_drained()
+                    self._waker = self._loop.create_future()
+                    await self._waker
+                    continue
+                if connection.closed:
+                    raise ConnectionLost(connection.peer_address, "closed")
+                batch = self._take_batch()
+                if batch or self._heartbeat_due:
+                    await self._send(batch)
+        except TransportError as error:
+            self.fail(error)
+
+    async def _send(self, data: bytes) -> None:
+        self._sent_s = self._loop.time()
+        self._heartbeat_due = False
+        self._writing = True
+        try:
+            await self.connection.send(data)
+        finally:
+            self._writing = False
+
+    def _take_batch(self) -> bytes:
+        """Return the next message: control frames first, then the streams in turn."""
+        parts: list[bytes | memoryview] = []
+        size = 0
+        control = self._control
+        while control and size < BATCH_BYTES:
+            kind, frame_id, payload = control.popleft()
+            parts.append(frame_header(kind, frame_id, len(payload)))
+            parts.append(payload)
+            size += len(payload) + 9
+            self._control_bytes -= len(payload)
+        ready = self._ready
+        while ready and size < BATCH_BYTES:
+            stream = ready.popleft()
+            size += stream.take_frames(parts, BATCH_BYTES - size)
+            if stream.has_frames():
+                ready.append(stream)
+            else:
+                stream.scheduled = False
+        return b"".join(parts)
+
+    # Time.
+
+    def _schedule_timer(self) -> None:
+        silent_s = self._received_s + SILENCE_MS / 1000
+        if self._writing or self._heartbeat_due:
+            self._timer_s = min(self._loop.time() + HEARTBEAT_MS / 1000, silent_s)
+        else:
+            self._timer_s = min(self._sent_s + HEARTBEAT_MS / 1000, silent_s)
+        self._timer = self._loop.call_at(self._timer_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        if self.error is not None:
+            return
+        now_s = self._loop.time()
+        late = now_s - self._timer_s > LATE_TIMER_MS / 1000
+        silence_ms = (now_s - self._received_s) * 1000
+        if silence_ms >= SILENCE_MS - 0.5 and not late:
+            self.fail(ConnectionSilent(str(self.peer.upstream_id), silence_ms))
+            return
+        if now_s - self._sent_s >= (HEARTBEAT_MS - 0.5) / 1000 and not self._writing:
+            self._heartbeat_due = True
+            self._wake()
+        if silence_ms >= SILENCE_MS - 0.5:
+            # The silence may be this process's own pause: read what has arrived first.
+            self._timer_s = now_s + LATE_TIMER_MS / 1000
+            self._timer = self._loop.call_at(self._timer_s, self._on_timer)
+        else:
+            self._schedule_timer()
+
+    # Receiving.
+
+    async def _read(self) -> None:
+        connection = self.connection
+        accepts = self._accepts
+        while self.error is None:
+            data = await connection.receive()
+            self._received_s = self._loop.time()
+            if self.error is not None:
+                return
+            for kind, frame_id, payload in read_frames(data):
+                accepts[kind](frame_id, payload)
+
+    def _drop(self, kind: FrameKind, frame_id: int) -> None:
+        self._metrics.count("link.frames_dropped")
+        problem = f"{kind.name} for {frame_id} is late, double or unknown"
+        log(FRAME_DROPPED, peer=self.peer.upstream_id, problem=problem)
+
+    def _on_open(self, stream_id: int, payload: bytes) -> None:
+        from_peer = stream_id % 2 == (0 if self.dialed else 1)
+        if not from_peer or stream_id <= self._last_peer_id:
+            self._drop(FrameKind.OPEN, stream_id)
+            return
+        self._last_peer_id = stream_id
+        if len(self.streams) - self._opened_here >= OPEN_STREAMS_LIMIT:
+            self.send_control(FrameKind.ABORT, stream_id, b"too many open streams")
+            return
+        head = decode(payload)
+        stream = LinkStream(self, stream_id, opened_here=False, head=head)
+        self._add(stream)
+        self.used_s = self._received_s
+        self._start(self._serve(head, stream), "stream")
+
+    async def _serve(self, head: Any, stream: LinkStream) -> None:
+        try:
+            await self._owner.on_stream(self, head, stream)
+        finally:
+            stream.end_service()
+
+    def _on_head(self, stream_id: int, payload: bytes) -> None:
+        stream = self.streams.get(stream_id)
+        if stream is None or not stream.on_head(payload):
+            self._drop(FrameKind.HEAD, stream_id)
+
+    def _on_data(self, stream_id: int, payload: bytes) -> None:
+        stream = self.streams.get(stream_id)
+        if stream is None or not stream.on_data(payload):
+            self._drop(FrameKind.DATA, stream_id)
+
+    def _on_finish(self, stream_id: int, payload: bytes) -> None:
+        stream = self.streams.get(stream_id)
+        if stream is None or not stream.on_finish(payload):
+            self._drop(FrameKind.FINISH, stream_id)
+
+    def _on_credit(self, stream_id: int, payload: bytes) -> None:
+        if len(payload) != _CREDIT.size:
+            raise FrameError(f"credit of {len(payload)} bytes")
+        stream = self.streams.get(stream_id)
+        if stream is None:
+            self._drop(FrameKind.CREDIT, stream_id)
+        else:
+            stream.on_credit(_CREDIT.unpack(payload)[0])
+
+    def _on_abort(self, stream_id: int, payload: bytes) -> None:
+        stream = self.streams.get(stream_id)
+        if stream is None:
+            self._drop(FrameKind.ABORT, stream_id)
+        else:
+            stream.end(payload.decode(errors="replace"))
+
+    def _on_message(self, frame_id: int, payload: bytes) -> None:
+        self._handle(decode(self._whole(payload)), None)
+
+    def _on_request(self, request_id: int, payload: bytes) -> None:
+        self._handle(decode(self._whole(payload)), request_id)
+
+    def _on_answer(self, request_id: int, payload: bytes) -> None:
+        answer = decode(self._whole(payload))
+        answered = self._requests.get(request_id)
+        if answered is None or answered.done():
+            self._drop(FrameKind.ANSWER, request_id)
+        else:
+            answered.set_result(answer)
+
+    def _on_part(self, frame_id: int, payload: bytes) -> None:
+        if len(self._partial) + len(payload) > MESSAGE_LIMIT_BYTES:
+            raise FrameError(f"parts of over {MESSAGE_LIMIT_BYTES} bytes")
+        self._partial += payload
+
+    def _on_drain(self, frame_id: int, payload: bytes) -> None:
+        self.peer_draining = True
+        self._close_if_drained()
+
+    def _whole(self, payload: bytes) -> bytes:
+        if not self._partial:
+            return payload
+        whole, self._partial = bytes(self._partial + payload), bytearray()
+        return whole
+
+    def _handle(self, message: Any, request_id: int | None) -> None:
+        self.used_s = self._received_s
+        if len(self._tasks) >= HANDLERS_LIMIT + OPEN_STREAMS_LIMIT:
+            self._drop(FrameKind.MESSAGE, request_id or 0)
+            return
+        try:
+            result = self._owner.on_message(self, message)
+        except Exception as error:
+            log(TASK_FAILED, task=f"handler of {type(message).__name__}", error=repr(error))
+            return
+        if inspect.isawaitable(result):
+            self._start(self._answer_later(result, request_id), type(message).__name__)
+        else:
+            self._answer(result, request_id)
+
+    async def _answer_later(self, result: Any, request_id: int | None) -> None:
+        self._answer(await result, request_id)
+
+    def _answer(self, answer: Any, request_id: int | None) -> None:
+        if request_id is None or answer is None or self.error is not None:
+            return
+        try:
+            self._send_whole(FrameKind.ANSWER, request_id, encode(answer))
+        except MessageError as error:
+            # The answer is wrong, not the link.
+            log(TASK_FAILED, task="answer to a peer", error=repr(error))
+
+    def _start(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        task = asyncio.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log(TASK_FAILED, task=task.get_name(), error=repr(task.exception()))
+
+    def _close_if_drained(self) -> None:
+        # The dialling end closes, so that both ends do not close while the other still sends.
+        drained = self.draining and self.peer_draining and self.idle
+        if drained and self.dialed and self.error is None and not self._closing:
+            self._closing = True
+            self._start(self.close("drained"), "close")
--- /dev/null
+++ b/gentianthread/protocol/link_stream.py
@@ -0,0 +1,348 @@
+"""Carry request streams over a link."""
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from ..errors import FrameError, MessageError, StreamAborted
+from .codec import decode, encode
+from .frames import FRAME_LIMIT_BYTES, FrameKind, frame_header
+from .streams import CHUNK_LIMIT_BYTES, STREAM_CREDIT_BYTES, Stream
+
+if TYPE_CHECKING:
+    from .link import Link
+
+# Bytes that a stream may have waiting in the link. The rest waits at the application, where an
+# abort drops it without cost.
+STREAM_QUEUE_BYTES = 4 * CHUNK_LIMIT_BYTES
+
+# Consumed bytes are returned as credit in steps of this size, one small frame for four chunks.
+CREDIT_STEP_BYTES = STREAM_CREDIT_BYTES // 4
+
+PROBLEM_LIMIT_BYTES = 256
+
+_HEAD, _DATA, _FINISH = int(FrameKind.HEAD), int(FrameKind.DATA), int(FrameKind.FINISH)
+_OPEN, _ABORT = int(FrameKind.OPEN), int(FrameKind.ABORT)
+
+
+class Signal:
+    """Wake every task that waits for a change."""
+
+    __slots__ = ("_waiters",)
+
+    def __init__(self) -> None:
+        self._waiters: list[asyncio.Future] = []
+
+    async def wait(self) -> None:
+        """Wait for the next `notify`."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+            raise
+
+    def notify(self) -> None:
+        """Wake the waiting tasks."""
+        if self._waiters:
+            waiters, self._waiters = self._waiters, []
+            for waiter in waiters:
+                if not waiter.done():
+                    waiter.set_result(None)
+
+
+def encode_head(head: Any) -> bytes:
+    """Return the wire form of a head or a summary.
+
+    Raises:
+        MessageError: It does not fit into a frame.
+    """
+    data = encode(head)
+    if len(data) > FRAME_LIMIT_BYTES:
+        raise MessageError(type(head).__name__, f"{len(data)} bytes exceed {FRAME_LIMIT_BYTES}")
+    return data
+
+
+class LinkStream(Stream):
+    """Be one end of a stream of a link.
+
+    Frames wait in the stream until the link serves it, without their stream id, so that a stream
+    of which nothing was sent can move to another link.
+    """
+
+    def __init__(self, link: "Link", stream_id: int, *, opened_here: bool, head: Any = None):
+        """Use `Link.open_stream` to create one.
+
+        Args:
+            link: The link that serves the stream.
+            stream_id: Its id on the link.
+            opened_here: Whether this end opened it.
+            head: The opening head, at the end that accepts the stream.
+        """
+        self.link = link
+        self.stream_id = stream_id
+        self.opened_here = opened_here
+        self.moved = False
+        self.scheduled = False
+        self._sent = not opened_here
+        self._outgoing: deque[tuple[int, bytes]] = deque()
+        self._queued_bytes = 0
+        self._credit_bytes = STREAM_CREDIT_BYTES
+        self._head_sent = opened_here
+        self._finish_sent = False
+        self._head = head
+        self._chunks: deque[bytes] = deque()
+        self._granted_bytes = STREAM_CREDIT_BYTES
+        self._consumed_bytes = 0
+        self._finished = False
+        self._summary: Any = None
+        self._problem: str | None = None
+        self._room = Signal()
+        self._arrival = Signal()
+        self._abort = Signal()
+
+    # The side of the application.
+
+    async def send_head(self, head: Any) -> None:
+        """Queue the head."""
+        self._check()
+        if not self._head_sent:
+            self._head_sent = True
+            self._queue(_HEAD, encode_head(head))
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Queue body bytes while there is credit and room."""
+        if len(data) <= CHUNK_LIMIT_BYTES:
+            if data:
+                await self._send_part(data)
+            return
+        view = memoryview(data)
+        for start in range(0, len(data), CHUNK_LIMIT_BYTES):
+            await self._send_part(view[start : start + CHUNK_LIMIT_BYTES])
+
+    async def _send_part(self, part: bytes | memoryview) -> None:
+        length = len(part)
+        self._check_sending()
+        while (
+            self._credit_bytes < length
+            or self._queued_bytes >= STREAM_QUEUE_BYTES
+            or self.link.queue_full()
+        ):
+            await self._room.wait()
+            self._check_sending()
+        self._credit_bytes -= length
+        self._queue(_DATA, part)
+
+    async def finish(self, summary: Any = None) -> None:
+        """Queue the finish mark."""
+        self._check_sending()
+        data = b"" if summary is None else encode_head(summary)
+        self._finish_sent = True
+        self._queue(_FINISH, data)
+        self._release_if_complete()
+
+    async def receive_head(self) -> Any:
+        """Wait for the other end's head."""
+        while self._head is None:
+            self._check()
+            if self._finished:
+                raise StreamAborted("finished without a head")
+            await self._arrival.wait()
+        return self._head
+
+    async def receive_chunk(self) -> bytes | None:
+        """Take the next bytes and return credit for them."""
+        while not self._chunks:
+            if self._finished:
+                return None
+            self._check()
+            await self._arrival.wait()
+        part = self._chunks.popleft()
+        self.link.unread(-len(part))
+        self._consumed_bytes += len(part)
+        if self._consumed_bytes >= CREDIT_STEP_BYTES and not self._finished:
+            self._granted_bytes += self._consumed_bytes
+            self.link.send_credit(self.stream_id, self._consumed_bytes)
+            self._consumed_bytes = 0
+        return part
+
+    @property
+    def summary(self) -> Any:
+        """Return the other end's summary."""
+        return self._summary
+
+    def abort(self, problem: str) -> None:
+        """End both directions; what is queued or unread is dropped."""
+        if self._problem is not None:
+            return
+        complete = self._finish_sent and self._finished
+        self._drop_unread()
+        if complete:
+            # The finish mark may still wait to be sent; the other end is to get it.
+            self._problem = problem
+            self._abort.notify()
+            return
+        if self._sent:
+            text = problem.encode()[:PROBLEM_LIMIT_BYTES]
+            self.link.send_control(_ABORT, self.stream_id, text)
+        self.end(problem)
+
+    async def aborted(self) -> str:
+        """Wait for an abort."""
+        while self._problem is None:
+            await self._abort.wait()
+        return self._problem
+
+    @property
+    def may_have_sent(self) -> bool:
+        """Return whether the opening head was handed to the connection."""
+        return self._sent
+
+    @property
+    def complete(self) -> bool:
+        """Return whether both directions have their finish mark."""
+        return self._finish_sent and self._finished
+
+    # The side of the link.
+
+    def queue_open(self, head: bytes) -> None:
+        """Queue the opening head."""
+        self._queue(_OPEN, head)
+
+    def take_frames(self, parts: list, room_bytes: int) -> int:
+        """Move queued frames to a batch.
+
+        Args:
+            parts: Gets headers and payloads.
+            room_bytes: Frames are taken until they reach this length.
+
+        Returns:
+            The length of the frames that were taken.
+        """
+        taken = 0
+        while self._outgoing and taken < room_bytes:
+            kind, payload = self._outgoing.popleft()
+            length = len(payload)
+            parts.append(frame_header(kind, self.stream_id, length))
+            if length:
+                parts.append(payload)
+                self._queued_bytes -= length
+                self.link.queued(-length)
+            taken += length + 9
+        if taken:
+            self._sent = True
+            self._room.notify()
+        return taken
+
+    def has_frames(self) -> bool:
+        """Return whether frames wait to be sent."""
+        return bool(self._outgoing)
+
+    def wake_sender(self) -> None:
+        """Let a sender look again whether there is room."""
+        self._room.notify()
+
+    def move(self, link: "Link", stream_id: int) -> None:
+        """Go to another link; nothing may have been sent."""
+        self.moved = True
+        self.link, self.stream_id = link, stream_id
+        link.queued(self._queued_bytes)
+
+    def on_head(self, payload: bytes) -> bool:
+        """Accept the other end's head and return whether it was expected."""
+        if self._head is not None or self._finished or not self.opened_here:
+            return False
+        self._head = decode(payload)
+        self._arrival.notify()
+        return True
+
+    def on_data(self, payload: bytes) -> bool:
+        """Accept body bytes and return whether they were expected.
+
+        Raises:
+            FrameError: The peer exceeds the chunk limit or its credit.
+        """
+        if self._finished:
+            return False
+        length = len(payload)
+        if not 0 < length <= CHUNK_LIMIT_BYTES:
+            raise FrameError(f"chunk of {length} bytes")
+        if length > self._granted_bytes:
+            raise FrameError(f"chunk of {length} bytes with a credit of {self._granted_bytes}")
+        self._granted_bytes -= length
+        self._chunks.append(payload)
+        self.link.unread(length)
+        self._arrival.notify()
+        return True
+
+    def on_finish(self, payload: bytes) -> bool:
+        """Accept the finish mark and return whether it was expected."""
+        if self._finished:
+            return False
+        if payload:
+            self._summary = decode(payload)
+        self._finished = True
+        self._arrival.notify()
+        self._release_if_complete()
+        return True
+
+    def on_credit(self, amount_bytes: int) -> None:
+        """Accept credit.
+
+        Raises:
+            FrameError: The credit exceeds what was used.
+        """
+        self._credit_bytes += amount_bytes
+        if self._credit_bytes > STREAM_CREDIT_BYTES:
+            raise FrameError(f"credit of {self._credit_bytes} bytes")
+        self._room.notify()
+
+    def end(self, problem: str) -> None:
+        """End the stream without telling the other end."""
+        if self._problem is not None:
+            return
+        self._problem = problem
+        self.link.queued(-self._queued_bytes)
+        self._outgoing.clear()
+        self._queued_bytes = 0
+        # A complete answer stays readable: its finish mark proves that nothing is missing.
+        if not self._finished:
+            self._drop_unread()
+        self.link.forget(self)
+        for signal in (self._room, self._arrival, self._abort):
+            signal.notify()
+
+    def end_service(self) -> None:
+        """End what the handler of an accepted stream left open."""
+        if not self._finish_sent:
+            self.abort("handler ended without a finish mark")
+        elif not self._finished and self._problem is None:
+            # The answer is complete; the abort goes out behind it and only stops the body.
+            self._queue(_ABORT, b"body not read")
+            self._drop_unread()
+            self.link.forget(self)
+
+    def _queue(self, kind: int, payload: bytes | memoryview) -> None:
+        self._outgoing.append((kind, payload))
+        self._queued_bytes += len(payload)
+        self.link.queued(len(payload))
+        self.link.schedule(self)
+
+    def _drop_unread(self) -> None:
+        self.link.unread(-sum(map(len, self._chunks)))
+        self._chunks.clear()
+
+    def _release_if_complete(self) -> None:
+        if self._finish_sent and self._finished:
+            self.link.forget(self)
+
+    def _check(self) -> None:
+        if self._problem is not None:
+            raise StreamAborted(self._problem)
+
+    def _check_sending(self) -> None:
+        self._check()
+        if self._finish_sent:
+            raise StreamAborted("this direction is finished")
--- /dev/null
+++ b/gentianthread/protocol/messages_links.py
@@ -0,0 +1,60 @@
+"""Define the messages of the handshake between two nodes."""
+
+import attrs
+
+from ..ids import NodeIdentity
+from .codec import message
+
+
+@message(1)
+@attrs.frozen
+class Hello:
+    """Open the handshake; the dialling node sends it.
+
+    Attributes:
+        version: Version of the link protocol.
+        identity: Who dials.
+        nonce: Random bytes of the dialling node.
+    """
+
+    version: int
+    identity: NodeIdentity
+    nonce: bytes
+
+
+@message(2)
+@attrs.frozen
+class Challenge:
+    """Answer a `Hello`.
+
+    Attributes:
+        identity: Who accepts.
+        nonce: Random bytes of the accepting node.
+    """
+
+    identity: NodeIdentity
+    nonce: bytes
+
+
+@message(3)
+@attrs.frozen
+class DialerProof:
+    """Prove that the dialling node knows the fleet secret.
+
+    Attributes:
+        proof: HMAC of the dialling role.
+    """
+
+    proof: bytes
+
+
+@message(4)
+@attrs.frozen
+class AcceptorProof:
+    """Prove that the accepting node knows the fleet secret.
+
+    Attributes:
+        proof: HMAC of the accepting role.
+    """
+
+    proof: bytes
--- a/gentianthread/protocol/streams.py
+++ b/gentianthread/protocol/streams.py
@@ -65,6 +65,22 @@
             StreamAborted: The stream ended early.
         """
 
+    async def send_whole(self, head: Any, body: bytes = b"", summary: Any = None) -> None:
+        """Send a head, a body and the finish mark; a short answer travels in one message.
+
+        Args:
+            head: The head of this direction.
+            body: The whole body.
+            summary: A message that the other end finds in `summary`.
+
+        Raises:
+            StreamAborted: The stream ended early.
+        """
+        await self.send_head(head)
+        if body:
+            await self.send_chunk(body)
+        await self.finish(summary)
+
     @property
     @abstractmethod
     def summary(self) -> Any:
