Split the link into its queue, its control messages and its streams

The queue, the control messages and the link events are modules of their own now; a link that fails within a second of its opening counts as a failed attempt, so that a peer that closes every link is not dialled in a tight loop.

--- a/gentianthread/coordination/links.py
+++ b/gentianthread/coordination/links.py
@@ -3,10 +3,8 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine, Iterable
-from enum import Enum
 from typing import Any
 
-import attrs
 import reactivex
 from reactivex.subject import Subject
 
@@ -26,7 +24,8 @@
 from ..metrics import MemoryMetrics, Metrics
 from ..protocol.codec import decode, encode
 from ..protocol.handshake import accept_peer, dial_peer
-from ..protocol.link import Link, LinkOwner
+from ..protocol.link import Link
+from ..protocol.link_control import LinkOwner
 from ..protocol.link_stream import LinkStream
 from ..protocol.streams import Stream, memory_stream_pair
 from ..transport.connections import (
@@ -35,6 +34,7 @@
     MessageTransport,
     WebSocketTransport,
 )
+from .link_events import Backoff, LinkEvent, LinkState
 from .peer_network import PeerNetwork
 
 # Connections that may run their handshake at the same time.
@@ -43,10 +43,9 @@
 # Opening a link, with TCP connection and handshake, must not take longer.
 DIAL_TIMEOUT_MS = 1_500
 
-# Pause after the first failed attempt to open a link, and the longest one. Each pause doubles and
-# is drawn from its upper half, so that a restarted node does not meet all its peers at once.
-BACKOFF_MS = 50
-BACKOFF_LIMIT_MS = 2_000
+# A link that closes before this age counts as a failed attempt; without that, a peer that opens and
+# closes links would be dialled in a tight loop.
+STABLE_MS = 1_000
 
 # A link that was opened on demand is closed after this time without use.
 UNUSED_MS = 30_000
@@ -55,62 +54,6 @@
 AddressOf = Callable[[UpstreamId], tuple[str, int] | None]
 
 
-class LinkState(Enum):
-    """Tell what was observed of a peer."""
-
-    UP = "up"
-    DOWN = "down"
-    SILENT = "silent"
-    UNREACHABLE = "unreachable"
-
-
-@attrs.frozen
-class LinkEvent:
-    """Report a change of the connection to a peer.
-
-    `UP`: the first link opened. `DOWN`: the last link closed. `SILENT`: the last link closed
-    because nothing arrived on it. `UNREACHABLE`: a link that is to be kept could not be opened.
-
-    Attributes:
-        upstream_id: The upstream of the peer.
-        state: What was observed.
-        start_number: Of the peer's process, where known.
-        problem: Why the link is not up, or None.
-    """
-
-    upstream_id: UpstreamId
-    state: LinkState
-    start_number: StartNumber | None
-    problem: str | None
-
-
-class Backoff:
-    """Pace the attempts to open links to one peer."""
-
-    def __init__(self, source: random.Random):
-        """Start without a pause.
-
-        Args:
-            source: Draws the jitter.
-        """
-        self._source = source
-        self._pause_ms = 0.0
-        self._until_s = 0.0
-
-    def remaining_ms(self, now_s: float) -> float:
-        """Return how long to wait until the next attempt."""
-        return max(0.0, (self._until_s - now_s) * 1000)
-
-    def failed(self, now_s: float) -> None:
-        """Note a failed attempt."""
-        self._pause_ms = min(BACKOFF_LIMIT_MS, max(BACKOFF_MS, self._pause_ms * 2))
-        self._until_s = now_s + self._pause_ms * self._source.uniform(0.5, 1.0) / 1000
-
-    def reset(self) -> None:
-        """Note success."""
-        self._pause_ms, self._until_s = 0.0, 0.0
-
-
 class _Peer:
     """Hold what is known about the node of one upstream."""
 
@@ -244,7 +187,7 @@
             return
         link = await self._link_to(upstream_id)
         try:
-            link.send_message(message)
+            link.control.send(message)
         except ConnectionLost as error:
             raise PeerUnreachable(upstream_id) from error
 
@@ -255,7 +198,7 @@
                 if upstream_id == self.local.upstream_id:
                     return await self._request_local(message)
                 link = await self._link_to(upstream_id)
-                return await link.request(message)
+                return await link.control.request(message)
         except (TimeoutError, ConnectionLost) as error:
             raise PeerTimeout(upstream_id, timeout_ms) from error
 
@@ -315,7 +258,6 @@
                 )
             self._serve(self._add_link(connection, identity, dialed=True))
             connection = None
-            peer.backoff.reset()
         except (ProtocolError, TransportError, TimeoutError) as error:
             self._on_dial_failed(upstream_id, peer, error)
         finally:
@@ -337,6 +279,7 @@
         self._unproven += 1
         try:
             identity = await accept_peer(connection, self.local, self._secret, self._admit)
+            link = self._add_link(connection, identity, dialed=False)
         except (ProtocolError, TransportError) as error:
             self.metrics.count("link.connections_refused")
             log(LINK_REFUSED, address=connection.peer_address, problem=str(error))
@@ -344,7 +287,7 @@
             return
         finally:
             self._unproven -= 1
-        await self._add_link(connection, identity, dialed=False).run()
+        await link.run()
 
     def _admit(self, identity: NodeIdentity) -> None:
         newest = self._peer(identity.upstream_id).newest
@@ -354,7 +297,12 @@
     def _add_link(
         self, connection: MessageConnection, identity: NodeIdentity, *, dialed: bool
     ) -> Link:
-        """Add a link and choose between the links to the same process."""
+        """Add a link and choose between the links to the same process.
+
+        Raises:
+            HandshakeError: A newer process opened a link during the handshake.
+        """
+        self._admit(identity)
         self.note_start_number(identity.upstream_id, identity.start_number)
         peer = self._peer(identity.upstream_id)
         link = Link(connection, identity, self, self.metrics, dialed=dialed)
@@ -424,6 +372,7 @@
         self.metrics.count("link.closed")
         log(LINK_CLOSED, peer=upstream_id, problem=str(error))
         if not peer.links:
+            self._pace(peer, link)
             silent = isinstance(error, ConnectionSilent)
             state = LinkState.SILENT if silent else LinkState.DOWN
             self._report(upstream_id, state, link.peer.start_number, str(error))
@@ -431,6 +380,14 @@
             self._start(self._move(upstream_id, error, unsent), "stream move")
         peer.changed.set()
 
+    def _pace(self, peer: _Peer, link: Link) -> None:
+        """Pause before the next link where this one failed soon after it opened."""
+        now_s = self._now_s()
+        if now_s - link.opened_s >= STABLE_MS / 1000:
+            peer.backoff.reset()
+        else:
+            peer.backoff.failed(now_s)
+
     async def _move(
         self, upstream_id: UpstreamId, error: GentianError, unsent: list[LinkStream]
     ) -> None:
@@ -458,7 +415,11 @@
         start_number: StartNumber | None,
         problem: str | None,
     ) -> None:
-        self.link_events.on_next(LinkEvent(upstream_id, state, start_number, problem))
+        try:
+            self.link_events.on_next(LinkEvent(upstream_id, state, start_number, problem))
+        except Exception as error:
+            # An observer's fault must not keep the link from being closed or used.
+            log(TASK_FAILED, task="observer of link events", error=repr(error))
 
     def _peer(self, upstream_id: UpstreamId) -> _Peer:
         peer = self._peers.get(upstream_id)
--- a/gentianthread/protocol/link.py
+++ b/gentianthread/protocol/link.py
@@ -1,10 +1,7 @@
 """Multiplex control messages and request streams over one connection."""
 
 import asyncio
-import inspect
 import struct
-from abc import ABC, abstractmethod
-from collections import deque
 from collections.abc import Coroutine
 from typing import Any
 
@@ -13,7 +10,6 @@
     ConnectionSilent,
     FrameError,
     GentianError,
-    MessageError,
     ProtocolError,
     TransportError,
 )
@@ -22,8 +18,10 @@
 from ..logs import log
 from ..metrics import Metrics
 from ..transport.connections import MessageConnection
-from .codec import MESSAGE_LIMIT_BYTES, decode, encode
-from .frames import BATCH_BYTES, FRAME_LIMIT_BYTES, FrameKind, frame_header, read_frames
+from .codec import decode
+from .frames import FrameKind, read_frames
+from .link_control import ControlChannel, LinkOwner
+from .link_queue import SendQueue
 from .link_stream import LinkStream, Signal, encode_head
 
 HEARTBEAT_MS = 250
@@ -39,15 +37,6 @@
 # Unread bytes of all streams of a link above which no credit is returned.
 UNREAD_LIMIT_BYTES = 16 * 1024 * 1024
 
-# Bytes that the streams of a link may have queued before senders wait.
-QUEUE_LIMIT_BYTES = 4 * 1024 * 1024
-
-# Control bytes that may be queued. More shows that the peer has stopped reading.
-CONTROL_LIMIT_BYTES = 8 * 1024 * 1024
-
-# Control messages of one peer that may be handled at the same time; more are dropped.
-HANDLERS_LIMIT = 1_024
-
 # Ids have 32 bits; a link that comes near the end is replaced.
 LAST_STREAM_ID = 2**32 - 1_000
 
@@ -56,28 +45,6 @@
 _CREDIT = struct.Struct("!I")
 
 
-class LinkOwner(ABC):
-    """Receive what arrives on links."""
-
-    @abstractmethod
-    def on_message(self, link: "Link", message: Any) -> Any:
-        """Handle a control message and return the answer, None, or an awaitable of them."""
-
-    @abstractmethod
-    def on_stream(self, link: "Link", head: Any, stream: LinkStream) -> Coroutine[Any, Any, None]:
-        """Return the coroutine that serves a stream that the peer opened."""
-
-    @abstractmethod
-    def on_closed(self, link: "Link", error: GentianError, unsent: list[LinkStream]) -> None:
-        """Learn that a link closed.
-
-        Args:
-            link: The link.
-            error: Why it closed.
-            unsent: Streams opened here of which nothing was sent; the owner moves or ends them.
-        """
-
-
 class Link:
     """Be one end of an authenticated connection between two nodes."""
 
@@ -113,19 +80,13 @@
         self._next_id = 1 if dialed else 2
         self._last_peer_id = 0
         self._opened_here = 0
-        self._requests: dict[int, asyncio.Future] = {}
-        self._control: deque[tuple[int, int, bytes]] = deque()
-        self._control_bytes = 0
-        self._ready: deque[LinkStream] = deque()
-        self._queued_bytes = 0
+        self._queue = SendQueue()
+        self.control = ControlChannel(self, owner)
         self._unread_bytes = 0
         self._withheld: dict[int, int] = {}
-        self._partial = bytearray()
-        self._waker: asyncio.Future | None = None
         self._writing = False
         self._tasks: set[asyncio.Task] = set()
         self._timer: asyncio.TimerHandle | None = None
-        self._heartbeat_due = False
         self._closing = False
         self._settled = Signal()
         now_s = self._loop.time()
@@ -137,10 +98,10 @@
             FrameKind.FINISH: self._on_finish,
             FrameKind.CREDIT: self._on_credit,
             FrameKind.ABORT: self._on_abort,
-            FrameKind.MESSAGE: self._on_message,
-            FrameKind.REQUEST: self._on_request,
-            FrameKind.ANSWER: self._on_answer,
-            FrameKind.PART: self._on_part,
+            FrameKind.MESSAGE: self.control.on_message,
+            FrameKind.REQUEST: self.control.on_request,
+            FrameKind.ANSWER: self.control.on_answer,
+            FrameKind.PART: self.control.on_part,
             FrameKind.DRAIN: self._on_drain,
         }
 
@@ -159,7 +120,7 @@
     @property
     def idle(self) -> bool:
         """Return whether nothing is open, awaited or queued."""
-        return not (self.streams or self._requests or self._ready or self._control or self._writing)
+        return not (self.streams or self.control.waiting or self._queue or self._writing)
 
     async def run(self) -> None:
         """Serve the link until it closes; what went wrong is in `error`."""
@@ -190,7 +151,7 @@
         """
         data = encode_head(head)
         self._check_open_limit()
-        stream = LinkStream(self, self._take_id(), opened_here=True)
+        stream = LinkStream(self, self.take_id(), opened_here=True)
         self._add(stream)
         stream.queue_open(data)
         return stream
@@ -202,34 +163,11 @@
             ConnectionLost: The link takes no more streams.
         """
         self._check_open_limit()
-        stream.move(self, self._take_id())
+        stream.move(self, self.take_id())
         self._add(stream)
         stream.scheduled = False
         self.schedule(stream)
 
-    def send_message(self, message: Any) -> None:
-        """Queue a one-way control message.
-
-        Raises:
-            ConnectionLost: The link is closed.
-        """
-        self._send_whole(FrameKind.MESSAGE, 0, encode(message))
-
-    async def request(self, message: Any) -> Any:
-        """Queue a control request and wait for its answer.
-
-        Raises:
-            ConnectionLost: The link closed before the answer came.
-        """
-        request_id = self._take_id()
-        answered = self._loop.create_future()
-        self._send_whole(FrameKind.REQUEST, request_id, encode(message))
-        self._requests[request_id] = answered
-        try:
-            return await answered
-        finally:
-            self._requests.pop(request_id, None)
-
     def drain(self) -> None:
         """Open nothing more here; the link closes when both ends drain and nothing is open."""
         if not self.draining and self.error is None:
@@ -245,7 +183,7 @@
         """
         try:
             async with asyncio.timeout(FLUSH_TIMEOUT_MS / 1000):
-                while (self._control or self._ready or self._writing) and self.error is None:
+                while (self._queue or self._writing) and self.error is None:
                     await self._settled.wait()
         except TimeoutError:
             pass
@@ -275,7 +213,6 @@
             self._timer.cancel()
         if not graceful:
             self.connection.abort()
-        self._wake()
         self._settled.notify()
         unsent = []
         for stream in list(self.streams.values()):
@@ -284,33 +221,33 @@
             else:
                 unsent.append(stream)
         self.streams.clear()
-        for answered in self._requests.values():
-            if not answered.done():
-                answered.set_exception(error)
-        self._requests.clear()
-        self._control.clear()
-        self._ready.clear()
+        self.control.fail(error)
+        self._queue.clear()
         self._owner.on_closed(self, error, unsent)
 
-    # The side of the streams.
+    # The side of the streams and control messages.
 
     def schedule(self, stream: LinkStream) -> None:
         """Serve a stream in its turn."""
-        if not stream.scheduled and self.error is None:
-            stream.scheduled = True
-            self._ready.append(stream)
-            self._wake()
+        if self.error is None:
+            self._queue.schedule(stream)
 
     def send_control(self, kind: int, frame_id: int, payload: bytes) -> None:
         """Queue a frame before those of the streams."""
+        if self.error is None and not self._queue.add_control(kind, frame_id, payload):
+            self.fail(ConnectionLost(str(self.peer.upstream_id), "control queue full"))
+
+    def send_parts(self, kind: int, frame_id: int, data: bytes) -> None:
+        """Queue a control message of any length.
+
+        Raises:
+            ConnectionLost: The link is closed.
+        """
         if self.error is not None:
-            return
-        self._control.append((kind, frame_id, payload))
-        self._control_bytes += len(payload)
-        if self._control_bytes > CONTROL_LIMIT_BYTES:
+            raise ConnectionLost(str(self.peer.upstream_id), "closed")
+        self.used_s = self._loop.time()
+        if not self._queue.add_message(kind, frame_id, data):
             self.fail(ConnectionLost(str(self.peer.upstream_id), "control queue full"))
-            return
-        self._wake()
 
     def send_credit(self, stream_id: int, amount_bytes: int) -> None:
         """Return credit, or withhold it while the streams hold too much unread."""
@@ -321,15 +258,13 @@
 
     def queued(self, change_bytes: int) -> None:
         """Count bytes that wait in streams to be sent."""
-        was_full = self.queue_full()
-        self._queued_bytes += change_bytes
-        if was_full and not self.queue_full():
+        if self._queue.change_bytes(change_bytes):
             for stream in self.streams.values():
                 stream.wake_sender()
 
     def queue_full(self) -> bool:
         """Return whether senders have to wait."""
-        return self._queued_bytes >= QUEUE_LIMIT_BYTES
+        return self._queue.full
 
     def unread(self, change_bytes: int) -> None:
         """Count bytes that wait in streams to be read."""
@@ -350,7 +285,8 @@
 
     # Sending.
 
-    def _take_id(self) -> int:
+    def take_id(self) -> int:
+        """Return an id that this end has not used on the link."""
         taken = self._next_id
         self._next_id += 2
         self.used_s = self._loop.time()
@@ -365,76 +301,37 @@
         self.streams[stream.stream_id] = stream
         self._opened_here += stream.opened_here
 
-    def _send_whole(self, kind: int, frame_id: int, data: bytes) -> None:
-        if self.error is not None:
-            raise ConnectionLost(str(self.peer.upstream_id), "closed")
-        if len(data) > MESSAGE_LIMIT_BYTES:
-            raise MessageError("?", f"{len(data)} bytes exceed {MESSAGE_LIMIT_BYTES}")
-        self.used_s = self._loop.time()
-        start = 0
-        while len(data) - start > FRAME_LIMIT_BYTES:
-            self.send_control(FrameKind.PART, 0, data[start : start + FRAME_LIMIT_BYTES])
-            start += FRAME_LIMIT_BYTES
-        self.send_control(kind, frame_id, data[start:] if start else data)
-
-    def _wake(self) -> None:
-        waker = self._waker
-        if waker is not None and not waker.done():
-            waker.set_result(None)
-
     async def _write(self) -> None:
         connection = self.connection
         try:
             while self.error is None:
-                if not self._ready and not self._control and not self._heartbeat_due:
+                if not self._queue and not self._queue.heartbeat_due:
                     self._settled.notify()
                     self._close_if_drained()
-                    self._waker = self._loop.create_future()
-                    await self._waker
+                    await self._queue.wait()
                     continue
                 if connection.closed:
                     raise ConnectionLost(connection.peer_address, "closed")
-                batch = self._take_batch()
-                if batch or self._heartbeat_due:
+                batch = self._queue.take_batch()
+                if batch or self._queue.heartbeat_due:
                     await self._send(batch)
         except TransportError as error:
             self.fail(error)
 
     async def _send(self, data: bytes) -> None:
         self._sent_s = self._loop.time()
-        self._heartbeat_due = False
+        self._queue.heartbeat_due = False
         self._writing = True
         try:
             await self.connection.send(data)
         finally:
             self._writing = False
 
-    def _take_batch(self) -> bytes:
-        """Return the next message: control frames first, then the streams in turn."""
-        parts: list[bytes | memoryview] = []
-        size = 0
-        control = self._control
-        while control and size < BATCH_BYTES:
-            kind, frame_id, payload = control.popleft()
-            parts.append(frame_header(kind, frame_id, len(payload)))
-            parts.append(payload)
-            size += len(payload) + 9
-            self._control_bytes -= len(payload)
-        ready = self._ready
-        while ready and size < BATCH_BYTES:
-            stream = ready.popleft()
-            size += stream.take_frames(parts, BATCH_BYTES - size)
-            if stream.has_frames():
-                ready.append(stream)
-            else:
-                stream.scheduled = False
-        return b"".join(parts)
-
     # Time.
 
     def _schedule_timer(self) -> None:
         silent_s = self._received_s + SILENCE_MS / 1000
-        if self._writing or self._heartbeat_due:
+        if self._writing or self._queue.heartbeat_due:
             self._timer_s = min(self._loop.time() + HEARTBEAT_MS / 1000, silent_s)
         else:
             self._timer_s = min(self._sent_s + HEARTBEAT_MS / 1000, silent_s)
@@ -450,8 +347,8 @@
             self.fail(ConnectionSilent(str(self.peer.upstream_id), silence_ms))
             return
         if now_s - self._sent_s >= (HEARTBEAT_MS - 0.5) / 1000 and not self._writing:
-            self._heartbeat_due = True
-            self._wake()
+            self._queue.heartbeat_due = True
+            self._queue.wake()
         if silence_ms >= SILENCE_MS - 0.5:
             # The silence may be this process's own pause: read what has arrived first.
             self._timer_s = now_s + LATE_TIMER_MS / 1000
@@ -472,7 +369,8 @@
             for kind, frame_id, payload in read_frames(data):
                 accepts[kind](frame_id, payload)
 
-    def _drop(self, kind: FrameKind, frame_id: int) -> None:
+    def drop(self, kind: FrameKind, frame_id: int) -> None:
+        """Count a frame that nobody waits for."""
         self._metrics.count("link.frames_dropped")
         problem = f"{kind.name} for {frame_id} is late, double or unknown"
         log(FRAME_DROPPED, peer=self.peer.upstream_id, problem=problem)
@@ -480,7 +378,7 @@
     def _on_open(self, stream_id: int, payload: bytes) -> None:
         from_peer = stream_id % 2 == (0 if self.dialed else 1)
         if not from_peer or stream_id <= self._last_peer_id:
-            self._drop(FrameKind.OPEN, stream_id)
+            self.drop(FrameKind.OPEN, stream_id)
             return
         self._last_peer_id = stream_id
         if len(self.streams) - self._opened_here >= OPEN_STREAMS_LIMIT:
@@ -490,7 +388,7 @@
         stream = LinkStream(self, stream_id, opened_here=False, head=head)
         self._add(stream)
         self.used_s = self._received_s
-        self._start(self._serve(head, stream), "stream")
+        self.start(self._serve(head, stream), "stream")
 
     async def _serve(self, head: Any, stream: LinkStream) -> None:
         try:
@@ -501,91 +399,40 @@
     def _on_head(self, stream_id: int, payload: bytes) -> None:
         stream = self.streams.get(stream_id)
         if stream is None or not stream.on_head(payload):
-            self._drop(FrameKind.HEAD, stream_id)
+            self.drop(FrameKind.HEAD, stream_id)
 
     def _on_data(self, stream_id: int, payload: bytes) -> None:
         stream = self.streams.get(stream_id)
         if stream is None or not stream.on_data(payload):
-            self._drop(FrameKind.DATA, stream_id)
+            self.drop(FrameKind.DATA, stream_id)
 
     def _on_finish(self, stream_id: int, payload: bytes) -> None:
         stream = self.streams.get(stream_id)
         if stream is None or not stream.on_finish(payload):
-            self._drop(FrameKind.FINISH, stream_id)
+            self.drop(FrameKind.FINISH, stream_id)
 
     def _on_credit(self, stream_id: int, payload: bytes) -> None:
         if len(payload) != _CREDIT.size:
             raise FrameError(f"credit of {len(payload)} bytes")
         stream = self.streams.get(stream_id)
         if stream is None:
-            self._drop(FrameKind.CREDIT, stream_id)
+            self.drop(FrameKind.CREDIT, stream_id)
         else:
             stream.on_credit(_CREDIT.unpack(payload)[0])
 
     def _on_abort(self, stream_id: int, payload: bytes) -> None:
         stream = self.streams.get(stream_id)
         if stream is None:
-            self._drop(FrameKind.ABORT, stream_id)
+            self.drop(FrameKind.ABORT, stream_id)
         else:
             stream.end(payload.decode(errors="replace"))
 
-    def _on_message(self, frame_id: int, payload: bytes) -> None:
-        self._handle(decode(self._whole(payload)), None)
-
-    def _on_request(self, request_id: int, payload: bytes) -> None:
-        self._handle(decode(self._whole(payload)), request_id)
-
-    def _on_answer(self, request_id: int, payload: bytes) -> None:
-        answer = decode(self._whole(payload))
-        answered = self._requests.get(request_id)
-        if answered is None or answered.done():
-            self._drop(FrameKind.ANSWER, request_id)
-        else:
-            answered.set_result(answer)
-
-    def _on_part(self, frame_id: int, payload: bytes) -> None:
-        if len(self._partial) + len(payload) > MESSAGE_LIMIT_BYTES:
-            raise FrameError(f"parts of over {MESSAGE_LIMIT_BYTES} bytes")
-        self._partial += payload
-
     def _on_drain(self, frame_id: int, payload: bytes) -> None:
         self.peer_draining = True
         self._close_if_drained()
 
-    def _whole(self, payload: bytes) -> bytes:
-        if not self._partial:
-            return payload
-        whole, self._partial = bytes(self._partial + payload), bytearray()
-        return whole
-
-    def _handle(self, message: Any, request_id: int | None) -> None:
-        self.used_s = self._received_s
-        if len(self._tasks) >= HANDLERS_LIMIT + OPEN_STREAMS_LIMIT:
-            self._drop(FrameKind.MESSAGE, request_id or 0)
-            return
-        try:
-            result = self._owner.on_message(self, message)
-        except Exception as error:
-            log(TASK_FAILED, task=f"handler of {type(message).__name__}", error=repr(error))
-            return
-        if inspect.isawaitable(result):
-            self._start(self._answer_later(result, request_id), type(message).__name__)
-        else:
-            self._answer(result, request_id)
-
-    async def _answer_later(self, result: Any, request_id: int | None) -> None:
-        self._answer(await result, request_id)
-
-    def _answer(self, answer: Any, request_id: int | None) -> None:
-        if request_id is None or answer is None or self.error is not None:
-            return
-        try:
-            self._send_whole(FrameKind.ANSWER, request_id, encode(answer))
-        except MessageError as error:
-            # The answer is wrong, not the link.
-            log(TASK_FAILED, task="answer to a peer", error=repr(error))
-
-    def _start(self, work: Coroutine[Any, Any, None], name: str) -> None:
+    def start(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        """Run a handler in a task; its failure is logged."""
         task = asyncio.create_task(work, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
@@ -600,4 +447,4 @@
         drained = self.draining and self.peer_draining and self.idle
         if drained and self.dialed and self.error is None and not self._closing:
             self._closing = True
-            self._start(self.close("drained"), "close")
+            self.start(self.close("drained"), "close")
--- /dev/null
+++ b/gentianthread/protocol/link_control.py
@@ -0,0 +1,165 @@
+"""Carry control messages, their requests and their answers over a link."""
+
+import asyncio
+import inspect
+from abc import ABC, abstractmethod
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
+
+from ..errors import ConnectionLost, FrameError, GentianError, MessageError
+from ..events import TASK_FAILED
+from ..logs import log
+from .codec import MESSAGE_LIMIT_BYTES, decode, encode
+from .frames import FrameKind
+from .link_stream import LinkStream
+
+if TYPE_CHECKING:
+    from .link import Link
+
+# Control messages of one peer that may be handled at the same time; more are dropped.
+HANDLERS_LIMIT = 1_024
+
+
+class LinkOwner(ABC):
+    """Receive what arrives on links."""
+
+    @abstractmethod
+    def on_message(self, link: "Link", message: Any) -> Any:
+        """Handle a control message and return the answer, None, or an awaitable of them."""
+
+    @abstractmethod
+    def on_stream(self, link: "Link", head: Any, stream: LinkStream) -> Coroutine[Any, Any, None]:
+        """Return the coroutine that serves a stream that the peer opened."""
+
+    @abstractmethod
+    def on_closed(self, link: "Link", error: GentianError, unsent: list[LinkStream]) -> None:
+        """Learn that a link closed.
+
+        Args:
+            link: The link.
+            error: Why it closed.
+            unsent: Streams opened here of which nothing was sent; the owner moves or ends them.
+        """
+
+
+class ControlChannel:
+    """Send and handle the control messages of one end of a link."""
+
+    def __init__(self, link: "Link", owner: LinkOwner):
+        """Create the channel of a link.
+
+        Args:
+            link: The link.
+            owner: Handles the messages.
+        """
+        self._link = link
+        self._owner = owner
+        self._requests: dict[int, asyncio.Future] = {}
+        self._partial = bytearray()
+        self._handlers = 0
+
+    @property
+    def waiting(self) -> bool:
+        """Return whether an answer is awaited here or made here."""
+        return bool(self._requests) or self._handlers > 0
+
+    def send(self, message: Any) -> None:
+        """Queue a one-way message.
+
+        Raises:
+            ConnectionLost: The link is closed.
+        """
+        self._link.send_parts(FrameKind.MESSAGE, 0, _encode(message))
+
+    async def request(self, message: Any) -> Any:
+        """Queue a request and wait for its answer.
+
+        Raises:
+            ConnectionLost: The link closed before the answer came.
+        """
+        data = _encode(message)
+        request_id = self._link.take_id()
+        answered = asyncio.get_running_loop().create_future()
+        self._link.send_parts(FrameKind.REQUEST, request_id, data)
+        self._requests[request_id] = answered
+        try:
+            return await answered
+        finally:
+            self._requests.pop(request_id, None)
+
+    def fail(self, error: GentianError) -> None:
+        """End the requests that wait for an answer."""
+        for answered in self._requests.values():
+            if not answered.done():
+                answered.set_exception(ConnectionLost(str(self._link.peer.upstream_id), str(error)))
+        self._requests.clear()
+
+    def on_message(self, frame_id: int, payload: bytes) -> None:
+        """Handle a one-way message."""
+        self._handle(decode(self._whole(payload)), None)
+
+    def on_request(self, request_id: int, payload: bytes) -> None:
+        """Handle a request."""
+        self._handle(decode(self._whole(payload)), request_id)
+
+    def on_answer(self, request_id: int, payload: bytes) -> None:
+        """Accept the answer to a request."""
+        answer = decode(self._whole(payload))
+        answered = self._requests.get(request_id)
+        if answered is None or answered.done():
+            self._link.drop(FrameKind.ANSWER, request_id)
+        else:
+            answered.set_result(answer)
+
+    def on_part(self, frame_id: int, payload: bytes) -> None:
+        """Keep a part of a long message until its last frame comes.
+
+        Raises:
+            FrameError: The parts exceed the limit of a message.
+        """
+        if len(self._partial) + len(payload) > MESSAGE_LIMIT_BYTES:
+            raise FrameError(f"parts of over {MESSAGE_LIMIT_BYTES} bytes")
+        self._partial += payload
+
+    def _whole(self, payload: bytes) -> bytes:
+        if not self._partial:
+            return payload
+        whole, self._partial = bytes(self._partial + payload), bytearray()
+        return whole
+
+    def _handle(self, message: Any, request_id: int | None) -> None:
+        if self._handlers >= HANDLERS_LIMIT:
+            self._link.drop(FrameKind.MESSAGE, request_id or 0)
+            return
+        try:
+            result = self._owner.on_message(self._link, message)
+        except Exception as error:
+            log(TASK_FAILED, task=f"handler of {type(message).__name__}", error=repr(error))
+            return
+        if inspect.isawaitable(result):
+            self._handlers += 1
+            self._link.start(self._answer_later(result, request_id), type(message).__name__)
+        else:
+            self._answer(result, request_id)
+
+    async def _answer_later(self, result: Any, request_id: int | None) -> None:
+        try:
+            self._answer(await result, request_id)
+        finally:
+            self._handlers -= 1
+
+    def _answer(self, answer: Any, request_id: int | None) -> None:
+        if request_id is None or answer is None or self._link.error is not None:
+            return
+        try:
+            self._link.send_parts(FrameKind.ANSWER, request_id, _encode(answer))
+        except MessageError as error:
+            # The answer is wrong, not the link.
+            log(TASK_FAILED, task="answer to a peer", error=repr(error))
+
+
+def _encode(message: Any) -> bytes:
+    data = encode(message)
+    if len(data) > MESSAGE_LIMIT_BYTES:
+        raise MessageError(type(message).__name__, f"over {MESSAGE_LIMIT_BYTES} bytes")
+    return data
