Test connections and the handshake against strangers

One shared case runs against memory and WebSocket connections. The handshake tests replay, reflect and forge proofs, claim another identity and stall.

--- a/tests/base.py
+++ b/tests/base.py
@@ -28,9 +28,8 @@
 
     def __init_subclass__(cls, **kwargs):
         super().__init_subclass__(**kwargs)
-        for name, method in list(vars(cls).items()):
-            if name.startswith("test") and inspect.iscoroutinefunction(method):
-                setattr(cls, name, _run_on_virtual_time(method))
+        for name, method in _coroutine_tests(cls):
+            setattr(cls, name, _run_on_virtual_time(method))
 
 
 class SocketTestCase(TestCase):
@@ -40,9 +39,14 @@
 
     def __init_subclass__(cls, **kwargs):
         super().__init_subclass__(**kwargs)
-        for name, method in list(vars(cls).items()):
-            if name.startswith("test") and inspect.iscoroutinefunction(method):
-                setattr(cls, name, _run_on_real_time(method))
+        for name, method in _coroutine_tests(cls):
+            setattr(cls, name, _run_on_real_time(method))
+
+
+def _coroutine_tests(cls):
+    """Return the `async def` tests of a class, also those of a shared case that it mixes in."""
+    named = [(name, getattr(cls, name)) for name in dir(cls) if name.startswith("test")]
+    return [(name, method) for name, method in named if inspect.iscoroutinefunction(method)]
 
 
 def _run_on_virtual_time(method):
--- /dev/null
+++ b/tests/protocol/test_handshake.py
@@ -0,0 +1,161 @@
+import asyncio
+
+from gentianthread.errors import ConnectionLost, HandshakeError
+from gentianthread.ids import AvailabilityZoneId, NodeIdentity, StartNumber, UpstreamId
+from gentianthread.protocol.codec import decode, encode
+from gentianthread.protocol.handshake import Role, accept_peer, dial_peer, make_proof
+from gentianthread.protocol.messages_links import AcceptorProof, Challenge, DialerProof, Hello
+from gentianthread.transport.connections import memory_connection_pair
+
+from ..base import VirtualTimeTestCase
+
+SECRET = b"a fleet secret for tests"
+
+
+def identity(name: str, start: int = 1) -> NodeIdentity:
+    return NodeIdentity(UpstreamId(name), AvailabilityZoneId("larisa-a"), StartNumber(start))
+
+
+DIALER, ACCEPTOR = identity("a"), identity("b")
+
+
+def admit_any(found: NodeIdentity) -> None:
+    """Want every proven identity."""
+
+
+def dial(connection, secret=SECRET, expected="b"):
+    return dial_peer(connection, DIALER, secret, UpstreamId(expected), admit_any)
+
+
+def accept(connection, secret=SECRET, admit=admit_any):
+    return asyncio.ensure_future(accept_peer(connection, ACCEPTOR, secret, admit))
+
+
+class TestHandshake(VirtualTimeTestCase):
+    async def assert_refused(self, work):
+        with self.assertRaisesType(HandshakeError):
+            await work
+
+    async def test_both_ends_learn_the_proven_identity(self):
+        """Guards against links to a peer whose identity is unknown."""
+        near, far = memory_connection_pair(delay_ms=1)
+        accepting = accept(far)
+        self.assertEqual(ACCEPTOR, await dial(near))
+        self.assertEqual(DIALER, await accepting)
+
+    async def test_dialler_without_the_secret_is_given_no_proof(self):
+        """Guards against a stranger who joins, or who gets an HMAC to guess the secret from."""
+        near, far = memory_connection_pair()
+        accepting = accept(far)
+        await near.send(encode(Hello(1, DIALER, bytes(32))))
+        self.assertIsInstance(decode(await near.receive()), Challenge)
+        await near.send(encode(DialerProof(bytes(32))))
+        await self.assert_refused(accepting)
+        far.abort()
+        with self.assertRaisesType(ConnectionLost):
+            await near.receive()
+
+    async def test_acceptor_without_the_secret_is_refused(self):
+        """Guards against a process that takes the address of a dead node over."""
+        near, far = memory_connection_pair()
+
+        async def pretend():
+            await far.receive()
+            await far.send(encode(Challenge(ACCEPTOR, bytes(32))))
+            await far.receive()
+            await far.send(encode(AcceptorProof(bytes(32))))
+
+        pretending = asyncio.ensure_future(pretend())
+        await self.assert_refused(dial(near))
+        await pretending
+
+    async def test_recorded_proof_is_refused(self):
+        """Guards against a replay of an earlier handshake."""
+        near, far = memory_connection_pair()
+        accepting = accept(far)
+        hello = Hello(1, DIALER, bytes(32))
+        await near.send(encode(hello))
+        challenge = decode(await near.receive())
+        recorded = encode(DialerProof(make_proof(SECRET, Role.DIALER, hello, challenge)))
+        await near.send(recorded)
+        await near.receive()
+        await near.send(b"")
+        self.assertEqual(DIALER, await accepting)
+
+        near, far = memory_connection_pair()
+        accepting = accept(far)
+        await near.send(encode(hello))
+        await near.receive()
+        await near.send(recorded)
+        await self.assert_refused(accepting)
+
+    async def test_reflected_proof_is_refused(self):
+        """Guards against an acceptor that sends the dialler's own proof back."""
+        near, far = memory_connection_pair()
+
+        async def reflect():
+            hello = decode(await far.receive())
+            await far.send(encode(Challenge(ACCEPTOR, hello.nonce)))
+            proof = decode(await far.receive())
+            await far.send(encode(AcceptorProof(proof.proof)))
+
+        reflecting = asyncio.ensure_future(reflect())
+        await self.assert_refused(dial(near))
+        await reflecting
+
+    async def test_proof_for_another_identity_is_refused(self):
+        """Guards against a node that claims a newer start number than it proves."""
+        near, far = memory_connection_pair()
+        accepting = accept(far)
+        await near.send(encode(Hello(1, identity("a", 9), bytes(32))))
+        challenge = decode(await near.receive())
+        proven = Hello(1, identity("a", 1), bytes(32))
+        await near.send(encode(DialerProof(make_proof(SECRET, Role.DIALER, proven, challenge))))
+        await self.assert_refused(accepting)
+
+    async def test_other_upstream_than_expected_is_refused(self):
+        """Guards against requests for one upstream that reach the node of another."""
+        near, far = memory_connection_pair()
+        accepting = accept(far)
+        await self.assert_refused(dial(near, expected="c"))
+        near.abort()
+        with self.assertRaisesType(ConnectionLost):
+            await accepting
+
+    async def test_unwanted_identity_is_refused_before_the_proof(self):
+        """Guards against an old process that is served after its replacement was seen."""
+        near, far = memory_connection_pair()
+
+        def admit(found):
+            raise HandshakeError(f"start number {found.start_number} is old")
+
+        accepting = accept(far, admit=admit)
+        dialling = asyncio.ensure_future(dial(near))
+        await self.assert_refused(accepting)
+        far.abort()
+        with self.assertRaisesType(ConnectionLost):
+            await dialling
+
+    async def test_slow_peer_is_refused_after_two_seconds(self):
+        """Guards against strangers who hold connections open."""
+        _, far = memory_connection_pair()
+        await self.assert_refused(accept(far))
+        self.assertAlmostEqual(2.0, asyncio.get_running_loop().time(), 3)
+
+    async def test_one_bad_message_is_refused(self):
+        """Guards against a stranger who may try again on the same connection."""
+        wrong = [b"", b"\xff", encode(DialerProof(b"")), encode(Hello(2, DIALER, bytes(32)))]
+        wrong += [encode(Hello(1, DIALER, b"short")), encode(Hello(1, ACCEPTOR, bytes(32)))]
+        for data in wrong:
+            near, far = memory_connection_pair()
+            accepting = accept(far)
+            await near.send(data)
+            await self.assert_refused(accepting)
+
+    async def test_long_message_is_refused(self):
+        """Guards against a stranger who makes the node hold long messages."""
+        near, far = memory_connection_pair()
+        accepting = accept(far)
+        await near.send(bytes(4_097))
+        with self.assertRaisesType(ConnectionLost):
+            await accepting
--- /dev/null
+++ b/tests/transport/test_connections.py
@@ -0,0 +1,123 @@
+import asyncio
+
+from gentianthread.errors import ConnectionLost
+from gentianthread.transport.connections import (
+    UNPROVEN_MESSAGE_LIMIT_BYTES,
+    MemoryTransport,
+    WebSocketTransport,
+    memory_connection_pair,
+)
+
+from ..base import SocketTestCase, VirtualTimeTestCase
+
+HOST = "127.0.0.1"
+
+
+class ConnectionCases:
+    """Check what every message connection does."""
+
+    def make_transport(self):
+        raise NotImplementedError
+
+    async def open_pair(self):
+        """Return the dialling and the accepting end; the accepting handler runs until `done`."""
+        self.done = asyncio.Event()
+        accepted = asyncio.get_running_loop().create_future()
+
+        async def accept(connection):
+            accepted.set_result(connection)
+            await self.done.wait()
+
+        transport = self.make_transport()
+        self.listener = await transport.listen(HOST, 0, accept)
+        near = await transport.connect(HOST, self.listener.port)
+        return near, await accepted
+
+    async def shut(self, *connections):
+        for connection in connections:
+            await connection.close()
+        self.done.set()
+        await self.listener.close()
+
+    async def test_messages_arrive_whole_and_in_order(self):
+        """Guards against messages that are joined, split or reordered."""
+        near, far = await self.open_pair()
+        sent = [b"", b"one", bytes(4_000), b"last"]
+        for data in sent:
+            await near.send(data)
+            await far.send(data)
+        self.assertEqual(sent, [await far.receive() for _ in sent])
+        self.assertEqual(sent, [await near.receive() for _ in sent])
+        await self.shut(near, far)
+
+    async def test_close_ends_the_other_end(self):
+        """Guards against a reader that waits forever for a closed peer."""
+        near, far = await self.open_pair()
+        await near.send(b"before")
+        closing = asyncio.ensure_future(near.close())
+        self.assertEqual(b"before", await far.receive())
+        with self.assertRaisesType(ConnectionLost):
+            await far.receive()
+        await closing
+        with self.assertRaisesType(ConnectionLost):
+            await near.send(b"after")
+        self.assertTrue(near.closed)
+        await self.shut(far)
+
+    async def test_abort_ends_both_ends(self):
+        """Guards against an abort that leaves the own reader waiting."""
+        near, far = await self.open_pair()
+        near.abort()
+        for end in (near, far):
+            with self.assertRaisesType(ConnectionLost):
+                await end.receive()
+        await self.shut()
+
+    async def test_long_message_is_refused_until_the_limit_is_raised(self):
+        """Guards against an unproven peer that makes the node buffer long messages."""
+        near, far = await self.open_pair()
+        await near.send(b"small")
+        self.assertEqual(b"small", await far.receive())
+        far.raise_limit(100_000)
+        long = bytes(UNPROVEN_MESSAGE_LIMIT_BYTES + 1)
+        await near.send(long)
+        self.assertEqual(long, await far.receive())
+        await far.send(long)
+        with self.assertRaisesType(ConnectionLost):
+            await near.receive()
+        await self.shut(near, far)
+
+    async def test_missing_listener_is_a_lost_connection(self):
+        """Guards against an untyped error for a peer that is down."""
+        near, far = await self.open_pair()
+        await self.shut(near, far)
+        with self.assertRaisesType(ConnectionLost):
+            await self.make_transport().connect(HOST, self.listener.port)
+
+
+class TestMemoryConnection(ConnectionCases, VirtualTimeTestCase):
+    def make_transport(self):
+        return MemoryTransport()
+
+    async def test_delay_and_rate_take_virtual_time(self):
+        """Guards against link tests whose delay does nothing."""
+        near, far = memory_connection_pair(delay_ms=5, bytes_per_s=1_000_000)
+        loop = asyncio.get_running_loop()
+        await near.send(bytes(4_000))
+        self.assertAlmostEqual(0.004, loop.time(), 6)
+        await far.receive()
+        self.assertAlmostEqual(0.005, loop.time(), 6)
+
+    async def test_silent_connection_loses_everything(self):
+        """Guards against silence tests that still see the closing."""
+        near, far = memory_connection_pair()
+        near.go_silent()
+        await near.send(b"lost")
+        near.abort()
+        with self.assertRaisesType(TimeoutError):
+            await asyncio.wait_for(far.receive(), 10)
+
+
+class TestWebSocketConnection(ConnectionCases, SocketTestCase):
+    def make_transport(self):
+        return WebSocketTransport()
