--- a/gentianthread/protocol/link.py
+++ b/gentianthread/protocol/link.py
@@ -351,7 +351,7 @@
             self._queue.wake()
         if silence_ms >= SILENCE_MS - 0.5:
             # The silence may be this process's own pause: read what has arrived first.
-            self._timer_s = now_s + LATE_TIMER_MS / 1000
+            self._timer_s = now_s + HEARTBEAT_MS / 1000
             self._timer = self._loop.call_at(self._timer_s, self._on_timer)
         else:
             self._schedule_timer()
