Add a thin request path over the memory peer network

Nodes had no data path. HTTP listeners, header rules, gateway, executor, retry rules and a stand-in target now carry a request from a caller through an entry node and a second node to a target and back; the key is checked and removed.

--- /dev/null
+++ b/gentianthread/coordination/answers.py
@@ -0,0 +1,219 @@
+"""Give the answer of one attempt, whether it ran on this node's target or on another node's."""
+
+import asyncio
+from abc import ABC, abstractmethod
+
+from ..errors import TransportError
+from ..ids import RefusalReason
+from ..protocol.messages_requests import Load, RefusalHead, ResponseHead, ResponseSummary
+from ..protocol.streams import Stream
+from ..state.work import ShedLevel
+from ..transport.http_client import Body
+
+NO_LOAD = Load(0.0, 0.0, 0, 0)
+
+
+class Answer(ABC):
+    """Hold the head of an answer and give its body.
+
+    Attributes:
+        head: A `ResponseHead` or a `RefusalHead`.
+        used_attempts: Part of the lent allowance that was used; None until the complete end.
+        reported: Whether the head came from the target's node, so that its load is known.
+    """
+
+    head: ResponseHead | RefusalHead
+    reported: bool = True
+    used_attempts: int | None = None
+
+    @abstractmethod
+    async def read(self) -> bytes | None:
+        """Return the next body bytes, or None after the complete end.
+
+        Raises:
+            TransportError: The answer is truncated.
+        """
+
+    @abstractmethod
+    def abort(self, problem: str) -> None:
+        """Cancel what is still under way; does nothing after the complete end."""
+
+
+class RefusedAnswer(Answer):
+    """Hold a refusal."""
+
+    def __init__(self, head: RefusalHead):
+        """Create an answer without a body."""
+        self.head = head
+        self.used_attempts = head.used_attempts
+
+    async def read(self) -> bytes | None:
+        """Return None."""
+        return None
+
+    def abort(self, problem: str) -> None:
+        """Do nothing."""
+
+
+class StreamAnswer(Answer):
+    """Read an answer from the stream of another node."""
+
+    def __init__(self, stream: Stream, head: ResponseHead, pump: asyncio.Future | None):
+        """Create an answer.
+
+        Args:
+            stream: The stream, with its head received.
+            head: That head.
+            pump: Sends the request body, if there is one.
+        """
+        self.head = head
+        self._pump = pump
+        self._stream = stream
+        self._ended = False
+
+    async def read(self) -> bytes | None:
+        """Return the next chunk."""
+        if self._ended:
+            return None
+        data = await self._stream.receive_chunk()
+        if data is None:
+            self._end()
+            summary = self._stream.summary
+            if isinstance(summary, ResponseSummary):
+                self.used_attempts = summary.used_attempts
+        return data
+
+    def abort(self, problem: str) -> None:
+        """Abort the stream."""
+        if not self._ended:
+            self._end()
+            self._stream.abort(problem)
+
+    def _end(self) -> None:
+        self._ended = True
+        if self._pump is not None:
+            self._pump.cancel()
+
+
+class StreamBody(Body):
+    """Read a request body from a stream."""
+
+    def __init__(self, stream: Stream, length: int | None):
+        """Create a body.
+
+        Args:
+            stream: The stream that carries it.
+            length: Length in bytes, or None.
+        """
+        self.length = length
+        self._stream = stream
+
+    async def read(self) -> bytes | None:
+        """Return the next chunk."""
+        return await self._stream.receive_chunk()
+
+
+class ReplayBody(Body):
+    """Read the body of a caller's request, and keep its start for another attempt.
+
+    A body that grew beyond the limit cannot be sent again.
+    """
+
+    # Covers look-ups and orders; larger uploads are not worth their memory.
+    LIMIT_BYTES = 64 * 1024
+
+    def __init__(self, source: Body):
+        """Create a body.
+
+        Args:
+            source: Gives the bytes once.
+        """
+        self.length = source.length
+        self._source = source
+        self._kept: list[bytes] | None = []
+        self._kept_bytes = 0
+        self._position = 0
+        self._ended = False
+
+    @property
+    def replayable(self) -> bool:
+        """Return whether the body can be read from its start again."""
+        return self._kept is not None
+
+    def rewind(self) -> None:
+        """Start again; the caller has checked `replayable`."""
+        self._position = 0
+
+    async def read(self) -> bytes | None:
+        """Return the next bytes, first those that were kept."""
+        if self._kept is not None and self._position < len(self._kept):
+            data = self._kept[self._position]
+            self._position += 1
+            return data
+        if self._ended:
+            return None
+        data = await self._source.read()
+        if data is None:
+            self._ended = True
+            return None
+        self._keep(data)
+        return data
+
+    def _keep(self, data: bytes) -> None:
+        if self._kept is None:
+            return
+        self._kept_bytes += len(data)
+        if self._kept_bytes > self.LIMIT_BYTES:
+            self._kept = None
+            return
+        self._kept.append(data)
+        self._position += 1
+
+
+def lost_answer() -> Answer:
+    """Return the answer of an attempt that may have run and whose answer is lost."""
+    answer = RefusedAnswer(RefusalHead(RefusalReason.OUTCOME_UNKNOWN, False, None, 0, NO_LOAD))
+    answer.reported = False
+    answer.used_attempts = None
+    return answer
+
+
+def unreachable_answer() -> Answer:
+    """Return the answer of an attempt of which nothing was sent."""
+    answer = RefusedAnswer(RefusalHead(RefusalReason.NO_UPSTREAM, True, None, 0, NO_LOAD))
+    answer.reported = False
+    return answer
+
+
+def load_of(level: ShedLevel) -> Load:
+    """Return the wire form of a load."""
+    return Load(level.threshold, level.queue_delay_ms, level.running, level.limit)
+
+
+def level_of(load: Load) -> ShedLevel:
+    """Return the load of a wire form."""
+    return ShedLevel(load.threshold, load.queue_delay_ms, load.running, load.limit)
+
+
+async def drain_answer(answer: Answer, limit_bytes: int) -> list[bytes] | None:
+    """Read an answer to its end.
+
+    Args:
+        answer: The answer.
+        limit_bytes: Longest body that is kept.
+
+    Returns:
+        The chunks, or None if the answer is too long or truncated; it is then aborted.
+    """
+    chunks = []
+    total = 0
+    try:
+        while (data := await answer.read()) is not None:
+            total += len(data)
+            chunks.append(data)
+            if total > limit_bytes:
+                answer.abort("answer of a failed attempt is too long")
+                return None
+    except TransportError:
+        return None
+    return chunks
--- /dev/null
+++ b/gentianthread/coordination/executor.py
@@ -0,0 +1,261 @@
+"""Run requests on the target of this node."""
+
+import asyncio
+
+from ..clock import Clock
+from ..errors import ConnectionLost, DialError, GentianError, Refused, StreamAborted
+from ..ids import NodeIdentity, Outcome, RefusalReason
+from ..metrics import Metrics
+from ..protocol.headers import CONTENT_LENGTH, CONTEXT, DEADLINE_MS, REQUEST_ID, answer_headers
+from ..protocol.messages_requests import RefusalHead, RequestHead, ResponseHead, ResponseSummary
+from ..protocol.streams import Stream
+from ..state.allowance import Allowance
+from ..state.contexts import Contexts, RunningContext
+from ..state.work import WorkItem
+from ..transport.http_client import Body, TargetAnswer, TargetClient
+from .admission import Admission, Permit
+from .answers import Answer, RefusedAnswer, StreamBody, load_of
+
+# Failures of the target itself; other statuses are its answers to the caller.
+FAILURE_STATUS = 500
+
+
+class LocalAnswer(Answer):
+    """Hold the answer of this node's target and give the slot back at its end."""
+
+    def __init__(
+        self,
+        executor: "Executor",
+        context: RunningContext,
+        permit: Permit,
+        answer: TargetAnswer,
+        started_at_ms: float,
+    ):
+        """Use `Executor.run` to create one."""
+        self._executor = executor
+        self._context = context
+        self._permit: Permit | None = permit
+        self._answer = answer
+        self._started_at_ms = started_at_ms
+        self.service_ms = 0.0
+        failed = answer.status >= FAILURE_STATUS
+        self.head = ResponseHead(
+            answer.status,
+            answer_headers(answer.headers),
+            failed and context.inner_failed,
+            load_of(executor.admission.level()),
+        )
+
+    async def read(self) -> bytes | None:
+        """Return the next body bytes of the target."""
+        if self._permit is None:
+            return None
+        try:
+            data = await self._answer.read()
+        except ConnectionLost:
+            self._end(Outcome.LOST)
+            raise
+        if data is None:
+            failed = self.head.status >= FAILURE_STATUS
+            self._end(Outcome.FAILURE if failed else Outcome.SUCCESS)
+        return data
+
+    def abort(self, problem: str) -> None:
+        """Cancel the request at the target."""
+        if self._permit is not None:
+            self._end(Outcome.CANCELLED)
+
+    def _end(self, outcome: Outcome) -> None:
+        permit, self._permit = self._permit, None
+        self._answer.close()
+        self.service_ms = self._executor.clock.now_ms() - self._started_at_ms
+        self._executor.end(self._context, permit, outcome, self.service_ms)
+        self.used_attempts = self._context.allowance.used
+
+
+class Executor:
+    """Admit requests and send them to the target of this node.
+
+    Attributes:
+        leaving: Why no new work is taken, or None.
+        running: Requests that wait for the target or run on it.
+    """
+
+    def __init__(
+        self,
+        local: NodeIdentity,
+        admission: Admission,
+        target: TargetClient,
+        contexts: Contexts,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        """Create an executor.
+
+        Args:
+            local: Identity of this node.
+            admission: Admits work.
+            target: Reaches the target.
+            contexts: Handles of running requests.
+            clock: Clock of deadlines.
+            metrics: Counts executions and refusals.
+        """
+        self.local = local
+        self.admission = admission
+        self.target = target
+        self.contexts = contexts
+        self.clock = clock
+        self.metrics = metrics
+        self.leaving: RefusalReason | None = None
+        self.running = 0
+
+    def has_room(self) -> bool:
+        """Return whether a request would start at once."""
+        return self.leaving is None and self.admission.has_room()
+
+    async def run(self, head: RequestHead, body: Body | None, deadline_at_ms: float) -> Answer:
+        """Run one attempt and return its answer once the head is there.
+
+        The caller bounds the time and aborts the answer if it does not read to its end.
+
+        Args:
+            head: The request.
+            body: Its body, if any.
+            deadline_at_ms: When the caller stops waiting.
+        """
+        item = WorkItem(
+            head.root_request_id,
+            head.service_id,
+            head.organisation_id,
+            head.priority,
+            head.depth,
+            deadline_at_ms,
+            head.idempotent,
+        )
+        try:
+            if self.leaving is not None:
+                raise Refused(self.leaving, not_run=True)
+            if deadline_at_ms <= self.clock.now_ms():
+                raise Refused(RefusalReason.DEADLINE_EXCEEDED, not_run=True)
+            permit = await self.admission.admit(item)
+        except Refused as refusal:
+            self.metrics.count(f"executor.refused.{refusal.reason.value}")
+            return self.refuse(refusal, 0)
+        return await self._run_admitted(head, body, item, permit)
+
+    async def _run_admitted(
+        self, head: RequestHead, body: Body | None, item: WorkItem, permit: Permit
+    ) -> Answer:
+        started_at_ms = self.clock.now_ms()
+        remaining_ms = item.deadline_at_ms - started_at_ms
+        if remaining_ms <= 0:
+            permit.release(Outcome.CANCELLED, 0.0)
+            return self.refuse(Refused(RefusalReason.DEADLINE_EXCEEDED, not_run=True), 0)
+        self.running += 1
+        context = self.contexts.open(
+            item.root_request_id,
+            item.organisation_id,
+            item.priority,
+            item.depth,
+            item.deadline_at_ms,
+            Allowance(head.lent_attempts),
+        )
+        headers = [
+            *(pair for pair in head.headers if pair[0] != CONTENT_LENGTH),
+            (CONTEXT, context.handle),
+            (DEADLINE_MS, str(max(1, int(remaining_ms)))),
+            (REQUEST_ID, head.request_id),
+        ]
+        outcome = Outcome.CANCELLED
+        try:
+            answer = await self.target.exchange(
+                head.method, head.target_path, headers, body, fresh=not head.idempotent
+            )
+        except DialError:
+            outcome = Outcome.LOST
+            refusal = Refused(RefusalReason.TARGET_UNREACHABLE, not_run=True)
+        except ConnectionLost:
+            outcome = Outcome.LOST
+            refusal = Refused(RefusalReason.OUTCOME_UNKNOWN, not_run=False)
+        except GentianError:
+            # The body ended before any connection was taken.
+            refusal = Refused(RefusalReason.OUTCOME_UNKNOWN, not_run=False)
+        except BaseException:
+            self.end(context, permit, Outcome.CANCELLED, self.clock.now_ms() - started_at_ms)
+            raise
+        else:
+            self.metrics.count("executor.executed")
+            return LocalAnswer(self, context, permit, answer, started_at_ms)
+        self.end(context, permit, outcome, self.clock.now_ms() - started_at_ms)
+        self.metrics.count(f"executor.refused.{refusal.reason.value}")
+        return self.refuse(refusal, context.allowance.used)
+
+    def refuse(self, refusal: Refused, used_attempts: int) -> Answer:
+        """Return a refusal as an answer."""
+        return RefusedAnswer(
+            RefusalHead(
+                refusal.reason,
+                refusal.not_run,
+                refusal.retry_after_ms,
+                used_attempts,
+                load_of(self.admission.level()),
+            )
+        )
+
+    def end(
+        self, context: RunningContext, permit: Permit, outcome: Outcome, latency_ms: float
+    ) -> None:
+        """Close the context of a request and give its slot back."""
+        self.running -= 1
+        self.contexts.close(context)
+        permit.release(outcome, latency_ms)
+
+    async def serve_stream(self, sender: NodeIdentity, head: RequestHead, stream: Stream) -> None:
+        """Run a request that another node forwarded.
+
+        Args:
+            sender: The entry node.
+            head: The request.
+            stream: Carries the body and the answer.
+        """
+        work = asyncio.ensure_future(self._answer_stream(head, stream))
+        watch = asyncio.ensure_future(stream.aborted())
+        try:
+            await asyncio.wait((work, watch), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            watch.cancel()
+            if not work.done():
+                work.cancel()
+            await asyncio.gather(work, return_exceptions=True)
+
+    async def _answer_stream(self, head: RequestHead, stream: Stream) -> None:
+        deadline_at_ms = self.clock.now_ms() + head.remaining_ms
+        body = StreamBody(stream, _content_length(head)) if head.has_body else None
+        answer: Answer | None = None
+        try:
+            async with asyncio.timeout(head.remaining_ms / 1000):
+                answer = await self.run(head, body, deadline_at_ms)
+                await stream.send_head(answer.head)
+                while (data := await answer.read()) is not None:
+                    await stream.send_chunk(data)
+                service_ms = answer.service_ms if isinstance(answer, LocalAnswer) else 0.0
+                await stream.finish(ResponseSummary(answer.used_attempts or 0, service_ms))
+        except TimeoutError:
+            stream.abort("deadline exceeded")
+        except StreamAborted:
+            self.metrics.count("executor.aborted")
+        except GentianError as error:
+            stream.abort(str(error))
+        except BaseException as error:
+            stream.abort(f"{type(error).__name__}")
+            raise
+        finally:
+            if answer is not None:
+                answer.abort("request ended")
+
+
+def _content_length(head: RequestHead) -> int | None:
+    for name, value in head.headers:
+        if name == CONTENT_LENGTH:
+            return int(value)
+    return None
--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -127,6 +127,20 @@
         super().__init__(f"connection to {peer} lost: {problem}")
 
 
+class DialError(TransportError):
+    """Report a connection that could not be opened; no byte has left.
+
+    Attributes:
+        peer: Name or address of the other end.
+        problem: What happened.
+    """
+
+    def __init__(self, peer: str, problem: str):
+        self.peer = peer
+        self.problem = problem
+        super().__init__(f"no connection to {peer}: {problem}")
+
+
 class PeerUnreachable(TransportError):
     """Report a peer that no connection reaches.
 
--- /dev/null
+++ b/gentianthread/standins/fleet.py
@@ -0,0 +1,177 @@
+"""Run a small fleet of nodes and stand-in targets in one process, for the demo and tests."""
+
+import hashlib
+
+import attrs
+
+from ..coordination.node import Node, NodeAddresses, NodeParts
+from ..coordination.peer_network import MemoryFabric
+from ..ids import (
+    AvailabilityZoneId,
+    ConfigVersion,
+    KeyId,
+    NodeIdentity,
+    OrganisationId,
+    Priority,
+    ProfileId,
+    RouteId,
+    ServiceId,
+    StartNumber,
+    UpstreamId,
+)
+from ..state.plan import Key, Organisation, Plan, Profile, Route, Service, Upstream
+from .target import StandinTarget
+
+
+def key_of(organisation: str) -> str:
+    """Return the key of an organisation of the small fleet."""
+    return f"gtk_{organisation}1_{hashlib.sha256(organisation.encode()).hexdigest()[:43]}"
+
+
+def make_plan(
+    services: dict[str, int],
+    organisations: tuple[str, ...],
+    *,
+    version: int = 1,
+    slots: int = 16,
+    withdrawn: frozenset[str] = frozenset(),
+    retry_allowance: int = 3,
+    deadline_ms: float = 5_000.0,
+) -> Plan:
+    """Return a plan with routes `/SERVICE` (GET idempotent, POST not) and `/open/SERVICE`.
+
+    Args:
+        services: Number of upstreams of each service.
+        organisations: Names of organisations.
+        version: Version of the plan.
+        slots: Slots of each target.
+        withdrawn: Organisations whose key is withdrawn.
+        retry_allowance: Extra attempts of one root request.
+        deadline_ms: Deadline of all routes.
+    """
+    zone = AvailabilityZoneId("larisa-a")
+    profile = Profile(ProfileId("demo"), retry_allowance=retry_allowance)
+    upstreams = {}
+    for service, number in services.items():
+        for index in range(number):
+            name = UpstreamId(f"{service}-{index}")
+            upstreams[name] = Upstream(
+                name, ServiceId(service), zone, "127.0.0.1", 0, 0, 0, slots, slots * 4
+            )
+    return Plan(
+        ConfigVersion(version),
+        availability_zones=(zone,),
+        profiles={profile.profile_id: profile},
+        services={
+            ServiceId(name): Service(ServiceId(name), profile.profile_id) for name in services
+        },
+        routes={route.route_id: route for name in services for route in _routes(name, deadline_ms)},
+        upstreams=upstreams,
+        organisations={
+            OrganisationId(name): Organisation(OrganisationId(name), 10_000.0, 10_000.0)
+            for name in organisations
+        },
+        keys={KeyId(f"{name}1"): _key(name) for name in organisations if name not in withdrawn},
+        fractions={name: 1 / len(upstreams) for name in upstreams},
+    )
+
+
+def _routes(service: str, deadline_ms: float) -> list[Route]:
+    name = ServiceId(service)
+    return [
+        Route(
+            RouteId(f"{service}-get"),
+            name,
+            "GET",
+            f"/{service}",
+            True,
+            Priority.NORMAL,
+            False,
+            deadline_ms,
+        ),
+        Route(
+            RouteId(f"{service}-post"),
+            name,
+            "POST",
+            f"/{service}",
+            False,
+            Priority.IMPORTANT,
+            False,
+            deadline_ms,
+        ),
+        Route(
+            RouteId(f"{service}-open"),
+            name,
+            "GET",
+            f"/open/{service}",
+            True,
+            Priority.NORMAL,
+            True,
+            deadline_ms,
+        ),
+    ]
+
+
+def _key(organisation: str) -> Key:
+    salt = organisation.encode()
+    digest = hashlib.sha256(salt + key_of(organisation).encode()).digest()
+    return Key(KeyId(f"{organisation}1"), OrganisationId(organisation), salt, digest)
+
+
+@attrs.define(eq=False)
+class FleetMember:
+    """Hold one node and its target."""
+
+    node: Node
+    target: StandinTarget
+
+    @property
+    def url(self) -> str:
+        """Return the address for callers."""
+        return f"http://127.0.0.1:{self.node.callers.port}"
+
+
+class Fleet:
+    """Run one node and one target for each upstream of a plan.
+
+    Attributes:
+        plan: The plan that all nodes use; replace it to publish another one.
+        fabric: Connects the nodes.
+        members: Nodes and targets by upstream.
+    """
+
+    def __init__(self, plan: Plan, seed: int = 0):
+        """Create a fleet that is not started."""
+        self.plan = plan
+        self.fabric = MemoryFabric(seed)
+        self.members: dict[str, FleetMember] = {}
+        self._start_number = 0
+
+    async def start(self) -> None:
+        """Start all targets and nodes."""
+        for upstream_id in self.plan.upstreams:
+            target = StandinTarget()
+            await target.open()
+            await self.start_node(upstream_id, target)
+
+    async def start_node(self, upstream_id: UpstreamId, target: StandinTarget) -> None:
+        """Start a node for a target that is open."""
+        self._start_number += 1
+        zone = self.plan.upstreams[upstream_id].availability_zone
+        local = NodeIdentity(upstream_id, zone, StartNumber(self._start_number))
+        parts = NodeParts(plan=lambda: self.plan, peers=self.fabric.attach(local))
+        node = Node(local, NodeAddresses(target_port=target.port), parts)
+        await node.start()
+        target.node_url = f"http://127.0.0.1:{node.inner.port}"
+        self.members[upstream_id] = FleetMember(node, target)
+
+    async def stop(self) -> None:
+        """Stop all nodes and targets at once."""
+        for member in self.members.values():
+            await member.node.stop()
+            await member.target.close()
+        await self.fabric.close()
+
+    def executions(self, name: str) -> int:
+        """Return how often all targets together ran the request with an id."""
+        return sum(member.target.executions[name] for member in self.members.values())
--- /dev/null
+++ b/gentianthread/standins/target.py
@@ -0,0 +1,243 @@
+"""Stand in for a target: an HTTP service whose behaviour tests and the demo choose."""
+
+import asyncio
+import hashlib
+from collections import Counter
+from collections.abc import Callable
+from urllib.parse import parse_qs, urlsplit
+
+import aiohttp
+import attrs
+
+from ..errors import ConnectionLost
+from ..protocol.headers import CONTEXT, DEADLINE_MS, REQUEST_ID
+from ..transport.http_server import Exchange, HttpListener
+
+PROBE_PATH = "/.gentian/probe"
+DIGEST = "Standin-Digest"
+
+_BLOCK_BYTES = 16 * 1024
+
+
+@attrs.define
+class Behaviour:
+    """Set how a target answers.
+
+    Attributes:
+        status: HTTP status.
+        service_ms: Time before the head of the answer.
+        body_bytes: Length of the answer; the query parameter `size` overrides it.
+        chunked: Whether the answer comes without a length.
+        chunk_delay_ms: Time between blocks of the answer.
+        inner_paths: Calls that the target makes through its node before it answers.
+        fail_with_inner: Whether a failed inner call makes the answer a 502.
+        hang: Whether the target never answers.
+        truncate_after: Bytes of the answer after which the connection is cut, or None.
+        cut_before: Whether the connection is cut in place of an answer.
+        headers: Further fields of the answer.
+    """
+
+    status: int = 200
+    service_ms: float = 0.0
+    body_bytes: int = 100
+    chunked: bool = False
+    chunk_delay_ms: float = 0.0
+    inner_paths: tuple[str, ...] = ()
+    fail_with_inner: bool = True
+    hang: bool = False
+    truncate_after: int | None = None
+    cut_before: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@attrs.define
+class Seen:
+    """Record one request that reached the target.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Header fields.
+        body_bytes: Length of the body that arrived.
+        body_digest: SHA-256 of the body in hex.
+        body_complete: Whether the body arrived to its end.
+        ended: Whether the answer was sent to its end.
+        cancelled: Whether the node closed the connection first.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body_bytes: int = 0
+    body_digest: str = ""
+    body_complete: bool = False
+    ended: bool = False
+    cancelled: bool = False
+
+    def header(self, name: str) -> str | None:
+        """Return the value of a field, or None."""
+        return next((value for key, value in self.headers if key.lower() == name.lower()), None)
+
+
+class StandinTarget:
+    """Serve requests and count their executions by the query parameter `id`.
+
+    Attributes:
+        behaviour: How requests are answered.
+        seen: Every request that arrived.
+        executions: Executions by the `id` of the query, or by request id without one.
+        running: Requests that run.
+        most_running: Largest number of requests that ran together.
+        draining: Whether probes say that the target drains.
+    """
+
+    def __init__(
+        self,
+        behaviour: Behaviour | None = None,
+        choose: Callable[[Seen], Behaviour | None] = lambda seen: None,
+    ):
+        """Create a target that is not open yet.
+
+        Args:
+            behaviour: How requests are answered.
+            choose: Returns another behaviour for single requests, or None.
+        """
+        self.behaviour = behaviour or Behaviour()
+        self.choose = choose
+        self.seen: list[Seen] = []
+        self.executions: Counter[str] = Counter()
+        self.running = 0
+        self.most_running = 0
+        self.probes = 0
+        self.draining = False
+        self.node_url = ""
+        self.port = 0
+        self._listener = HttpListener(self._serve)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self, host: str = "127.0.0.1", port: int = 0) -> int:
+        """Start to listen and return the port."""
+        await self._listener.open(host, port)
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self.port = self._listener.port
+        return self.port
+
+    async def close(self) -> None:
+        """Stop at once."""
+        await self._listener.close()
+        if self._session is not None:
+            await self._session.close()
+
+    async def _serve(self, exchange: Exchange) -> None:
+        if exchange.target == PROBE_PATH:
+            await self._answer_probe(exchange)
+            return
+        seen = Seen(exchange.method, exchange.target, tuple(exchange.headers))
+        self.seen.append(seen)
+        query = parse_qs(urlsplit(exchange.target).query)
+        name = query.get("id", [seen.header(REQUEST_ID) or ""])[0]
+        self.executions[name] += 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await self._execute(exchange, seen, query)
+            seen.ended = True
+        except asyncio.CancelledError:
+            seen.cancelled = True
+            raise
+        except ConnectionLost:
+            seen.cancelled = True
+            exchange.abort()
+        finally:
+            self.running -= 1
+
+    async def _answer_probe(self, exchange: Exchange) -> None:
+        self.probes += 1
+        state = b"draining" if self.draining else b"ready"
+        await exchange.send_head(200, [("Content-Length", str(len(state)))], has_body=True)
+        await exchange.send(state)
+        await exchange.finish()
+
+    async def _execute(self, exchange: Exchange, seen: Seen, query: dict) -> None:
+        behaviour = self.choose(seen) or self.behaviour
+        await _receive(exchange, seen)
+        if behaviour.service_ms > 0:
+            await asyncio.sleep(behaviour.service_ms / 1000)
+        if behaviour.hang:
+            await asyncio.Event().wait()
+        status = behaviour.status
+        for path in behaviour.inner_paths:
+            inner_status = await self.call_inner(seen, path)
+            if inner_status >= 500 and behaviour.fail_with_inner:
+                status = 502
+        if behaviour.cut_before:
+            exchange.abort()
+            return
+        size = int(query.get("size", [str(behaviour.body_bytes)])[0])
+        await self._send(exchange, behaviour, status, size, query.get("id", [""])[0])
+
+    async def _send(
+        self, exchange: Exchange, behaviour: Behaviour, status: int, size: int, name: str
+    ) -> None:
+        block = pattern(name, _BLOCK_BYTES)
+        headers = [*behaviour.headers, ("Content-Type", "application/octet-stream")]
+        headers.append((DIGEST, digest_of(name, size)))
+        if not behaviour.chunked:
+            headers.append(("Content-Length", str(size)))
+        await exchange.send_head(status, headers, has_body=exchange.method != "HEAD")
+        sent = 0
+        while sent < size and exchange.method != "HEAD":
+            part = block[: min(len(block), size - sent)]
+            if behaviour.truncate_after is not None:
+                part = part[: max(0, behaviour.truncate_after - sent)]
+            if not part:
+                exchange.abort()
+                return
+            await exchange.send(part)
+            sent += len(part)
+            if behaviour.chunk_delay_ms > 0:
+                await asyncio.sleep(behaviour.chunk_delay_ms / 1000)
+        if behaviour.truncate_after is not None:
+            exchange.abort()
+            return
+        await exchange.finish()
+
+    async def call_inner(self, seen: Seen, path: str, method: str = "GET") -> int:
+        """Make an inner call through the node and return its status, or 599 if it broke off."""
+        headers = {CONTEXT: seen.header(CONTEXT) or ""}
+        remaining = seen.header(DEADLINE_MS)
+        if remaining is not None:
+            headers[DEADLINE_MS] = remaining
+        try:
+            async with self._session.request(
+                method, f"{self.node_url}{path}", headers=headers
+            ) as answer:
+                await answer.read()
+                return answer.status
+        except aiohttp.ClientError:
+            return 599
+
+
+def pattern(name: str, size: int) -> bytes:
+    """Return bytes that depend on a name, so that a crossed answer is noticed."""
+    seed = hashlib.sha256(name.encode()).digest()
+    return (seed * (size // len(seed) + 1))[:size]
+
+
+def digest_of(name: str, size: int) -> str:
+    """Return the digest of the answer to the request with a name."""
+    digest = hashlib.sha256()
+    block = pattern(name, _BLOCK_BYTES)
+    for start in range(0, size, len(block)):
+        digest.update(block[: min(len(block), size - start)])
+    return digest.hexdigest()
+
+
+async def _receive(exchange: Exchange, seen: Seen) -> None:
+    digest = hashlib.sha256()
+    if exchange.has_body:
+        while (data := await exchange.read()) is not None:
+            seen.body_bytes += len(data)
+            digest.update(data)
+    seen.body_digest = digest.hexdigest()
+    seen.body_complete = True
--- /dev/null
+++ b/gentianthread/state/contexts.py
@@ -0,0 +1,81 @@
+"""Hold the requests that run on the target of this node, by context handle."""
+
+import asyncio
+import secrets
+
+import attrs
+
+from ..ids import OrganisationId, Priority, RequestId
+from .allowance import Allowance
+
+HANDLE_BYTES = 16
+
+
+@attrs.define(eq=False)
+class RunningContext:
+    """Hold what the inner calls of a running request inherit.
+
+    Attributes:
+        handle: Random text that the target copies to its inner calls.
+        root_request_id: Id of the root request.
+        organisation_id: Organisation of the root request.
+        priority: Priority of the root request.
+        depth: Hops from the root request.
+        deadline_at_ms: When the caller stops waiting, on the local clock.
+        allowance: Retries that the request and its inner calls may still use.
+        inner_failed: Whether an inner call failed.
+        children: Tasks of running inner calls.
+    """
+
+    handle: str
+    root_request_id: RequestId
+    organisation_id: OrganisationId
+    priority: Priority
+    depth: int
+    deadline_at_ms: float
+    allowance: Allowance
+    inner_failed: bool = False
+    children: set[asyncio.Task] = attrs.field(factory=set)
+
+
+class Contexts:
+    """Issue handles that are valid only on this node and only while their request runs."""
+
+    def __init__(self) -> None:
+        self._running: dict[str, RunningContext] = {}
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    def open(
+        self,
+        root_request_id: RequestId,
+        organisation_id: OrganisationId,
+        priority: Priority,
+        depth: int,
+        deadline_at_ms: float,
+        allowance: Allowance,
+    ) -> RunningContext:
+        """Issue a handle for a request that starts to run."""
+        context = RunningContext(
+            secrets.token_hex(HANDLE_BYTES),
+            root_request_id,
+            organisation_id,
+            priority,
+            depth,
+            deadline_at_ms,
+            allowance,
+        )
+        self._running[context.handle] = context
+        return context
+
+    def find(self, handle: str) -> RunningContext | None:
+        """Return the running request of a handle, or None."""
+        return self._running.get(handle)
+
+    def close(self, context: RunningContext) -> None:
+        """End a handle and cancel the inner calls that still run."""
+        if self._running.pop(context.handle, None) is None:
+            return
+        for child in tuple(context.children):
+            child.cancel()
--- /dev/null
+++ b/gentianthread/transport/http_client.py
@@ -0,0 +1,443 @@
+"""Send requests to the target over pooled HTTP connections.
+
+The pool uses the HTTP protocol class of aiohttp without its client session: the session repeats
+some requests by itself on a closed connection, and it does not tell whether bytes have left.
+"""
+
+import asyncio
+import select
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp.client_proto import ResponseHandler
+
+from ..clock import Clock
+from ..errors import ConnectionLost, DialError
+
+# Connections that open at once; more would hit a target that restarts all together.
+DIALS_AT_ONCE = 4
+
+# An idle connection is not reused after this time: targets and networks drop idle connections,
+# some of them silently.
+IDLE_LIMIT_MS = 15_000.0
+
+# A request that must not run twice uses only connections that were active this recently, as the
+# target may close an older one while the request is on its way.
+FRESH_LIMIT_MS = 1_000.0
+
+# Bodies up to this length are read before a connection is taken and leave in one write.
+INLINE_BODY_BYTES = 16 * 1024
+
+# Limits for the head of an answer.
+_LINE_LIMIT_BYTES = 8 * 1024
+_FIELD_LIMIT_BYTES = 16 * 1024
+
+_NO_BODY_STATUS = frozenset((204, 304))
+
+
+class Body(ABC):
+    """Give the bytes of a request body in order.
+
+    Attributes:
+        length: Length in bytes, or None where it is not known.
+    """
+
+    length: int | None
+
+    @abstractmethod
+    async def read(self) -> bytes | None:
+        """Return the next bytes, or None after the end.
+
+        Raises:
+            TransportError: The body ended early.
+        """
+
+
+class BytesBody(Body):
+    """Give bytes that are at hand."""
+
+    def __init__(self, data: bytes):
+        """Create a body.
+
+        Args:
+            data: All bytes.
+        """
+        self.length = len(data)
+        self._data: bytes | None = data or None
+
+    async def read(self) -> bytes | None:
+        """Return all bytes once."""
+        data, self._data = self._data, None
+        return data
+
+
+class TargetAnswer(ABC):
+    """Hold the head of an answer and give its body.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header fields in order.
+        has_body: Whether body bytes may follow.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    has_body: bool
+
+    @abstractmethod
+    async def read(self) -> bytes | None:
+        """Return the next body bytes, or None after the complete end.
+
+        Raises:
+            ConnectionLost: The answer is truncated.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """Drop the rest of the answer; a connection with unread bytes is closed."""
+
+
+class TargetClient(ABC):
+    """Send requests to one target."""
+
+    @abstractmethod
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: Body | None,
+        *,
+        fresh: bool = False,
+    ) -> TargetAnswer:
+        """Send a request and return the answer once its head is there.
+
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            headers: Header fields without Content-Length and Transfer-Encoding.
+            body: The request body, if any.
+            fresh: Whether only recently active connections may be reused.
+
+        Raises:
+            DialError: No connection could be opened; no byte has left.
+            ConnectionLost: The connection failed after bytes may have left.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class _Connection:
+    __slots__ = ("idle_since_ms", "protocol")
+
+    def __init__(self, protocol: ResponseHandler):
+        self.protocol = protocol
+        self.idle_since_ms = 0.0
+
+    def usable(self) -> bool:
+        protocol = self.protocol
+        return protocol.is_connected() and not protocol.should_close
+
+    def silent(self) -> bool:
+        """Return whether nothing waits in the socket; an end or bytes would spoil the answer."""
+        raw = self.protocol.transport.get_extra_info("socket")
+        if raw is None or raw.fileno() < 0:
+            return False
+        poller = select.poll()
+        poller.register(raw.fileno(), select.POLLIN)
+        return not poller.poll(0)
+
+
+class HttpTargetClient(TargetClient):
+    """Keep a bounded pool of HTTP/1.1 connections to one address."""
+
+    def __init__(self, host: str, port: int, limit: Callable[[], int], clock: Clock):
+        """Create an empty pool.
+
+        Args:
+            host: IP address of the target.
+            port: Its TCP port.
+            limit: Returns the number of connections that the target accepts.
+            clock: Clock of idle times.
+        """
+        self.host = host
+        self.port = port
+        self._limit = limit
+        self._clock = clock
+        self._idle: deque[_Connection] = deque()
+        self._waiters: deque[asyncio.Future] = deque()
+        self._dials = asyncio.Semaphore(DIALS_AT_ONCE)
+        self._closed = False
+        self.open_connections = 0
+        self.dialled = 0
+
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: Body | None,
+        *,
+        fresh: bool = False,
+    ) -> TargetAnswer:
+        """Send a request on a pooled connection."""
+        inline = b""
+        if body is not None and body.length is not None and body.length <= INLINE_BODY_BYTES:
+            inline = await read_whole(body)
+            head = serialize_head(method, target, headers, len(inline))
+            body = None
+        elif body is not None:
+            head = serialize_head(method, target, headers, body.length, chunked=True)
+        else:
+            head = serialize_head(method, target, headers, None)
+        connection = await self._acquire(fresh)
+        return await self._send(connection, method, head + inline, body)
+
+    async def _send(
+        self, connection: _Connection, method: str, data: bytes, body: Body | None
+    ) -> TargetAnswer:
+        protocol = connection.protocol
+        pump = None
+        try:
+            protocol.set_response_params(
+                skip_payload=method == "HEAD",
+                auto_decompress=False,
+                max_line_size=_LINE_LIMIT_BYTES,
+                max_field_size=_FIELD_LIMIT_BYTES,
+            )
+            protocol.transport.write(data)
+            if body is not None:
+                pump = asyncio.ensure_future(_pump(protocol, body))
+            message, payload = await _read_head(protocol)
+            has_body = _check_framing(method, message)
+        except BaseException as error:
+            if pump is not None:
+                pump.cancel()
+            self._discard(connection)
+            if isinstance(error, Exception) and not isinstance(error, ConnectionLost):
+                raise ConnectionLost("target", f"{type(error).__name__}: {error}") from error
+            raise
+        return HttpTargetAnswer(self, connection, message, payload, has_body, pump)
+
+    async def _acquire(self, fresh: bool) -> _Connection:
+        while True:
+            if self._closed:
+                raise DialError("target", "pool is closed")
+            connection = self._take_idle(fresh)
+            if connection is not None:
+                return connection
+            if self.open_connections < max(1, self._limit()):
+                return await self._dial()
+            if self._idle:
+                self._discard(self._idle.popleft())
+                continue
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters.append(waiter)
+            try:
+                await waiter
+            except asyncio.CancelledError:
+                if waiter.done() and not waiter.cancelled():
+                    self._wake()
+                raise
+
+    def _take_idle(self, fresh: bool) -> _Connection | None:
+        now_ms = self._clock.now_ms()
+        kept = []
+        found = None
+        while self._idle and found is None:
+            connection = self._idle.pop()
+            idle_ms = now_ms - connection.idle_since_ms
+            if idle_ms > IDLE_LIMIT_MS or not connection.usable() or not connection.silent():
+                self._discard(connection)
+            elif fresh and idle_ms > FRESH_LIMIT_MS:
+                kept.append(connection)
+            else:
+                found = connection
+        self._idle.extend(reversed(kept))
+        return found
+
+    async def _dial(self) -> _Connection:
+        self.open_connections += 1
+        try:
+            async with self._dials:
+                loop = asyncio.get_running_loop()
+                _, protocol = await loop.create_connection(
+                    lambda: ResponseHandler(loop), self.host, self.port
+                )
+                self.dialled += 1
+                return _Connection(protocol)
+        except BaseException as error:
+            self.open_connections -= 1
+            self._wake()
+            if isinstance(error, OSError):
+                raise DialError("target", str(error)) from error
+            raise
+
+    def _release(self, connection: _Connection) -> None:
+        if self._closed or not connection.usable():
+            self._discard(connection)
+            return
+        connection.idle_since_ms = self._clock.now_ms()
+        self._idle.append(connection)
+        self._wake()
+
+    def _discard(self, connection: _Connection) -> None:
+        connection.protocol.abort()
+        self.open_connections -= 1
+        self._wake()
+
+    def _wake(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    async def close(self) -> None:
+        """Close the idle connections; others close as they are given back."""
+        self._closed = True
+        while self._idle:
+            self._discard(self._idle.pop())
+        while self._waiters:
+            self._wake()
+
+
+class HttpTargetAnswer(TargetAnswer):
+    """Read an answer from a pooled connection."""
+
+    __slots__ = ("_connection", "_payload", "_pool", "_pump", "has_body", "headers", "status")
+
+    def __init__(
+        self,
+        pool: HttpTargetClient,
+        connection: _Connection,
+        message: Any,
+        payload: Any,
+        has_body: bool,
+        pump: asyncio.Future | None,
+    ):
+        """Use `HttpTargetClient.exchange` to create one."""
+        self._pool = pool
+        self._connection: _Connection | None = connection
+        self._payload = payload
+        self._pump = pump
+        self.status = message.code
+        self.headers = list(message.headers.items())
+        self.has_body = has_body
+
+    async def read(self) -> bytes | None:
+        """Return the next body bytes."""
+        if self._connection is None:
+            return None
+        try:
+            data = await self._payload.readany()
+        except asyncio.CancelledError:
+            self._drop()
+            raise
+        except Exception as error:  # aiohttp raises several types for a body that ends early.
+            self._drop()
+            raise ConnectionLost("target", f"answer truncated: {type(error).__name__}") from error
+        if data:
+            return data
+        self.close()
+        return None
+
+    def close(self) -> None:
+        """Give the connection back, or close it if the exchange is incomplete."""
+        connection = self._connection
+        if connection is None:
+            return
+        sent = self._pump is None or (self._pump.done() and not self._pump.cancelled())
+        if sent and self._payload.is_eof() and self._payload.exception() is None:
+            self._connection = None
+            self._pool._release(connection)
+        else:
+            self._drop()
+
+    def _drop(self) -> None:
+        connection, self._connection = self._connection, None
+        if self._pump is not None:
+            self._pump.cancel()
+        if connection is not None:
+            self._pool._discard(connection)
+
+
+def serialize_head(
+    method: str,
+    target: str,
+    headers: list[tuple[str, str]],
+    length: int | None,
+    *,
+    chunked: bool = False,
+) -> bytes:
+    """Return the bytes of a request head.
+
+    Args:
+        method: HTTP method.
+        target: Path and query.
+        headers: Header fields without Content-Length and Transfer-Encoding.
+        length: Length of the body, or None.
+        chunked: Whether a body of unknown length follows.
+    """
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    elif chunked:
+        lines.append("Transfer-Encoding: chunked")
+    lines.append("\r\n")
+    return "\r\n".join(lines).encode("utf-8", "surrogateescape")
+
+
+async def read_whole(body: Body) -> bytes:
+    """Return all bytes of a body."""
+    parts = []
+    while (part := await body.read()) is not None:
+        parts.append(part)
+    return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+async def _pump(protocol: ResponseHandler, body: Body) -> None:
+    """Write a body; on its failure cut the connection, so that the target never sees an end."""
+    chunked = body.length is None
+    try:
+        while (data := await body.read()) is not None:
+            transport = protocol.transport
+            if transport is None:
+                return
+            transport.write(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
+            await protocol._drain_helper()
+        if chunked and protocol.transport is not None:
+            protocol.transport.write(b"0\r\n\r\n")
+    except Exception:
+        if protocol.transport is not None:
+            protocol.transport.abort()
+
+
+async def _read_head(protocol: ResponseHandler) -> tuple[Any, Any]:
+    while True:
+        message, payload = await protocol.read()
+        if message.code >= 200:
+            return message, payload
+        if message.code == 101:
+            raise ConnectionLost("target", "answer switches protocols")
+
+
+def _check_framing(method: str, message: Any) -> bool:
+    """Return whether a body follows.
+
+    Raises:
+        ConnectionLost: The body has no length, so that its truncation could not be noticed.
+    """
+    if method == "HEAD" or message.code in _NO_BODY_STATUS:
+        return False
+    if message.chunked:
+        return True
+    length = message.headers.get("Content-Length")
+    if length is None:
+        raise ConnectionLost("target", "answer has neither Content-Length nor chunked coding")
+    return length != "0"
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,57 @@
+"""Run a small fleet over loopback sockets in tests."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from gentianthread.standins.fleet import Fleet, key_of, make_plan
+
+from .base import SocketTestCase
+
+
+class FleetTestCase(SocketTestCase):
+    """Start fleets and call them."""
+
+    @contextlib.asynccontextmanager
+    async def fleet(self, services=None, **options):
+        """Run a fleet and a client session for the length of a test."""
+        fleet = Fleet(
+            make_plan(services or {"catalogue": 1, "pricing": 1}, ("alpha", "beta"), **options)
+        )
+        await fleet.start()
+        try:
+            async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+                fleet.session = session
+                yield fleet
+        finally:
+            await fleet.stop()
+
+    async def call(self, fleet, entry, path, *, method="GET", organisation="alpha", **options):
+        """Send one request and return status, headers and body."""
+        headers = dict(options.pop("headers", {}))
+        if organisation is not None:
+            headers["Authorization"] = f"Bearer {key_of(organisation)}"
+        url = f"{fleet.members[entry].url}{path}"
+        async with fleet.session.request(method, url, headers=headers, **options) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+    async def until(self, condition, timeout_s=5.0):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(timeout_s):
+            # Conditions span several nodes, so no single event marks them.
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+
+
+async def raw_exchange(port: int, data: bytes, timeout_s: float = 5.0) -> bytes:
+    """Send bytes to a port and return everything up to the end of the connection."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(data)
+        async with asyncio.timeout(timeout_s):
+            return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
