Add idempotency keys, draining, state dump and the pause watchdog

Keyed requests had no home, a stopping node cut requests, and operators could not see state. The gateway is split into calls, attempts and gateway.

--- a/gentianthread/coordination/answers.py
+++ b/gentianthread/coordination/answers.py
@@ -19,10 +19,12 @@
     Attributes:
         head: A `ResponseHead` or a `RefusalHead`.
         used_attempts: Part of the lent allowance that was used; None until the complete end.
+        service_ms: Time that the target took, once the answer has ended.
         reported: Whether the head came from the target's node, so that its load is known.
     """
 
     head: ResponseHead | RefusalHead
+    service_ms: float = 0.0
     reported: bool = True
     used_attempts: int | None = None
 
--- /dev/null
+++ b/gentianthread/coordination/attempts.py
@@ -0,0 +1,284 @@
+"""Make the attempts of one request until one has an answer for its caller."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from ..clock import Clock
+from ..errors import NoUpstream, PeerUnreachable, Refused, StreamAborted, TransportError
+from ..ids import NodeIdentity, Outcome, RefusalReason, RequestId, UpstreamId
+from ..metrics import Metrics
+from ..protocol.headers import CONTENT_LENGTH
+from ..protocol.messages_requests import RefusalHead, RequestHead, ResponseHead
+from ..protocol.streams import Stream
+from .answers import (
+    Answer,
+    RefusedAnswer,
+    ReplayBody,
+    StreamAnswer,
+    drain_answer,
+    level_of,
+    lost_answer,
+    unreachable_answer,
+)
+from .calls import Call
+from .executor import Executor
+from .idempotency import home_of
+from .peer_network import PeerNetwork
+from .retries import FAILURE_STATUS, Retries, Verdict, judge
+from .routing import Router
+
+# Body of a failed attempt that is kept while a retry is considered.
+FAILED_ANSWER_LIMIT_BYTES = 64 * 1024
+
+_OUTCOMES = {
+    RefusalReason.OUTCOME_UNKNOWN: Outcome.LOST,
+    RefusalReason.TARGET_UNREACHABLE: Outcome.LOST,
+    RefusalReason.DEADLINE_EXCEEDED: Outcome.TIMEOUT,
+}
+
+# Writes an answer to the caller; the list holds body chunks that were read before.
+Relay = Callable[[Answer, list[bytes]], Awaitable[None]]
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    """Hold one attempt until its end is reported to the router and the allowance."""
+
+    upstream_id: UpstreamId
+    started_at_ms: float
+    lent: int
+    answer: Answer | None = None
+    outcome: Outcome = Outcome.CANCELLED
+
+
+class Attempts:
+    """Choose upstreams, make attempts and apply the retry rules."""
+
+    def __init__(
+        self,
+        local: NodeIdentity,
+        router: Router,
+        executor: Executor,
+        peers: PeerNetwork,
+        retries: Retries,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        """Create a maker of attempts.
+
+        Args:
+            local: Identity of this node.
+            router: Chooses upstreams.
+            executor: Runs requests on this node's target.
+            peers: Reaches the other nodes.
+            retries: Decides on retries.
+            clock: Clock of deadlines.
+            metrics: Counts retries.
+        """
+        self.local = local
+        self.router = router
+        self.executor = executor
+        self.peers = peers
+        self.retries = retries
+        self.clock = clock
+        self.metrics = metrics
+
+    async def answer(self, call: Call, relay: Relay) -> None:
+        """Make attempts until one's answer goes to the caller.
+
+        Args:
+            call: The request.
+            relay: Writes the answer.
+
+        Raises:
+            Refused: The last attempt was refused.
+            TransportError: The answer broke off.
+        """
+        self.retries.record_first_attempt(call.plan, call.item.service_id)
+        last: tuple[Answer, list[bytes]] | None = None
+        while True:
+            try:
+                upstream_id = self._choose(call)
+            except NoUpstream:
+                if last is None:
+                    raise
+                break
+            attempt = _Attempt(upstream_id, self.clock.now_ms(), call.state.allowance.lend())
+            self.router.started(upstream_id)
+            try:
+                chunks = await self._run(call, attempt, relay)
+                if chunks is None:
+                    return
+            finally:
+                self._end(call, attempt)
+            last = (attempt.answer, chunks)
+            if not await self._prepare_retry(call, judge(attempt.answer.head)):
+                break
+        await relay(*last)
+
+    async def _run(self, call: Call, attempt: _Attempt, relay: Relay) -> list[bytes] | None:
+        """Make one attempt; return None if its answer went to the caller, or else its body."""
+        answer = attempt.answer = await self._send(call, attempt)
+        attempt.outcome = _outcome(answer.head)
+        if judge(answer.head) is Verdict.FINAL and isinstance(answer.head, ResponseHead):
+            try:
+                await relay(answer, [])
+            except TransportError:
+                attempt.outcome = Outcome.LOST
+                raise
+            return None
+        chunks = await drain_answer(answer, FAILED_ANSWER_LIMIT_BYTES)
+        if chunks is None:
+            attempt.answer, attempt.outcome = lost_answer(), Outcome.LOST
+            return []
+        return chunks
+
+    def _end(self, call: Call, attempt: _Attempt) -> None:
+        """Report the end of an attempt and cancel what is still under way."""
+        answer = attempt.answer
+        if answer is not None:
+            answer.abort("attempt ended")
+        level = level_of(answer.head.load) if answer is not None and answer.reported else None
+        used = None if answer is None else answer.used_attempts
+        call.state.allowance.settle(attempt.lent, used)
+        latency_ms = self.clock.now_ms() - attempt.started_at_ms
+        self.router.finished(attempt.upstream_id, attempt.outcome, latency_ms, level)
+
+    async def _prepare_retry(self, call: Call, verdict: Verdict) -> bool:
+        replayable = call.body is None or call.body.replayable
+        if not self.retries.allows(
+            call.plan, call.item, call.state, verdict, replayable=replayable
+        ):
+            return False
+        self.metrics.count("gateway.retries")
+        delay_ms = self.retries.backoff_ms(call.item, call.state, verdict)
+        # Without a delay too: the cancelled sender of the last attempt ends before the body is
+        # read again.
+        await self.clock.sleep_ms(delay_ms)
+        if call.body is not None:
+            call.body.rewind()
+        return True
+
+    def _choose(self, call: Call) -> UpstreamId:
+        """Return the upstream of the next attempt.
+
+        Raises:
+            Refused: None is left; a request with a key has no other than its home.
+        """
+        if call.idempotency_key is not None:
+            chosen = self._choose_home(call, call.idempotency_key)
+        elif self._prefers_own(call):
+            chosen = self.local.upstream_id
+        else:
+            chosen = self.router.choose(call.item, frozenset(call.tried))
+        call.tried.add(chosen)
+        return chosen
+
+    def _prefers_own(self, call: Call) -> bool:
+        own = self.local.upstream_id
+        upstream = call.plan.upstreams.get(own)
+        return (
+            own not in call.tried
+            and upstream is not None
+            and upstream.service_id == call.item.service_id
+            and self.executor.has_room()
+        )
+
+    def _choose_home(self, call: Call, key: str) -> UpstreamId:
+        home = home_of(call.plan, call.item.organisation_id, call.item.service_id, key)
+        upstream = None if home is None else call.plan.upstreams.get(home)
+        if upstream is None or upstream.service_id != call.item.service_id:
+            # The home left the plan, and with it the knowledge whether the key has run.
+            raise Refused(RefusalReason.OUTCOME_UNKNOWN, not_run=False)
+        if home in call.tried:
+            raise NoUpstream()
+        return home
+
+    async def _send(self, call: Call, attempt: _Attempt) -> Answer:
+        """Send one attempt and return its answer once the head is there."""
+        head = self._request_head(call, attempt.lent)
+        call.state.attempts += 1
+        before, call.may_have_run = call.may_have_run, True
+        if attempt.upstream_id == self.local.upstream_id:
+            answer = await self.executor.dispatch(head, call.body, call.item.deadline_at_ms)
+        else:
+            answer = await self._send_to_peer(call, attempt.upstream_id, head)
+        if isinstance(answer.head, RefusalHead) and answer.head.not_run:
+            call.may_have_run = before
+        return answer
+
+    async def _send_to_peer(self, call: Call, upstream_id: UpstreamId, head: RequestHead) -> Answer:
+        try:
+            stream = await self.peers.open_stream(upstream_id, head)
+        except PeerUnreachable:
+            # An earlier request with the key may have run at its unreachable home.
+            return unreachable_answer() if call.idempotency_key is None else lost_answer()
+        return await _exchange(stream, call.body)
+
+    def _request_head(self, call: Call, lent: int) -> RequestHead:
+        item = call.item
+        headers = call.head.headers
+        if call.body is not None and call.body.length is not None:
+            headers = (*headers, (CONTENT_LENGTH, str(call.body.length)))
+        return RequestHead(
+            RequestId(f"{call.call_id}.{call.state.attempts}"),
+            item.root_request_id,
+            call.route.route_id,
+            item.service_id,
+            item.organisation_id,
+            item.priority,
+            item.depth,
+            item.deadline_at_ms - self.clock.now_ms(),
+            lent,
+            item.idempotent,
+            call.idempotency_key,
+            call.method,
+            call.target,
+            headers,
+            call.body is not None,
+        )
+
+
+async def _exchange(stream: Stream, body: ReplayBody | None) -> Answer:
+    """Send the body and return the answer once its head is there; abort on any failure."""
+    pump = None if body is None else asyncio.ensure_future(_pump(stream, body))
+    try:
+        if pump is None:
+            await stream.finish()
+        head = await stream.receive_head()
+    except StreamAborted:
+        _cancel(pump)
+        return lost_answer() if stream.may_have_sent else unreachable_answer()
+    except BaseException:
+        _cancel(pump)
+        stream.abort("cancelled")
+        raise
+    if isinstance(head, RefusalHead):
+        _cancel(pump)
+        return RefusedAnswer(head)
+    return StreamAnswer(stream, head, pump)
+
+
+async def _pump(stream: Stream, body: ReplayBody) -> None:
+    try:
+        while (data := await body.read()) is not None:
+            await stream.send_chunk(data)
+        await stream.finish()
+    except StreamAborted:
+        pass
+    except TransportError as error:
+        # The caller's body broke off; the target must not take it for complete.
+        stream.abort(str(error))
+
+
+def _cancel(pump: asyncio.Future | None) -> None:
+    if pump is not None:
+        pump.cancel()
+
+
+def _outcome(head: ResponseHead | RefusalHead) -> Outcome:
+    if isinstance(head, ResponseHead):
+        return Outcome.FAILURE if head.status >= FAILURE_STATUS else Outcome.SUCCESS
+    return _OUTCOMES.get(head.reason, Outcome.REFUSED)
--- /dev/null
+++ b/gentianthread/coordination/calls.py
@@ -0,0 +1,185 @@
+"""Describe a request from its head: key, route, parent, deadline and allowance."""
+
+import hashlib
+import hmac
+
+import attrs
+
+from ..errors import Refused
+from ..ids import ANONYMOUS, OrganisationId, RefusalReason, RequestId, UpstreamId
+from ..protocol.headers import ParsedHead
+from ..state.allowance import Allowance
+from ..state.contexts import RunningContext
+from ..state.plan import Plan, Route
+from ..state.work import WorkItem
+from ..transport.http_client import Body
+from ..transport.http_server import Exchange
+from .answers import ReplayBody
+from .retries import RetryState
+
+# Calls deeper than this are refused; declared call chains are at most this deep.
+DEPTH_LIMIT = 18
+
+
+class ExchangeBody(Body):
+    """Read the request body of an exchange."""
+
+    def __init__(self, exchange: Exchange):
+        """Create a body."""
+        self.length = exchange.body_length
+        self._exchange = exchange
+
+    async def read(self) -> bytes | None:
+        """Return the next bytes."""
+        return await self._exchange.read()
+
+
+@attrs.define(eq=False)
+class Call:
+    """Hold one request while it is seen through.
+
+    Attributes:
+        plan: The plan in force when it came.
+        route: Its route.
+        method: HTTP method.
+        target: Path and query.
+        head: Its parsed head.
+        item: Its description for admission and routing.
+        call_id: Id that all its attempts share.
+        parent: The request that made it, if it is an inner call.
+        body: Its body, if it has one.
+        state: Its attempts.
+        idempotency_key: Its key against double execution; None on idempotent routes.
+        tried: Upstreams that an attempt went to.
+        may_have_run: Whether an attempt may have reached a target.
+    """
+
+    plan: Plan
+    route: Route
+    method: str
+    target: str
+    head: ParsedHead
+    item: WorkItem
+    call_id: str
+    parent: RunningContext | None
+    body: ReplayBody | None
+    state: RetryState
+    idempotency_key: str | None = None
+    tried: set[UpstreamId] = attrs.field(factory=set)
+    may_have_run: bool = False
+
+
+def authenticate(plan: Plan, parsed: ParsedHead) -> OrganisationId | None:
+    """Return the organisation of the key in a head, or None without a key.
+
+    Raises:
+        Refused: The plan has no such key.
+    """
+    if parsed.key is None or parsed.key_id is None:
+        return None
+    key = plan.keys.get(parsed.key_id)
+    if key is not None:
+        digest = hashlib.sha256(key.salt + parsed.key.encode()).digest()
+        if hmac.compare_digest(digest, key.digest):
+            return key.organisation_id
+    raise Refused(RefusalReason.KEY_UNKNOWN, not_run=True)
+
+
+def describe_call(
+    plan: Plan,
+    exchange: Exchange,
+    parsed: ParsedHead,
+    parent: RunningContext | None,
+    call_id: str,
+    now_ms: float,
+) -> Call:
+    """Check the key, match the route and describe the request.
+
+    Args:
+        plan: The plan in force.
+        exchange: The request.
+        parsed: Its parsed head.
+        parent: The request that made it, if it is an inner call.
+        call_id: Its id.
+        now_ms: The time, on the local clock.
+
+    Raises:
+        Refused: The request may not run.
+    """
+    organisation_id = authenticate(plan, parsed)
+    route = plan.match_route(exchange.method, parsed.path)
+    if route is None:
+        raise Refused(RefusalReason.ROUTE_UNKNOWN, not_run=True)
+    if parent is None:
+        item = _root_item(route, parsed, organisation_id, call_id, now_ms)
+        allowance = Allowance(plan.profile_of(route.service_id).retry_allowance)
+    else:
+        item = _inner_item(route, parsed, organisation_id, parent, now_ms)
+        allowance = parent.allowance
+    if item.deadline_at_ms <= now_ms:
+        raise Refused(RefusalReason.DEADLINE_EXCEEDED, not_run=True)
+    return Call(
+        plan,
+        route,
+        exchange.method,
+        exchange.target,
+        parsed,
+        item,
+        call_id,
+        parent,
+        ReplayBody(ExchangeBody(exchange)) if exchange.has_body else None,
+        RetryState(allowance),
+        None if route.idempotent else parsed.idempotency_key,
+    )
+
+
+def _root_item(
+    route: Route,
+    parsed: ParsedHead,
+    organisation_id: OrganisationId | None,
+    call_id: str,
+    now_ms: float,
+) -> WorkItem:
+    if organisation_id is None:
+        if not route.open_to_all:
+            raise Refused(RefusalReason.KEY_MISSING, not_run=True)
+        organisation_id = ANONYMOUS
+    return WorkItem(
+        RequestId(call_id),
+        route.service_id,
+        organisation_id,
+        route.priority,
+        0,
+        now_ms + _limit_ms(route, parsed),
+        route.idempotent,
+    )
+
+
+def _inner_item(
+    route: Route,
+    parsed: ParsedHead,
+    organisation_id: OrganisationId | None,
+    parent: RunningContext,
+    now_ms: float,
+) -> WorkItem:
+    # A key beside a handle must belong to the same organisation, or the request would run for
+    # another one than its key says.
+    if organisation_id not in (None, parent.organisation_id):
+        raise Refused(RefusalReason.KEY_UNKNOWN, not_run=True)
+    if parent.depth + 1 >= DEPTH_LIMIT:
+        raise Refused(RefusalReason.DEPTH_EXCEEDED, not_run=True)
+    return WorkItem(
+        parent.root_request_id,
+        route.service_id,
+        parent.organisation_id,
+        parent.priority,
+        parent.depth + 1,
+        min(now_ms + _limit_ms(route, parsed), parent.deadline_at_ms),
+        route.idempotent,
+    )
+
+
+def _limit_ms(route: Route, parsed: ParsedHead) -> float:
+    if parsed.deadline_ms is None:
+        return route.deadline_ms
+    return min(route.deadline_ms, parsed.deadline_ms)
--- /dev/null
+++ b/gentianthread/coordination/drain.py
@@ -0,0 +1,170 @@
+"""Take a node out of service without cutting a request off."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+from ..clock import Clock
+from ..errors import TransportError
+from ..events import NODE_LEAVING
+from ..ids import RefusalReason, UpstreamId
+from ..logs import log
+from ..metrics import Metrics
+from ..state.members import Members, MemberState
+from ..state.plan import Plan
+from ..transport.http_client import TargetClient
+from .executor import Executor
+from .gateway import Gateway
+
+PROBE_PATH = "/.gentian/probe"
+DRAINING = b"draining"
+
+# Intervals vary by a quarter in both directions, so that probes of a fleet do not align. With the
+# default interval of 2 s a draining target is noticed within 2.5 s; the bound is 3 s.
+PROBE_JITTER = 0.25
+PROBE_INTERVAL_MS = 2_000.0
+PROBE_TIMEOUT_MS = 400.0
+
+_POLL_MS = 20.0
+
+# After its last request a leaving node stays open this long. Requests that were on their way on
+# idle connections then get a refusal and not a reset.
+QUIET_MS = 300.0
+
+
+class Drain:
+    """Refuse new work, let running work finish, and tell when the node is idle."""
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        executor: Executor,
+        clock: Clock,
+        announce: Callable[[], Awaitable[None]] | None = None,
+    ):
+        """Create a drain that has not begun.
+
+        Args:
+            gateway: Refuses new requests of callers.
+            executor: Refuses new work for the target.
+            clock: Clock of waiting times.
+            announce: Tells the peers that the node is leaving.
+        """
+        self.gateway = gateway
+        self.executor = executor
+        self.clock = clock
+        self._announce = announce
+        self._announced = False
+
+    @property
+    def running(self) -> int:
+        """Return the requests in flight."""
+        return self.gateway.running + self.executor.running
+
+    async def stop_target(self) -> None:
+        """Take no new work for the own target; callers are still served through other nodes."""
+        if self.executor.leaving is None:
+            self.executor.leaving = RefusalReason.LEAVING
+            await self._tell_peers()
+
+    def resume_target(self) -> None:
+        """Take work for the own target again, unless the node itself leaves."""
+        if not self.gateway.leaving:
+            self.executor.leaving = None
+            self._announced = False
+
+    async def begin(self) -> None:
+        """Refuse all new requests."""
+        log(NODE_LEAVING, running=self.running)
+        self.gateway.leaving = True
+        self.executor.leaving = RefusalReason.LEAVING
+        await self._tell_peers()
+
+    async def _tell_peers(self) -> None:
+        if self._announce is not None and not self._announced:
+            self._announced = True
+            await self._announce()
+
+    async def wait_idle(self) -> None:
+        """Wait until nothing runs and nothing new came for a short time."""
+        quiet_since_ms = self.clock.now_ms()
+        served = self.gateway.served
+        while self.clock.now_ms() - quiet_since_ms < QUIET_MS:
+            await self.clock.sleep_ms(_POLL_MS)
+            if self.running > 0 or self.gateway.served != served:
+                served = self.gateway.served
+                quiet_since_ms = self.clock.now_ms()
+
+
+class TargetWatch:
+    """Notice that the own target drains, or is listed as leaving, and stop its work."""
+
+    def __init__(
+        self,
+        own: UpstreamId,
+        plan: Callable[[], Plan | None],
+        members: Members | None,
+        target: TargetClient,
+        drain: Drain,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random | None = None,
+    ):
+        """Create a watch; `run` starts it.
+
+        Args:
+            own: Upstream of this node.
+            plan: Returns the accepted plan.
+            members: Says whether the own instance is listed as leaving.
+            target: Reaches the target.
+            drain: Stops the work of the target.
+            clock: Clock of the intervals.
+            metrics: Counts probes.
+            rng: Source of jitter.
+        """
+        self._own = own
+        self._plan = plan
+        self._members = members
+        self._target = target
+        self._drain = drain
+        self._clock = clock
+        self._metrics = metrics
+        self._random = rng or random.Random()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            spread = 1 + PROBE_JITTER * (2 * self._random.random() - 1)
+            await self._clock.sleep_ms(self._interval_ms() * spread)
+            await self.check()
+
+    async def check(self) -> None:
+        """Probe once and act on the result."""
+        if self._listed_as_leaving() or await self._target_drains():
+            await self._drain.stop_target()
+        else:
+            self._drain.resume_target()
+
+    def _interval_ms(self) -> float:
+        plan = self._plan()
+        upstream = None if plan is None else plan.upstreams.get(self._own)
+        if upstream is None:
+            return PROBE_INTERVAL_MS
+        return min(PROBE_INTERVAL_MS, plan.profile_of(upstream.service_id).probe_interval_ms)
+
+    def _listed_as_leaving(self) -> bool:
+        plan = self._plan()
+        upstream = None if plan is None else plan.upstreams.get(self._own)
+        if upstream is not None and upstream.draining:
+            return True
+        member = None if self._members is None else self._members.get(self._own)
+        return member is not None and member.state is MemberState.LEAVING
+
+    async def _target_drains(self) -> bool:
+        """Return whether the target says that it drains; a failed probe says nothing."""
+        self._metrics.count("target.probes")
+        try:
+            answer = await self._target.probe(PROBE_PATH, PROBE_TIMEOUT_MS)
+        except TransportError:
+            self._metrics.count("target.probes_failed")
+            return False
+        return answer.strip() == DRAINING
--- a/gentianthread/coordination/executor.py
+++ b/gentianthread/coordination/executor.py
@@ -1,6 +1,7 @@
 """Run requests on the target of this node."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from ..clock import Clock
 from ..errors import ConnectionLost, DialError, GentianError, Refused, StreamAborted
@@ -16,6 +17,8 @@
 from .admission import Admission, Permit
 from .answers import Answer, RefusedAnswer, StreamBody, load_of
 
+RunFunction = Callable[[RequestHead, Body | None, float], Awaitable[Answer]]
+
 # Failures of the target itself; other statuses are its answers to the caller.
 FAILURE_STATUS = 500
 
@@ -37,7 +40,6 @@
         self._permit: Permit | None = permit
         self._answer = answer
         self._started_at_ms = started_at_ms
-        self.service_ms = 0.0
         failed = answer.status >= FAILURE_STATUS
         self.head = ResponseHead(
             answer.status,
@@ -83,7 +85,6 @@
 
     def __init__(
         self,
-        local: NodeIdentity,
         admission: Admission,
         target: TargetClient,
         contexts: Contexts,
@@ -93,14 +94,12 @@
         """Create an executor.
 
         Args:
-            local: Identity of this node.
             admission: Admits work.
             target: Reaches the target.
             contexts: Handles of running requests.
             clock: Clock of deadlines.
             metrics: Counts executions and refusals.
         """
-        self.local = local
         self.admission = admission
         self.target = target
         self.contexts = contexts
@@ -108,6 +107,20 @@
         self.metrics = metrics
         self.leaving: RefusalReason | None = None
         self.running = 0
+        # Set by the assembly: runs requests with an idempotency key through their records.
+        self.run_keyed: RunFunction | None = None
+
+    async def dispatch(self, head: RequestHead, body: Body | None, deadline_at_ms: float) -> Answer:
+        """Run a request, through the records of its idempotency key if it has one.
+
+        Args:
+            head: The request.
+            body: Its body, if any.
+            deadline_at_ms: When the caller stops waiting.
+        """
+        if head.idempotency_key is not None and self.run_keyed is not None:
+            return await self.run_keyed(head, body, deadline_at_ms)
+        return await self.run(head, body, deadline_at_ms)
 
     def has_room(self) -> bool:
         """Return whether a request would start at once."""
@@ -234,12 +247,11 @@
         answer: Answer | None = None
         try:
             async with asyncio.timeout(head.remaining_ms / 1000):
-                answer = await self.run(head, body, deadline_at_ms)
+                answer = await self.dispatch(head, body, deadline_at_ms)
                 await stream.send_head(answer.head)
                 while (data := await answer.read()) is not None:
                     await stream.send_chunk(data)
-                service_ms = answer.service_ms if isinstance(answer, LocalAnswer) else 0.0
-                await stream.finish(ResponseSummary(answer.used_attempts or 0, service_ms))
+                await stream.finish(ResponseSummary(answer.used_attempts or 0, answer.service_ms))
         except TimeoutError:
             stream.abort("deadline exceeded")
         except StreamAborted:
--- a/gentianthread/coordination/node.py
+++ b/gentianthread/coordination/node.py
@@ -1,26 +1,36 @@
 """Assemble the parts of one node and run its listeners."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import attrs
+import reactivex
 
 from ..clock import Clock, SystemClock
-from ..events import NODE_STARTED, NODE_STOPPED
+from ..events import NODE_STARTED, NODE_STOPPED, TASK_FAILED
 from ..ids import NodeIdentity
 from ..logs import log
 from ..metrics import MemoryMetrics, Metrics
 from ..protocol.refusals import malformed_answer
 from ..state.contexts import Contexts
-from ..state.plan import Plan
+from ..state.executions import Executions
+from ..state.members import Members
+from ..state.plan import Plan, Upstream
 from ..transport.http_client import HttpTargetClient, TargetClient
-from ..transport.http_server import HttpListener
+from ..transport.http_server import Exchange, HttpListener
 from .admission import Admission, SlotAdmission
+from .attempts import Attempts
+from .drain import Drain, TargetWatch
+from .dump import answer_operator
 from .executor import Executor
 from .gateway import Gateway
+from .idempotency import Idempotency
 from .peer_network import PeerNetwork
 from .quota import Quota, UnlimitedQuota
+from .retries import Retries
 from .routing import Router, TurnRouter
+from .watchdog import Watchdog
 
 
 @attrs.frozen
@@ -55,26 +65,39 @@
     Attributes:
         plan: Returns the accepted plan, or None before there is one.
         peers: Reaches the other nodes.
+        changes: Stream of plans that come into force.
         quota: Keeps organisations within their rate.
         router: Chooses upstreams.
         admission: Admits work to the own target.
+        members: The present view of the fleet.
         target: Reaches the own target.
+        executions: Records of idempotency keys.
+        announce_leaving: Tells the peers that the node is leaving.
         clock: Clock of the node.
         metrics: Metrics of the node.
     """
 
     plan: Callable[[], Plan | None]
     peers: PeerNetwork
+    changes: reactivex.Observable | None = None
     quota: Quota | None = None
     router: Router | None = None
     admission: Admission | None = None
+    members: Members | None = None
     target: TargetClient | None = None
+    executions: Executions | None = None
+    announce_leaving: Callable[[], Awaitable[None]] | None = None
     clock: Clock = attrs.field(factory=SystemClock)
     metrics: Metrics = attrs.field(factory=MemoryMetrics)
 
 
 class Node:
-    """Be one node: listeners, request path and background work."""
+    """Be one node: listeners, request path and background work.
+
+    Attributes:
+        describers: Further sections of the state dump, by name.
+        watchdog: Calls registered callbacks after a pause of the process.
+    """
 
     def __init__(self, local: NodeIdentity, addresses: NodeAddresses, parts: NodeParts):
         """Assemble a node that is not started.
@@ -88,44 +111,92 @@
         self.addresses = addresses
         self.plan = parts.plan
         self.peers = parts.peers
+        self.members = parts.members
         self.clock = parts.clock
         self.metrics = parts.metrics
+        self.describers: dict[str, Callable[[], Any]] = {}
         self.contexts = Contexts()
+        self.watchdog = Watchdog(parts.clock, parts.metrics)
+        self._changes = parts.changes
+        self._tasks: list[asyncio.Task] = []
+        self._subscription: Any = None
+        self._assemble_target_side(parts)
+        self._assemble_caller_side(parts)
+        self.drain = Drain(self.gateway, self.executor, self.clock, parts.announce_leaving)
+        self.target_watch = TargetWatch(
+            local.upstream_id,
+            parts.plan,
+            parts.members,
+            self.target,
+            self.drain,
+            parts.clock,
+            parts.metrics,
+        )
+
+    def _assemble_target_side(self, parts: NodeParts) -> None:
+        addresses = self.addresses
         self.target = parts.target or HttpTargetClient(
-            addresses.target_host, addresses.target_port, self._connection_limit, parts.clock
+            addresses.target_host, addresses.target_port, self._connections, self.clock
         )
-        self.admission = parts.admission or SlotAdmission(self._slots(), parts.clock)
+        upstream = self._upstream()
+        slots = 1 if upstream is None else upstream.slots
+        self.admission = parts.admission or SlotAdmission(slots, self.clock)
         self.executor = Executor(
-            local, self.admission, self.target, self.contexts, parts.clock, parts.metrics
+            self.admission, self.target, self.contexts, self.clock, self.metrics
+        )
+        self.idempotency = Idempotency(
+            self.local, self.executor, self.peers, self.clock, parts.executions
+        )
+        self.executor.run_keyed = self.idempotency.run
+
+    def _assemble_caller_side(self, parts: NodeParts) -> None:
+        self.retries = Retries(self.clock)
+        router = parts.router or TurnRouter(parts.plan, self._takes_work)
+        self.attempts = Attempts(
+            self.local,
+            router,
+            self.executor,
+            self.peers,
+            self.retries,
+            self.clock,
+            self.metrics,
         )
         self.gateway = Gateway(
-            local,
             parts.plan,
             parts.quota or UnlimitedQuota(),
-            parts.router or TurnRouter(parts.plan),
-            self.executor,
-            parts.peers,
+            self.attempts,
             self.contexts,
-            parts.clock,
-            parts.metrics,
+            self.clock,
+            self.metrics,
+            self.idempotency,
+            self.watchdog.check,
         )
         self.callers = HttpListener(self.gateway.handle_caller, malformed_answer)
         self.inner = HttpListener(self.gateway.handle_inner, malformed_answer)
+        self.operators = HttpListener(self._answer_operator, malformed_answer)
 
-    def _connection_limit(self) -> int:
+    def _upstream(self) -> Upstream | None:
         plan = self.plan()
-        upstream = None if plan is None else plan.upstreams.get(self.local.upstream_id)
+        return None if plan is None else plan.upstreams.get(self.local.upstream_id)
+
+    def _connections(self) -> int:
+        upstream = self._upstream()
         return 1 if upstream is None else upstream.connections
 
-    def _slots(self) -> int:
-        plan = self.plan()
-        upstream = None if plan is None else plan.upstreams.get(self.local.upstream_id)
-        return 1 if upstream is None else upstream.slots
+    def _takes_work(self, upstream_id: Any) -> bool:
+        return self.members is None or self.members.takes_work(upstream_id)
+
+    async def _answer_operator(self, exchange: Exchange) -> None:
+        await answer_operator(self, exchange)
 
     async def start(self) -> None:
-        """Open the listeners."""
+        """Start background work and open the listeners."""
+        self._follow_plan()
         self.peers.accept_streams(self.executor.serve_stream)
+        self._spawn("watchdog", self.watchdog.run())
+        self._spawn("target watch", self.target_watch.run())
         addresses = self.addresses
+        await self.operators.open(addresses.operator_host, addresses.operator_port)
         await self.inner.open(addresses.inner_host, addresses.inner_port)
         await self.callers.open(addresses.caller_host, addresses.caller_port)
         log(
@@ -134,8 +205,37 @@
             availability_zone=self.local.availability_zone,
         )
 
+    def _follow_plan(self) -> None:
+        plan = self.plan()
+        if plan is not None:
+            self.idempotency.history.observe(plan)
+        if self._changes is not None:
+            self._subscription = self._changes.subscribe(self.idempotency.history.observe)
+
+    def _spawn(self, name: str, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+
+        def report(ended: asyncio.Task) -> None:
+            if not ended.cancelled() and ended.exception() is not None:
+                log(TASK_FAILED, task=name, error=repr(ended.exception()))
+
+        task.add_done_callback(report)
+        self._tasks.append(task)
+
+    async def stop_gracefully(self) -> None:
+        """Refuse new work, wait for the requests in flight, then close everything."""
+        await self.drain.begin()
+        await self.drain.wait_idle()
+        await self.stop()
+
     async def stop(self) -> None:
         """Close everything at once."""
-        await asyncio.gather(self.callers.close(), self.inner.close())
+        if self._subscription is not None:
+            self._subscription.dispose()
+        listeners = (self.callers, self.inner, self.operators)
+        await asyncio.gather(*(listener.close() for listener in listeners))
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.target.close()
         log(NODE_STOPPED)
--- a/gentianthread/protocol/messages_requests.py
+++ b/gentianthread/protocol/messages_requests.py
@@ -115,3 +115,29 @@
 
     used_attempts: int
     service_ms: float
+
+
+@message(14)
+@attrs.frozen
+class TicketRequest:
+    """Ask a home for a ticket.
+
+    Attributes:
+        organisation_id: Whose ticket it will be.
+        service_id: Service of the request that will carry it.
+    """
+
+    organisation_id: OrganisationId
+    service_id: ServiceId
+
+
+@message(15)
+@attrs.frozen
+class TicketAnswer:
+    """Return a ticket.
+
+    Attributes:
+        ticket: The ticket, or None from a home that is leaving.
+    """
+
+    ticket: str | None
--- a/gentianthread/standins/fleet.py
+++ b/gentianthread/standins/fleet.py
@@ -1,8 +1,10 @@
 """Run a small fleet of nodes and stand-in targets in one process, for the demo and tests."""
 
 import hashlib
+from collections.abc import Callable
 
 import attrs
+import reactivex
 
 from ..coordination.node import Node, NodeAddresses, NodeParts
 from ..coordination.peer_network import MemoryFabric
@@ -135,14 +137,28 @@
     """Run one node and one target for each upstream of a plan.
 
     Attributes:
-        plan: The plan that all nodes use; replace it to publish another one.
+        plan: The plan that all nodes use; `publish` replaces it.
+        changes: Stream of the plans that replace it.
         fabric: Connects the nodes.
         members: Nodes and targets by upstream.
     """
 
-    def __init__(self, plan: Plan, seed: int = 0):
-        """Create a fleet that is not started."""
+    def __init__(
+        self,
+        plan: Plan,
+        seed: int = 0,
+        adjust: Callable[[UpstreamId, NodeParts], None] | None = None,
+    ):
+        """Create a fleet that is not started.
+
+        Args:
+            plan: The first plan.
+            seed: Seed of the network between the nodes.
+            adjust: Changes the parts of a node before it is assembled.
+        """
         self.plan = plan
+        self.adjust = adjust
+        self.changes: reactivex.Subject = reactivex.Subject()
         self.fabric = MemoryFabric(seed)
         self.members: dict[str, FleetMember] = {}
         self._start_number = 0
@@ -157,14 +173,31 @@
     async def start_node(self, upstream_id: UpstreamId, target: StandinTarget) -> None:
         """Start a node for a target that is open."""
         self._start_number += 1
+        target.draining = False
         zone = self.plan.upstreams[upstream_id].availability_zone
         local = NodeIdentity(upstream_id, zone, StartNumber(self._start_number))
-        parts = NodeParts(plan=lambda: self.plan, peers=self.fabric.attach(local))
+        parts = NodeParts(
+            plan=lambda: self.plan, peers=self.fabric.attach(local), changes=self.changes
+        )
+        if self.adjust is not None:
+            self.adjust(upstream_id, parts)
         node = Node(local, NodeAddresses(target_port=target.port), parts)
         await node.start()
         target.node_url = f"http://127.0.0.1:{node.inner.port}"
         self.members[upstream_id] = FleetMember(node, target)
 
+    def publish(self, plan: Plan) -> None:
+        """Bring another plan into force on all nodes."""
+        self.plan = plan
+        self.changes.on_next(plan)
+
+    async def crash_node(self, upstream_id: UpstreamId) -> StandinTarget:
+        """End a node without notice; its target stays."""
+        member = self.members.pop(upstream_id)
+        self.fabric.detach(member.node.peers)
+        await member.node.stop()
+        return member.target
+
     async def stop(self) -> None:
         """Stop all nodes and targets at once."""
         for member in self.members.values():
--- a/gentianthread/transport/http_client.py
+++ b/gentianthread/transport/http_client.py
@@ -30,6 +30,8 @@
 # Bodies up to this length are read before a connection is taken and leave in one write.
 INLINE_BODY_BYTES = 16 * 1024
 
+PROBE_LIMIT_BYTES = 1024
+
 # Limits for the head of an answer.
 _LINE_LIMIT_BYTES = 8 * 1024
 _FIELD_LIMIT_BYTES = 16 * 1024
@@ -130,6 +132,29 @@
     async def close(self) -> None:
         """Close all connections."""
 
+    async def probe(self, path: str, timeout_ms: float) -> bytes:
+        """Send a small request and return the start of the answer's body.
+
+        Args:
+            path: Path of the probe.
+            timeout_ms: Longest time for the whole answer, in ms.
+
+        Raises:
+            TransportError: The target did not answer.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                answer = await self.exchange("GET", path, [("Host", "target")], None, fresh=True)
+                try:
+                    body = b""
+                    while len(body) < PROBE_LIMIT_BYTES and (part := await answer.read()):
+                        body += part
+                    return body if answer.status == 200 else b""
+                finally:
+                    answer.close()
+        except TimeoutError:
+            raise ConnectionLost("target", f"no answer to a probe in {timeout_ms} ms") from None
+
 
 class _Connection:
     __slots__ = ("idle_since_ms", "protocol")
