--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -151,6 +151,20 @@
         super().__init__(peer, f"silent for {silence_ms:.0f} ms")
 
 
+class DialError(TransportError):
+    """Report a connection that could not be opened; no byte has left.
+
+    Attributes:
+        peer: Name or address of the other end.
+        problem: What happened.
+    """
+
+    def __init__(self, peer: str, problem: str):
+        self.peer = peer
+        self.problem = problem
+        super().__init__(f"no connection to {peer}: {problem}")
+
+
 class PeerUnreachable(TransportError):
     """Report a peer that no connection reaches.
 
