Add declarations, bundles, the configuration store and gentianctl

Cause: operators need a way to check, compare and publish declarations, and nodes need a rule by which they accept a published version.

Change: plan rules shared by declarations and bundles; INI reader that reports all errors; canonical CBOR bundles; a store whose versions only go up and that holds back withdrawn keys; `gentianctl` with check, diff, bundle, key new, dump and version; example declarations of both deployments.

--- /dev/null
+++ b/gentianthread/coordination/operations.py
@@ -0,0 +1,177 @@
+"""Do the work of the operators' command line."""
+
+import base64
+import hashlib
+import json
+import secrets
+from pathlib import Path
+
+import aiohttp
+import attrs
+
+from ..errors import (
+    BundleError,
+    DeclarationErrors,
+    FieldError,
+    PlatformUnavailable,
+    PublishedVersionError,
+)
+from ..ids import ConfigVersion
+from ..state.bundle import (
+    HEAD_KEY,
+    Bundle,
+    Head,
+    decode_head,
+    decode_plan,
+    join_parts,
+    make_bundle,
+    make_values,
+    part_key,
+)
+from ..state.declarations import read_folder
+from ..state.plan import Plan
+from ..state.plan_diff import Revision, compare
+from ..state.plan_rules import valid_name
+
+# A random part of 32 bytes has 43 url-safe characters.
+_SECRET_BYTES = 32
+_SALT_BYTES = 16
+_KEY_ID_BYTES = 5
+
+# A dump comes from a node on the same instance; a longer wait means that the node hangs.
+DUMP_TIMEOUT_MS = 5_000
+
+
+@attrs.frozen
+class NewKey:
+    """Hold a key that was just made.
+
+    Attributes:
+        key: The key for the caller; it is stored nowhere.
+        declaration: Section for the declarations, with the salted digest alone.
+    """
+
+    key: str = attrs.field(repr=False)
+    declaration: str
+
+
+def check(folder: Path) -> list[FieldError]:
+    """Return all errors of the declarations in a folder."""
+    try:
+        read_folder(folder)
+    except DeclarationErrors as errors:
+        return errors.errors
+    return []
+
+
+def read_plan(path: Path) -> Plan:
+    """Read a plan from a folder of declarations or of a written bundle.
+
+    Raises:
+        DeclarationErrors: The declarations have errors.
+        BundleError: The bundle is wrong.
+    """
+    if (path / HEAD_KEY).exists():
+        return decode_plan(read_bundle(path))
+    return read_folder(path)
+
+
+def read_bundle(folder: Path) -> Bundle:
+    """Read a bundle that `write_bundle` wrote.
+
+    Raises:
+        BundleError: A part is missing or wrong.
+    """
+    head = read_head(folder)
+    parts = []
+    for number in range(head.part_count):
+        file = folder / part_key(head.version, number)
+        if not file.exists():
+            raise BundleError(head.version, f"part {number}", "missing")
+        parts.append(file.read_bytes())
+    return join_parts(head, parts)
+
+
+def read_head(folder: Path) -> Head:
+    """Read the head of a written bundle.
+
+    Raises:
+        BundleError: It is missing or wrong.
+    """
+    file = folder / HEAD_KEY
+    if not file.exists():
+        raise BundleError(None, "head", f"{file} is missing")
+    return decode_head(file.read_bytes())
+
+
+def diff(before: Path, after: Path) -> Revision:
+    """Return what changes between two folders.
+
+    Raises:
+        DeclarationErrors: Declarations have errors.
+        BundleError: A bundle is wrong.
+    """
+    return compare(read_plan(before), read_plan(after))
+
+
+def write_bundle(folder: Path, version: int, out: Path) -> Bundle:
+    """Write the values to publish as files below a folder, the head last.
+
+    Args:
+        folder: The declarations.
+        version: Version of the bundle; larger than the one in `out`, if there is one.
+        out: Where the files go; each value is the file with its key as its path.
+
+    Raises:
+        DeclarationErrors: The declarations have errors.
+        PublishedVersionError: `out` has this version or a newer one with another content.
+    """
+    bundle = make_bundle(read_folder(folder, ConfigVersion(version)))
+    if (out / HEAD_KEY).exists():
+        known = read_head(out)
+        if known.version > version or (known.version == version and known != bundle.head):
+            raise PublishedVersionError(version, known.version)
+    for key, value in make_values(bundle).items():
+        file = out / key
+        file.parent.mkdir(parents=True, exist_ok=True)
+        file.write_bytes(value)
+    return bundle
+
+
+def make_key(organisation: str) -> NewKey:
+    """Make a key of an organisation.
+
+    Raises:
+        ValueError: The organisation has no valid name.
+    """
+    if not valid_name(organisation):
+        raise ValueError(organisation)
+    key_id = f"k{secrets.token_hex(_KEY_ID_BYTES)}"
+    secret = base64.urlsafe_b64encode(secrets.token_bytes(_SECRET_BYTES)).rstrip(b"=").decode()
+    key = f"gtk_{key_id}_{secret}"
+    salt = secrets.token_bytes(_SALT_BYTES)
+    digest = hashlib.sha256(salt + key.encode()).hexdigest()
+    lines = [f"[key {key_id}]", f"organisation = {organisation}", f"digest = {salt.hex()}:{digest}"]
+    return NewKey(key, "\n".join(lines))
+
+
+async def fetch_dump(address: str) -> dict:
+    """Fetch the state of a node.
+
+    Args:
+        address: Host and port of its operator listener.
+
+    Raises:
+        PlatformUnavailable: The node does not answer in time or not with a dump.
+    """
+    timeout = aiohttp.ClientTimeout(total=DUMP_TIMEOUT_MS / 1000)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(f"http://{address}/dump") as response,
+        ):
+            if response.status != 200:
+                raise PlatformUnavailable("dump", f"status {response.status}")
+            return json.loads(await response.read())
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        raise PlatformUnavailable("dump", f"{type(error).__name__}: {error}") from error
--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -63,6 +63,20 @@
         super().__init__(f"bundle version {version}: {part}: {problem}")
 
 
+class PublishedVersionError(ConfigurationError):
+    """Report a version number that is already taken where a bundle is to be written.
+
+    Attributes:
+        version: The wanted version.
+        known: The version that is there.
+    """
+
+    def __init__(self, version: int, known: int):
+        self.version = version
+        self.known = known
+        super().__init__(f"version {version} cannot be written: version {known} is there")
+
+
 class UnknownEntryError(ConfigurationError):
     """Report a name that no registry entry has.
 
--- /dev/null
+++ b/gentianthread/state/config_store.py
@@ -0,0 +1,155 @@
+"""Hold the accepted configuration version."""
+
+import hashlib
+from enum import Enum
+
+import attrs
+import reactivex
+from reactivex.subject import Subject
+
+from ..errors import BundleError
+from ..events import CONFIG_ACCEPTED, CONFIG_REFUSED, KEY_WITHDRAWN
+from ..ids import ConfigVersion, KeyId
+from ..logs import log
+from ..metrics import MemoryMetrics, Metrics
+from .bundle import Bundle, decode_plan
+from .plan import Plan
+
+
+class Offer(Enum):
+    """Tell what became of an offered bundle."""
+
+    ACCEPTED = "accepted"
+    ALREADY_CURRENT = "already_current"
+    OLDER = "older"
+    REFUSED = "refused"
+
+
+class ConfigStore:
+    """Accept bundles whose versions only go up, and hold back withdrawn keys.
+
+    `current` is the plan in force: the accepted one without the keys whose withdrawal arrived ahead
+    of its bundle. `changes` emits it whenever it changes.
+
+    Attributes:
+        current: The plan in force, or None before the first one.
+        bundle: The accepted bundle, or None.
+        last_refusal: Source and reason of the last refusal, or None.
+    """
+
+    def __init__(self, metrics: Metrics | None = None):
+        """Create an empty store.
+
+        Args:
+            metrics: Counts accepted and refused bundles.
+        """
+        self.current: Plan | None = None
+        self.bundle: Bundle | None = None
+        self.last_refusal: tuple[str, str] | None = None
+        self._metrics = metrics or MemoryMetrics()
+        self._accepted: Plan | None = None
+        self._withdrawn: dict[KeyId, ConfigVersion] = {}
+        self._changes: Subject[Plan] = Subject()
+        self._refused: set[tuple[ConfigVersion, bytes]] = set()
+
+    @property
+    def changes(self) -> reactivex.Observable[Plan]:
+        """Return the stream of plans that come into force, without the present one."""
+        return self._changes
+
+    @property
+    def version(self) -> ConfigVersion:
+        """Return the accepted version, or 0."""
+        return self.bundle.version if self.bundle else ConfigVersion(0)
+
+    @property
+    def digest(self) -> bytes:
+        """Return the digest of the accepted bundle, or nothing."""
+        return self.bundle.digest if self.bundle else b""
+
+    @property
+    def withdrawn(self) -> dict[KeyId, ConfigVersion]:
+        """Return the withdrawn keys whose bundle has not arrived, with its version."""
+        return dict(self._withdrawn)
+
+    def wants(self, version: ConfigVersion, digest: bytes) -> bool:
+        """Return whether a bundle is newer than the accepted one and was not refused before."""
+        return version > self.version and (version, digest) not in self._refused
+
+    def conflicts(self, version: ConfigVersion, digest: bytes) -> bool:
+        """Return whether the accepted version has another digest."""
+        return self.bundle is not None and version == self.version and digest != self.digest
+
+    def offer(self, bundle: Bundle, source: str) -> Offer:
+        """Accept a bundle or say why not.
+
+        Args:
+            bundle: The bundle.
+            source: Where it comes from, for the log.
+        """
+        if bundle.version < self.version:
+            return Offer.OLDER
+        if bundle.version == self.version and bundle.digest == self.digest:
+            return Offer.ALREADY_CURRENT
+        try:
+            if bundle.version == self.version:
+                problem = "the accepted bundle of this version has another digest"
+                raise BundleError(bundle.version, "digest", problem)
+            plan = decode_plan(bundle)
+        except BundleError as error:
+            self._refuse(bundle, source, error)
+            return Offer.REFUSED
+        self._accept(bundle, plan, source)
+        return Offer.ACCEPTED
+
+    def withdraw(self, version: ConfigVersion, key_ids: tuple[KeyId, ...]) -> None:
+        """Stop keys at once that a version withdraws which has not arrived yet.
+
+        Args:
+            version: The version that withdraws them.
+            key_ids: The keys.
+        """
+        if version <= self.version:
+            return
+        fresh = [key for key in key_ids if self._withdrawn.get(key, 0) < version]
+        for key_id in fresh:
+            self._withdrawn[key_id] = version
+        if self._accepted is not None and any(key in self.current.keys for key in fresh):
+            for key_id in fresh:
+                log(KEY_WITHDRAWN, key_id=key_id, version=version)
+            self._put_in_force()
+
+    def _accept(self, bundle: Bundle, plan: Plan, source: str) -> None:
+        gone = withdrawn_keys(self._accepted, plan)
+        self.bundle, self._accepted = bundle, plan
+        self._withdrawn = {
+            key_id: version for key_id, version in self._withdrawn.items() if version > plan.version
+        }
+        self._refused = {entry for entry in self._refused if entry[0] > plan.version}
+        self._metrics.count("config.accepted")
+        self._metrics.gauge("config.version", plan.version)
+        log(CONFIG_ACCEPTED, version=plan.version, source=source)
+        for key_id in gone:
+            log(KEY_WITHDRAWN, key_id=key_id, version=plan.version)
+        self._put_in_force()
+
+    def _put_in_force(self) -> None:
+        held = self._withdrawn
+        keys = {name: key for name, key in self._accepted.keys.items() if name not in held}
+        complete = len(keys) == len(self._accepted.keys)
+        self.current = self._accepted if complete else attrs.evolve(self._accepted, keys=keys)
+        self._changes.on_next(self.current)
+
+    def _refuse(self, bundle: Bundle, source: str, error: BundleError) -> None:
+        # Only a payload that has the digest is bad for good; another one may have been damaged or
+        # half-written where it was read.
+        if hashlib.sha256(bundle.payload).digest() == bundle.digest:
+            self._refused.add((bundle.version, bundle.digest))
+        self.last_refusal = (source, str(error))
+        self._metrics.count("config.refused")
+        log(CONFIG_REFUSED, source=source, error=error)
+
+
+def withdrawn_keys(before: Plan | None, after: Plan) -> tuple[KeyId, ...]:
+    """Return the keys that a plan no longer has, in order."""
+    return tuple(sorted(set(before.keys) - set(after.keys))) if before else ()
--- /dev/null
+++ b/tests/commands/test_ctl.py
@@ -0,0 +1,107 @@
+import contextlib
+import hashlib
+import io
+import re
+import tempfile
+from pathlib import Path
+
+from gentianthread.commands import ctl
+from gentianthread.coordination.operations import read_plan
+from gentianthread.state.plan_rules import parse_digest
+
+from ..base import TestCase
+from ..declaration_texts import SMALL, changed
+
+
+class TestCtl(TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.root = Path(folder.name)
+
+    def folder(self, name: str, text: str) -> str:
+        path = self.root / name
+        path.mkdir()
+        (path / "all.ini").write_text(text)
+        return str(path)
+
+    def run_ctl(self, *arguments: str) -> tuple[int, str]:
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = ctl.run(list(arguments))
+        return code, out.getvalue() + err.getvalue()
+
+    def test_check(self):
+        """Guards against a pipeline that publishes wrong declarations."""
+        good, bad = self.folder("good", SMALL), self.folder("bad", changed("= 400/s", "= 400"))
+        self.assertEqual(ctl.EXIT_OK, self.run_ctl("check", good)[0])
+        code, text = self.run_ctl("check", bad)
+        self.assertEqual(ctl.EXIT_WRONG_CONTENT, code)
+        self.assertIn("all.ini: [organisation alpha] rate: '400'", text)
+
+    def test_diff(self):
+        """Guards against a risky step that a pipeline lets pass."""
+        old = self.folder("old", SMALL)
+        new = self.folder("new", changed("rate = 400/s", "rate = 100/s"))
+        self.assertEqual(ctl.EXIT_OK, self.run_ctl("diff", old, new)[0])
+        code, text = self.run_ctl("diff", old, new, "--strict")
+        self.assertEqual(ctl.EXIT_RISKY, code)
+        self.assertIn("warning: rate cut", text)
+
+    def test_bundle_can_be_read_back(self):
+        """Guards against published values that nodes cannot read."""
+        out = str(self.root / "out")
+        code, _ = self.run_ctl("bundle", self.folder("a", SMALL), "--version", "7", "--out", out)
+        self.assertEqual(ctl.EXIT_OK, code)
+        self.assertTrue((self.root / "out" / "bundle" / "7" / "0").exists())
+        self.assertEqual(7, read_plan(Path(out)).version)
+
+    def test_bundle_does_not_go_back(self):
+        """Guards against a version number with two contents."""
+        out = str(self.root / "out")
+        first, other = self.folder("a", SMALL), self.folder("b", changed("= 400/s", "= 4/s"))
+        arguments = ("--version", "7", "--out", out)
+        self.run_ctl("bundle", first, *arguments)
+        self.assertEqual(ctl.EXIT_OK, self.run_ctl("bundle", first, *arguments)[0])
+        self.assertEqual(ctl.EXIT_WRONG_CONTENT, self.run_ctl("bundle", other, *arguments)[0])
+        lower = ("--version", "6", "--out", out)
+        self.assertEqual(ctl.EXIT_WRONG_CONTENT, self.run_ctl("bundle", first, *lower)[0])
+
+    def test_damaged_bundle(self):
+        """Guards against a comparison with half a bundle."""
+        out = str(self.root / "out")
+        first = self.folder("a", SMALL)
+        self.run_ctl("bundle", first, "--version", "7", "--out", out)
+        (self.root / "out" / "bundle" / "7" / "0").unlink()
+        self.assertEqual(ctl.EXIT_WRONG_CONTENT, self.run_ctl("diff", out, first)[0])
+
+    def test_new_key(self):
+        """Guards against a printed section that does not fit the printed key."""
+        code, text = self.run_ctl("key", "new", "alpha")
+        self.assertEqual(ctl.EXIT_OK, code)
+        key = re.search(r"^gtk_([a-z0-9]+)_[A-Za-z0-9_-]{43}$", text, re.MULTILINE)
+        salt, digest = parse_digest(re.search(r"^digest = (.*)$", text, re.MULTILINE)[1])
+        self.assertEqual(hashlib.sha256(salt + key[0].encode()).digest(), digest)
+        self.assertIn(f"[key {key[1]}]", text)
+        self.assertEqual(1, text.count(key[0]))
+
+    def test_wrong_usage(self):
+        """Guards against a typing error that counts as success."""
+        for arguments in (
+            ("chekc", "x"),
+            ("bundle", "x"),
+            ("key", "new", "No_Name"),
+            ("bundle", "x", "--version", "0", "--out", "y"),
+        ):
+            self.assertEqual(ctl.EXIT_USAGE, self.run_ctl(*arguments)[0])
+
+    def test_dump_without_node(self):
+        """Guards against a traceback where a node does not run."""
+        self.assertEqual(ctl.EXIT_UNAVAILABLE, self.run_ctl("dump", "127.0.0.1:1")[0])
+
+    def test_help_teaches_the_steps(self):
+        """Guards against help that does not say how a revision goes out."""
+        _, text = self.run_ctl("--help")
+        for word in ("check", "diff", "bundle", "Exit codes", "--install-completion"):
+            self.assertIn(word, text)
--- /dev/null
+++ b/tests/state/test_config_store.py
@@ -0,0 +1,89 @@
+import attrs
+
+from gentianthread.metrics import MemoryMetrics
+from gentianthread.state.bundle import make_bundle
+from gentianthread.state.config_store import ConfigStore, Offer, withdrawn_keys
+
+from ..base import TestCase
+from ..plans import small_plan
+
+
+def bundle_of(version: int, **options):
+    return make_bundle(small_plan(version=version, **options))
+
+
+class TestConfigStore(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.metrics = MemoryMetrics()
+        self.store = ConfigStore(self.metrics)
+        self.seen = []
+        self.store.changes.subscribe(lambda plan: self.seen.append(plan.version))
+
+    def test_versions_only_go_up(self):
+        """Guards against a stale service that reverts the configuration (P12)."""
+        offers = [self.store.offer(bundle_of(version), "test") for version in (3, 2, 3, 5)]
+        expected = [Offer.ACCEPTED, Offer.OLDER, Offer.ALREADY_CURRENT, Offer.ACCEPTED]
+        self.assertEqual(expected, offers)
+        self.assertEqual([3, 5], self.seen)
+
+    def test_same_version_with_other_digest(self):
+        """Guards against replicas that disagree on one version."""
+        self.store.offer(bundle_of(3), "first")
+        other = bundle_of(3, rate_per_s=5.0)
+        self.assertTrue(self.store.conflicts(other.version, other.digest))
+        self.assertEqual(Offer.REFUSED, self.store.offer(other, "second"))
+        self.assertEqual(1000.0, self.store.current.organisations["alpha"].rate_per_s)
+        self.assertEqual("second", self.store.last_refusal[0])
+
+    def test_bad_bundle_leaves_the_last_plan(self):
+        """Guards against a bad bundle that takes the fleet down."""
+        self.store.offer(bundle_of(3), "test")
+        bad = make_bundle(attrs.evolve(small_plan(version=4), services={}))
+        self.assertEqual(Offer.REFUSED, self.store.offer(bad, "test"))
+        self.assertEqual((3, 3), (self.store.version, self.store.current.version))
+        self.assertEqual(1, self.metrics.counters["config.refused"])
+        self.assertFalse(self.store.wants(bad.version, bad.digest))
+        self.assertEqual(Offer.ACCEPTED, self.store.offer(bundle_of(5), "test"))
+
+    def test_damaged_copy_does_not_block_the_sound_one(self):
+        """Guards against one damaged read that keeps a version away for good."""
+        sound = bundle_of(4)
+        damaged = attrs.evolve(sound, payload=sound.payload[:-1])
+        self.assertEqual(Offer.REFUSED, self.store.offer(damaged, "test"))
+        self.assertTrue(self.store.wants(sound.version, sound.digest))
+        self.assertEqual(Offer.ACCEPTED, self.store.offer(sound, "test"))
+
+    def test_withdrawal_ahead_of_its_bundle(self):
+        """Guards against a withdrawn key that works until the bundle arrives (P5)."""
+        self.store.offer(bundle_of(3), "test")
+        self.store.withdraw(5, ("alpha1",))
+        self.assertNotIn("alpha1", self.store.current.keys)
+        self.assertIn("beta1", self.store.current.keys)
+        self.assertEqual([3, 3], self.seen)
+
+    def test_withdrawal_outlasts_an_earlier_bundle(self):
+        """Guards against a withdrawn key that a bundle in between revives (P5)."""
+        self.store.withdraw(5, ("alpha1",))
+        self.store.offer(bundle_of(4), "test")
+        self.assertNotIn("alpha1", self.store.current.keys)
+
+    def test_bundle_of_that_version_decides(self):
+        """Guards against a key that stays withdrawn after it was declared again."""
+        self.store.offer(bundle_of(3), "test")
+        self.store.withdraw(5, ("alpha1",))
+        self.store.offer(bundle_of(6), "test")
+        self.assertIn("alpha1", self.store.current.keys)
+        self.assertEqual({}, self.store.withdrawn)
+
+    def test_old_withdrawal_has_no_effect(self):
+        """Guards against a late announcement that stops a key which is valid again."""
+        self.store.offer(bundle_of(6), "test")
+        self.store.withdraw(5, ("alpha1",))
+        self.assertIn("alpha1", self.store.current.keys)
+
+    def test_withdrawn_keys_of_a_revision(self):
+        """Guards against an announcement without the keys that the version withdraws."""
+        before, after = small_plan(), small_plan(withdrawn=frozenset({"alpha"}))
+        self.assertEqual(("alpha1",), withdrawn_keys(before, after))
+        self.assertEqual((), withdrawn_keys(None, after))
