Read tickets as JSON in gentian-load

Cause: the ticket answer is 201 with a JSON object; the load tool expected plain text with 200 and so sent keyed requests without a key. Change: the callers read the field idempotency_key.

--- a/gentianthread/standins/callers.py
+++ b/gentianthread/standins/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import random
+from http import HTTPStatus
 from itertools import cycle
 
 import aiohttp
@@ -125,7 +126,9 @@
             async with self._session.post(
                 url, headers=self._headers(stream, deadline_ms), timeout=self._timeout(deadline_ms)
             ) as answer:
-                return (await answer.text()).strip() if answer.status == 200 else None
+                if answer.status != HTTPStatus.CREATED:
+                    return None
+                return (await answer.json())["idempotency_key"]
         except (aiohttp.ClientError, TimeoutError):
             return None
 
