Use the digest header of the stand-in target in the callers

Cause: the load tool named another header than the stand-in sends, so no digest was ever compared. Change: one constant for both.

--- a/gentianthread/standins/callers.py
+++ b/gentianthread/standins/callers.py
@@ -10,11 +10,9 @@
 
 from ..clock import SystemClock
 from .results import Result, Results, Sample
+from .target import DIGEST
 from .workload import RequestStream, Workload
 
-# Stand-in targets send the SHA-256 of their answer's body in this header.
-DIGEST_HEADER = "Stand-In-Digest"
-
 # How long callers may finish after the last arrival, beyond their deadline.
 DRAIN_MS = 2_000.0
 
@@ -165,7 +163,7 @@
         return Result.UNKNOWN, reason
     if answer.status >= 400:
         return Result.FAILED, reason or f"status {answer.status}"
-    digest = answer.headers.get(DIGEST_HEADER)
+    digest = answer.headers.get(DIGEST)
     if digest is not None and digest != hashlib.sha256(body).hexdigest():
         return Result.CORRUPT, "digest"
     return Result.COMPLETE, ""
