--- a/gentianthread/coordination/links.py
+++ b/gentianthread/coordination/links.py
@@ -34,7 +34,7 @@
     MessageTransport,
     WebSocketTransport,
 )
-from .link_events import Backoff, LinkEvent, LinkState
+from .link_events import BACKOFF_MS, Backoff, LinkEvent, LinkState
 from .peer_network import PeerNetwork
 
 # Connections that may run their handshake at the same time.
@@ -307,6 +307,10 @@
         peer = self._peer(identity.upstream_id)
         link = Link(connection, identity, self, self.metrics, dialed=dialed)
         first = not peer.links
+        for other in peer.links:
+            # The peer dials although there is an old link, so its end of that link is gone.
+            if link.opened_s - other.opened_s > DIAL_TIMEOUT_MS / 1000:
+                other.drain()
         peer.links.append(link)
         peer.links.sort(key=self._rank)
         if first:
@@ -345,8 +349,8 @@
         while not self._closed:
             await asyncio.sleep(SWEEP_MS / 1000)
             unused_since_s = self._now_s() - UNUSED_MS / 1000
-            for upstream_id, peer in self._peers.items():
-                for link in peer.links if upstream_id not in self._kept else ():
+            for upstream_id, peer in list(self._peers.items()):
+                for link in list(peer.links) if upstream_id not in self._kept else ():
                     if link.dialed and link.idle and link.used_s < unused_since_s:
                         link.drain()
 
@@ -391,6 +395,9 @@
     async def _move(
         self, upstream_id: UpstreamId, error: GentianError, unsent: list[LinkStream]
     ) -> None:
+        # A young link leaves a pause behind; the shortest one is waited for, a longer one is not.
+        pause_ms = self._peer(upstream_id).backoff.remaining_ms(self._now_s())
+        await asyncio.sleep(min(pause_ms, BACKOFF_MS) / 1000)
         try:
             target = await self._link_to(upstream_id)
         except PeerUnreachable:
@@ -398,7 +405,7 @@
         for stream in unsent:
             if target is None or stream.moved or not target.usable:
                 stream.end(str(error))
-            else:
+            elif not stream.ended:
                 self._adopt(target, stream)
 
     def _adopt(self, target: Link, stream: LinkStream) -> None:
--- a/gentianthread/protocol/link.py
+++ b/gentianthread/protocol/link.py
@@ -169,7 +169,7 @@
         self.schedule(stream)
 
     def drain(self) -> None:
-        """Open nothing more here; the link closes when both ends drain and nothing is open."""
+        """Open nothing more here; the peer does the same, and the link closes when it is idle."""
         if not self.draining and self.error is None:
             self.draining = True
             self.send_control(FrameKind.DRAIN, 0, b"")
@@ -429,6 +429,7 @@
 
     def _on_drain(self, frame_id: int, payload: bytes) -> None:
         self.peer_draining = True
+        self.drain()
         self._close_if_drained()
 
     def start(self, work: Coroutine[Any, Any, None], name: str) -> None:
--- a/gentianthread/protocol/link_stream.py
+++ b/gentianthread/protocol/link_stream.py
@@ -201,9 +201,9 @@
         return self._sent
 
     @property
-    def complete(self) -> bool:
-        """Return whether both directions have their finish mark."""
-        return self._finish_sent and self._finished
+    def ended(self) -> bool:
+        """Return whether the stream was aborted or lost."""
+        return self._problem is not None
 
     # The side of the link.
 
@@ -249,6 +249,7 @@
         self.moved = True
         self.link, self.stream_id = link, stream_id
         link.queued(self._queued_bytes)
+        self._room.notify()
 
     def on_head(self, payload: bytes) -> bool:
         """Accept the other end's head and return whether it was expected."""
