Test idempotency keys and fix an injected record table that was ignored

An injected empty record table was replaced by a default one, because an empty table is false; its limits never applied.

--- a/gentianthread/coordination/idempotency.py
+++ b/gentianthread/coordination/idempotency.py
@@ -175,7 +175,8 @@
         self.executor = executor
         self.peers = peers
         self.clock = clock
-        self.executions = executions or Executions(clock)
+        # An empty table is false, so it is compared with None.
+        self.executions = Executions(clock) if executions is None else executions
         self.history = HomeHistory(local, clock, self.executions.window_ms)
         self._secret = secrets.token_bytes(_SECRET_BYTES)
         peers.subscribe(TicketRequest, self._answer_ticket_request)
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -5,20 +5,30 @@
 
 import aiohttp
 
+from gentianthread.clock import SystemClock
 from gentianthread.standins.fleet import Fleet, key_of, make_plan
 
 from .base import SocketTestCase
 
 
+class ShiftedClock(SystemClock):
+    """Run with the system clock, from where a test moves it."""
+
+    def __init__(self):
+        self.shift_ms = 0.0
+
+    def now_ms(self) -> float:
+        return super().now_ms() + self.shift_ms
+
+
 class FleetTestCase(SocketTestCase):
     """Start fleets and call them."""
 
     @contextlib.asynccontextmanager
-    async def fleet(self, services=None, **options):
+    async def fleet(self, services=None, adjust=None, **options):
         """Run a fleet and a client session for the length of a test."""
-        fleet = Fleet(
-            make_plan(services or {"catalogue": 1, "pricing": 1}, ("alpha", "beta"), **options)
-        )
+        plan = make_plan(services or {"catalogue": 1, "pricing": 1}, ("alpha", "beta"), **options)
+        fleet = Fleet(plan, adjust=adjust)
         await fleet.start()
         try:
             async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
