--- a/gentianthread/transport/http_client.py
+++ b/gentianthread/transport/http_client.py
@@ -144,7 +144,7 @@
         """
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                answer = await self.exchange("GET", path, [("Host", "target")], None, fresh=True)
+                answer = await self.exchange("GET", path, [], None, fresh=True)
                 try:
                     body = b""
                     while len(body) < PROBE_LIMIT_BYTES and (part := await answer.read()):
@@ -409,6 +409,9 @@
         chunked: Whether a body of unknown length follows.
     """
     lines = [f"{method} {target} HTTP/1.1"]
+    if not any(name.lower() == "host" for name, _ in headers):
+        # HTTP/1.0 callers may send none; HTTP/1.1 needs one.
+        lines.append("Host: target")
     lines += [f"{name}: {value}" for name, value in headers]
     if length is not None:
         lines.append(f"Content-Length: {length}")
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -65,3 +65,10 @@
         return b""
     finally:
         writer.close()
+
+
+def request_head(method: str, target: str, *fields: bytes, organisation: str = "alpha") -> bytes:
+    """Return the bytes of a request head with a key."""
+    lines = [f"{method} {target} HTTP/1.1".encode(), b"Host: node"]
+    lines.append(f"Authorization: Bearer {key_of(organisation)}".encode())
+    return b"\r\n".join([*lines, *fields, b"\r\n"])
