--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -63,6 +63,20 @@
         super().__init__(f"bundle version {version}: {part}: {problem}")
 
 
+class PublishedVersionError(ConfigurationError):
+    """Report a version number that is already taken where a bundle is to be written.
+
+    Attributes:
+        version: The wanted version.
+        known: The version that is there.
+    """
+
+    def __init__(self, version: int, known: int):
+        self.version = version
+        self.known = known
+        super().__init__(f"version {version} cannot be written: version {known} is there")
+
+
 class UnknownEntryError(ConfigurationError):
     """Report a name that no registry entry has.
 
@@ -109,6 +123,18 @@
         super().__init__(f"peer handshake failed: {problem}")
 
 
+class FrameError(ProtocolError):
+    """Report a frame that violates the link protocol.
+
+    Attributes:
+        problem: What is wrong with it.
+    """
+
+    def __init__(self, problem: str):
+        self.problem = problem
+        super().__init__(f"bad frame: {problem}")
+
+
 class TransportError(GentianError):
     """Be the base of failures of connections."""
 
@@ -127,6 +153,18 @@
         super().__init__(f"connection to {peer} lost: {problem}")
 
 
+class ConnectionSilent(ConnectionLost):
+    """Report a connection on which nothing arrived for too long.
+
+    Attributes:
+        silence_ms: How long nothing arrived.
+    """
+
+    def __init__(self, peer: str, silence_ms: float):
+        self.silence_ms = silence_ms
+        super().__init__(peer, f"silent for {silence_ms:.0f} ms")
+
+
 class DialError(TransportError):
     """Report a connection that could not be opened; no byte has left.
 
--- a/gentianthread/standins/callers.py
+++ b/gentianthread/standins/callers.py
@@ -3,17 +3,16 @@
 import asyncio
 import hashlib
 import random
+from http import HTTPStatus
 from itertools import cycle
 
 import aiohttp
 
 from ..clock import SystemClock
 from .results import Result, Results, Sample
+from .target import DIGEST
 from .workload import RequestStream, Workload
 
-# Stand-in targets send the SHA-256 of their answer's body in this header.
-DIGEST_HEADER = "Stand-In-Digest"
-
 # How long callers may finish after the last arrival, beyond their deadline.
 DRAIN_MS = 2_000.0
 
@@ -125,7 +124,9 @@
             async with self._session.post(
                 url, headers=self._headers(stream, deadline_ms), timeout=self._timeout(deadline_ms)
             ) as answer:
-                return (await answer.text()).strip() if answer.status == 200 else None
+                if answer.status != HTTPStatus.CREATED:
+                    return None
+                return (await answer.json())["idempotency_key"]
         except (aiohttp.ClientError, TimeoutError):
             return None
 
@@ -162,7 +163,7 @@
         return Result.UNKNOWN, reason
     if answer.status >= 400:
         return Result.FAILED, reason or f"status {answer.status}"
-    digest = answer.headers.get(DIGEST_HEADER)
+    digest = answer.headers.get(DIGEST)
     if digest is not None and digest != hashlib.sha256(body).hexdigest():
         return Result.CORRUPT, "digest"
     return Result.COMPLETE, ""
