--- a/gentianthread/standins/fleet.py
+++ b/gentianthread/standins/fleet.py
@@ -6,6 +6,7 @@
 import attrs
 import reactivex
 
+from ..coordination.links import LinkPeerNetwork
 from ..coordination.node import Node, NodeAddresses, NodeParts
 from ..coordination.peer_network import MemoryFabric
 from ..ids import (
@@ -24,6 +25,8 @@
 from ..state.plan import Key, Organisation, Plan, Profile, Route, Service, Upstream
 from .target import StandinTarget
 
+FLEET_SECRET = b"secret of the small fleet, not for use elsewhere"
+
 
 def key_of(organisation: str) -> str:
     """Return the key of an organisation of the small fleet."""
@@ -148,6 +151,7 @@
         plan: Plan,
         seed: int = 0,
         adjust: Callable[[UpstreamId, NodeParts], None] | None = None,
+        links: bool = False,
     ):
         """Create a fleet that is not started.
 
@@ -155,11 +159,14 @@
             plan: The first plan.
             seed: Seed of the network between the nodes.
             adjust: Changes the parts of a node before it is assembled.
+            links: Whether the nodes reach each other over links and not in memory.
         """
         self.plan = plan
         self.adjust = adjust
         self.changes: reactivex.Subject = reactivex.Subject()
         self.fabric = MemoryFabric(seed)
+        self.links = links
+        self._peer_ports: dict[UpstreamId, int] = {}
         self.members: dict[str, FleetMember] = {}
         self._start_number = 0
 
@@ -176,9 +183,8 @@
         target.draining = False
         zone = self.plan.upstreams[upstream_id].availability_zone
         local = NodeIdentity(upstream_id, zone, StartNumber(self._start_number))
-        parts = NodeParts(
-            plan=lambda: self.plan, peers=self.fabric.attach(local), changes=self.changes
-        )
+        peers = await self._open_links(local) if self.links else self.fabric.attach(local)
+        parts = NodeParts(plan=lambda: self.plan, peers=peers, changes=self.changes)
         if self.adjust is not None:
             self.adjust(upstream_id, parts)
         node = Node(local, NodeAddresses(target_port=target.port), parts)
@@ -186,6 +192,15 @@
         target.node_url = f"http://127.0.0.1:{node.inner.port}"
         self.members[upstream_id] = FleetMember(node, target)
 
+    async def _open_links(self, local: NodeIdentity) -> LinkPeerNetwork:
+        def address_of(upstream_id: UpstreamId) -> tuple[str, int] | None:
+            port = self._peer_ports.get(upstream_id)
+            return None if port is None else ("127.0.0.1", port)
+
+        network = LinkPeerNetwork(local, FLEET_SECRET, address_of)
+        self._peer_ports[local.upstream_id] = await network.start("127.0.0.1", 0)
+        return network
+
     def publish(self, plan: Plan) -> None:
         """Bring another plan into force on all nodes."""
         self.plan = plan
@@ -194,7 +209,7 @@
     async def crash_node(self, upstream_id: UpstreamId) -> StandinTarget:
         """End a node without notice; its target stays."""
         member = self.members.pop(upstream_id)
-        self.fabric.detach(member.node.peers)
+        await self._close_peers(member)
         await member.node.stop()
         return member.target
 
@@ -202,9 +217,17 @@
         """Stop all nodes and targets at once."""
         for member in self.members.values():
             await member.node.stop()
+            await self._close_peers(member)
             await member.target.close()
         await self.fabric.close()
 
+    async def _close_peers(self, member: FleetMember) -> None:
+        peers = member.node.peers
+        if isinstance(peers, LinkPeerNetwork):
+            await peers.close()
+        else:
+            self.fabric.detach(peers)
+
     def executions(self, name: str) -> int:
         """Return how often all targets together ran the request with an id."""
         return sum(member.target.executions[name] for member in self.members.values())
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -22,13 +22,19 @@
 
 
 class FleetTestCase(SocketTestCase):
-    """Start fleets and call them."""
+    """Start fleets and call them.
+
+    Attributes:
+        links: Whether nodes reach each other over links and not in memory.
+    """
+
+    links = False
 
     @contextlib.asynccontextmanager
     async def fleet(self, services=None, adjust=None, **options):
         """Run a fleet and a client session for the length of a test."""
         plan = make_plan(services or {"catalogue": 1, "pricing": 1}, ("alpha", "beta"), **options)
-        fleet = Fleet(plan, adjust=adjust)
+        fleet = Fleet(plan, adjust=adjust, links=self.links)
         await fleet.start()
         try:
             async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,109 @@
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from gentianthread.errors import DeclarationErrors
+from gentianthread.settings import Address, read_settings
+
+from .base import TestCase
+
+GOOD = """
+[node]
+upstream = pricing-0
+availability_zone = volos-a
+
+[listeners]
+callers = 127.0.0.1:8080
+target = 127.0.0.1:8081
+operator = [::1]:8082
+peers = 10.0.0.1:8083
+
+[target]
+address = 127.0.0.1:9000
+
+[peers]
+fleet_secret = 0123456789abcdef0123456789abcdef
+
+[limits]
+idempotency_window = 2 min
+"""
+
+
+class TestSettings(TestCase):
+    def read(self, text):
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "node.ini"
+            path.write_text(text)
+            return read_settings(path)
+
+    def errors(self, text):
+        try:
+            self.read(text)
+        except DeclarationErrors as errors:
+            return [(one.section, one.field, one.found) for one in errors.errors]
+        return []
+
+    def test_settings_are_read_with_units_and_defaults(self):
+        """Guards against values in the wrong unit."""
+        settings = self.read(GOOD)
+        self.assertEqual(Address("::1", 8082), settings.operator)
+        self.assertEqual((120_000.0, 30_000.0), (settings.idempotency_window_ms, settings.grace_ms))
+        self.assertNotIn(settings.fleet_secret, repr(settings))
+
+    def test_each_wrong_field_is_named(self):
+        """Guards against settings that are ignored or misread, and against a shown secret."""
+        cases = (
+            (
+                "idempotency_window = 2 min",
+                "idempotency_window = 2",
+                "limits",
+                "idempotency_window",
+                "2",
+            ),
+            (
+                "idempotency_window = 2 min",
+                "idempotency_window = 2 h",
+                "limits",
+                "idempotency_window",
+                "2 h",
+            ),
+            (
+                "idempotency_window = 2 min",
+                "idempotency_window = 5 ms",
+                "limits",
+                "idempotency_window",
+                "5 ms",
+            ),
+            ("idempotency_window = 2 min", "window = 2 min", "limits", "window", "2 min"),
+            ("[limits]", "[limit]", "limit", "", "limit"),
+            (
+                "callers = 127.0.0.1:8080",
+                "callers = node:8080",
+                "listeners",
+                "callers",
+                "node:8080",
+            ),
+            (
+                "callers = 127.0.0.1:8080",
+                "callers = 1.1.1.1:99999",
+                "listeners",
+                "callers",
+                "1.1.1.1:99999",
+            ),
+            (
+                "target = 127.0.0.1:8081",
+                "target = 10.0.0.1:8081",
+                "listeners",
+                "target",
+                "10.0.0.1:8081",
+            ),
+            ("upstream = pricing-0\n", "", "node", "upstream", None),
+            (
+                "0123456789abcdef0123456789abcdef",
+                "short secret",
+                "peers",
+                "fleet_secret",
+                "12 characters",
+            ),
+        )
+        for before, after, *expected in cases:
+            self.assertIn(tuple(expected), self.errors(GOOD.replace(before, after)), after)
