--- /dev/null
+++ b/tests/coordination/test_watchdog.py
@@ -0,0 +1,37 @@
+import asyncio
+
+from gentianthread.clock import LoopClock
+from gentianthread.coordination.watchdog import Watchdog
+from gentianthread.metrics import MemoryMetrics
+
+from ..base import VirtualTimeTestCase
+
+
+class PausedClock(LoopClock):
+    def __init__(self):
+        self.paused_ms = 0.0
+
+    def now_ms(self):
+        return super().now_ms() + self.paused_ms
+
+
+class TestWatchdog(VirtualTimeTestCase):
+    async def test_pause_expires_before_the_next_request(self):
+        """Guards against permissions that are used after a pause, before the next tick."""
+        clock, calls = PausedClock(), []
+        watchdog = Watchdog(clock, MemoryMetrics())
+        watchdog.register(lambda: calls.append(clock.now_ms()))
+        watchdog.check()
+        task = asyncio.ensure_future(watchdog.run())
+        await asyncio.sleep(5.05)
+        watchdog.check()
+        self.assertEqual([], calls)
+        clock.paused_ms = 501
+        watchdog.check()
+        self.assertEqual(1, len(calls))
+        await asyncio.sleep(1)
+        self.assertEqual(1, len(calls))
+        clock.paused_ms += 600
+        await asyncio.sleep(1)
+        self.assertEqual(2, len(calls))
+        task.cancel()
