--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -5,20 +5,36 @@
 
 import aiohttp
 
+from gentianthread.clock import SystemClock
 from gentianthread.standins.fleet import Fleet, key_of, make_plan
 
 from .base import SocketTestCase
 
 
+class ShiftedClock(SystemClock):
+    """Run with the system clock, from where a test moves it."""
+
+    def __init__(self):
+        self.shift_ms = 0.0
+
+    def now_ms(self) -> float:
+        return super().now_ms() + self.shift_ms
+
+
 class FleetTestCase(SocketTestCase):
-    """Start fleets and call them."""
+    """Start fleets and call them.
+
+    Attributes:
+        links: Whether nodes reach each other over links and not in memory.
+    """
+
+    links = False
 
     @contextlib.asynccontextmanager
-    async def fleet(self, services=None, **options):
+    async def fleet(self, services=None, adjust=None, **options):
         """Run a fleet and a client session for the length of a test."""
-        fleet = Fleet(
-            make_plan(services or {"catalogue": 1, "pricing": 1}, ("alpha", "beta"), **options)
-        )
+        plan = make_plan(services or {"catalogue": 1, "pricing": 1}, ("alpha", "beta"), **options)
+        fleet = Fleet(plan, adjust=adjust, links=self.links)
         await fleet.start()
         try:
             async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
@@ -55,3 +71,10 @@
         return b""
     finally:
         writer.close()
+
+
+def request_head(method: str, target: str, *fields: bytes, organisation: str = "alpha") -> bytes:
+    """Return the bytes of a request head with a key."""
+    lines = [f"{method} {target} HTTP/1.1".encode(), b"Host: node"]
+    lines.append(f"Authorization: Bearer {key_of(organisation)}".encode())
+    return b"\r\n".join([*lines, *fields, b"\r\n"])
