--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -61,6 +61,9 @@
 LINK_REFUSED = _event(202, Level.WARNING, "connection from {address} refused: {problem}")
 FRAME_DROPPED = _event(203, Level.DEBUG, "frame from {peer} dropped: {problem}")
 MEMBER_CHANGED = _event(204, Level.INFO, "member {upstream_id} is now {state}")
+MEMBER_SUPERSEDED = _event(
+    205, Level.ERROR, "a newer process of {upstream_id} runs, started at {start_number}"
+)
 
 # 300: configuration
 CONFIG_ACCEPTED = _event(300, Level.INFO, "configuration version {version} accepted from {source}")
--- /dev/null
+++ b/tests/coordination/fleets.py
@@ -0,0 +1,83 @@
+"""Build fleets of memory nodes for tests and benchmarks."""
+
+import random
+
+from reactivex.subject import BehaviorSubject
+
+from gentianthread.clock import LoopClock
+from gentianthread.coordination.membership import Membership
+from gentianthread.coordination.peer_network import MemoryFabric
+from gentianthread.ids import NodeIdentity
+from gentianthread.metrics import MemoryMetrics
+from gentianthread.state.members import MemberState
+from gentianthread.transport.platforms import InstanceList, ListedInstance
+
+
+class Fleet:
+    """Run the membership of several nodes over one fabric.
+
+    Nodes are named after their zone, `a0`, `a1`, `b0`, ...
+    """
+
+    def __init__(self, zones: str = "abc", per_zone: int = 4, seed: int = 1):
+        self.fabric = MemoryFabric(seed)
+        self.clock = LoopClock()
+        self.random = random.Random(seed)
+        self.names = [f"{zone}{number}" for zone in zones for number in range(per_zone)]
+        self.revision = 1
+        self.lists: BehaviorSubject = BehaviorSubject(self.make_list(self.names))
+        self.members: dict[str, Membership] = {}
+        self.metrics: dict[str, MemoryMetrics] = {}
+        self.stopped: list[Membership] = []
+
+    def make_list(self, names, leaving=()) -> InstanceList:
+        entries = tuple(ListedInstance(name, name[0], leaving=name in leaving) for name in names)
+        return InstanceList(self.revision, entries)
+
+    def publish_list(self, names, leaving=()) -> None:
+        self.revision += 1
+        self.lists.on_next(self.make_list(names, leaving))
+
+    def start(self, name: str, start_number: int = 1) -> Membership:
+        network = self.fabric.attach(NodeIdentity(name, name[0], start_number))
+        self.metrics[name] = MemoryMetrics()
+        members = Membership(
+            network,
+            self.lists,
+            self.clock,
+            random.Random(self.random.random()),
+            self.metrics[name],
+        )
+        members.start()
+        self.members[name] = members
+        return members
+
+    async def start_all(self, settle_ms: float = 4_000) -> None:
+        for name in self.names:
+            self.start(name)
+        await self.clock.sleep_ms(settle_ms)
+
+    async def kill(self, name: str) -> Membership:
+        members = self.members.pop(name)
+        self.fabric.detach(members.network)
+        await members.close()
+        return members
+
+    def zone(self, zone: str) -> set[str]:
+        return {name for name in self.names if name[0] == zone}
+
+    def cut_zone(self, zone: str) -> None:
+        self.fabric.cut(self.zone(zone), set(self.names) - self.zone(zone))
+
+    def states_of(self, name: str, seen_by=None) -> set[MemberState | None]:
+        """Return what the other nodes believe about a node."""
+        viewers = seen_by or [other for other in self.members if other != name]
+        return {self.members[viewer].table.state(name) for viewer in viewers}
+
+    def digests(self) -> set[bytes]:
+        return {members.table.digest() for members in self.members.values()}
+
+    async def close(self) -> None:
+        for members in [*self.members.values(), *self.stopped]:
+            await members.close()
+        await self.fabric.close()
