--- a/gentianthread/coordination/admission.py
+++ b/gentianthread/coordination/admission.py
@@ -4,7 +4,7 @@
 
 from ..clock import Clock
 from ..errors import Refused
-from ..ids import Outcome, RefusalReason
+from ..ids import Outcome, RefusalReason, ServiceId
 from ..state.work import ShedLevel, WorkItem
 
 
@@ -36,6 +36,25 @@
     def level(self) -> ShedLevel:
         """Return the present load, which travels back on answers."""
 
+    def level_for(self, item: WorkItem) -> ShedLevel:
+        """Return the level for the answer to a request, with what its inner calls met.
+
+        Args:
+            item: The request that is answered.
+        """
+        return self.level()
+
+    def note_inner(  # noqa: B027  # Optional: nothing to learn without thresholds.
+        self, item: WorkItem, service_id: ServiceId, level: ShedLevel
+    ) -> None:
+        """Learn the level that inner calls of a request meet.
+
+        Args:
+            item: The request that made the inner call.
+            service_id: Service of the inner call.
+            level: Level of that service's upstreams; see `Router.reported`.
+        """
+
     @abstractmethod
     def has_room(self) -> bool:
         """Return whether a request would start at once."""
--- a/gentianthread/coordination/routing.py
+++ b/gentianthread/coordination/routing.py
@@ -38,7 +38,12 @@
 
     @abstractmethod
     def finished(
-        self, upstream_id: UpstreamId, outcome: Outcome, latency_ms: float, level: ShedLevel | None
+        self,
+        upstream_id: UpstreamId,
+        outcome: Outcome,
+        latency_ms: float,
+        level: ShedLevel | None,
+        item: WorkItem | None = None,
     ) -> None:
         """Learn from an attempt that ended.
 
@@ -47,8 +52,13 @@
             outcome: How it ended.
             latency_ms: How long it took, as seen here.
             level: Load that the answer reported, if it did.
+            item: The work; without it nothing is learned about its route.
         """
 
+    def reported(self, item: WorkItem) -> ShedLevel | None:
+        """Return the level that the upstreams of an item's service reported, or None if unknown."""
+        return None
+
 
 class TurnRouter(Router):
     """Take the upstreams of a service in turn, for tests and small set-ups."""
@@ -88,6 +98,11 @@
         """Keep no statistics."""
 
     def finished(
-        self, upstream_id: UpstreamId, outcome: Outcome, latency_ms: float, level: ShedLevel | None
+        self,
+        upstream_id: UpstreamId,
+        outcome: Outcome,
+        latency_ms: float,
+        level: ShedLevel | None,
+        item: WorkItem | None = None,
     ) -> None:
         """Keep no statistics."""
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -84,6 +84,17 @@
 OVERLOAD_ENDED = _event(
     503, Level.INFO, "overload at {upstream_id} ended after {duration_ms:.0f} ms"
 )
+PROFILE_REVISED = _event(504, Level.INFO, "admission at {upstream_id} now follows {profile_id}")
+SHARE_EXCEEDED = _event(
+    505,
+    Level.WARNING,
+    "important work of {organisation_id} exceeds its share at {upstream_id}",
+)
+PROBE_FAILED = _event(506, Level.WARNING, "probe of {upstream_id} failed: {problem}")
+PROBE_RECOVERED = _event(507, Level.INFO, "probe of {upstream_id} succeeds again")
+SLOW_START = _event(
+    508, Level.INFO, "target of {upstream_id} starts slowly over {duration_ms:.0f} ms"
+)
 
 # 600: quota
 HOLDER_CHANGED = _event(600, Level.INFO, "{role} holder is now {upstream_id}")
--- a/gentianthread/protocol/messages_requests.py
+++ b/gentianthread/protocol/messages_requests.py
@@ -23,6 +23,8 @@
     queue_delay_ms: float
     running: int
     limit: int
+    by_organisation: tuple[tuple[OrganisationId, float], ...] = ()
+    age_ms: float = 0.0
 
 
 @message(10)
--- /dev/null
+++ b/gentianthread/state/shed_control.py
@@ -0,0 +1,189 @@
+"""Set the thresholds of one target from its demand, its capacity and its queue."""
+
+from collections import deque
+from collections.abc import Callable
+from math import exp, sqrt
+
+import attrs
+
+from ..ids import OrganisationId, Priority
+from .fairness import cut_for_share, weighted_max_min
+from .shed_levels import DEPTH_STEPS, bucket, rank
+from .work import WorkItem
+
+Weights = Callable[[OrganisationId], float]
+
+
+@attrs.define
+class TargetState:
+    """Describe the target at one moment.
+
+    Attributes:
+        running: Requests that run.
+        limit: Requests that may run at once.
+        queued: Requests that wait.
+    """
+
+    running: int
+    limit: float
+    queued: int
+
+
+class ShedControl:
+    """Divide the capacity of a target between organisations whenever its queue is too long.
+
+    Demand is counted above the threshold only and scaled up by the part that the threshold cuts.
+    Since the cut follows a hash of the root request id, the estimate is the same whether the rest
+    was shed here, at the entry node, or not at all. Capacity is measured as completions per running
+    request and time; the queue corrects it, so that errors of either estimate do not last.
+    """
+
+    WINDOW_MS = 100.0
+    # About the length of a client's back-off; shorter averages turn noise into refusals.
+    DEMAND_TIME_MS = 1_000.0
+    CAPACITY_TIME_MS = 500.0
+    # Demand of ranks that are cut completely cannot be measured; the last estimate fades slowly.
+    UNSEEN_TIME_MS = 30_000.0
+    # Work that entry nodes admitted under a recent threshold is not shed here for a newer one.
+    # Covers the way of a level to the entry node and of a request back to this one.
+    GRACE_WINDOWS = 5
+    # Correction of the capacity per unit of relative queue error.
+    GAIN = 0.1
+    TRIM_GAIN = 0.01
+    TRIM_RANGE = (-0.3, 0.3)
+    # Windows in a row without any cut after which an overload counts as over.
+    CALM_WINDOWS = 10
+
+    def __init__(self, weights: Weights, now_ms: float):
+        """Create a control without any demand.
+
+        Args:
+            weights: Returns the weight of an organisation.
+            now_ms: Present time in ms.
+        """
+        self.weights = weights
+        self.overloaded = False
+        self.thresholds: dict[OrganisationId, float] = {}
+        self.demand: dict[OrganisationId, dict[int, float]] = {}
+        self._enforced: dict[OrganisationId, float] = {}
+        self._recent: deque[dict[OrganisationId, float]] = deque(maxlen=self.GRACE_WINDOWS)
+        self._seen: dict[OrganisationId, dict[int, float]] = {}
+        self._completed = 0
+        self._running_ms = 0.0
+        self._smallest_queue = 0
+        self._window_from_ms = now_ms
+        self._observed_at_ms = now_ms
+        self._rate = 0.0
+        self._running = 0.0
+        self._trim = 0.0
+        self._calm = 0
+
+    def arrived(self, item: WorkItem) -> None:
+        """Count a request that asks for admission."""
+        name = item.organisation_id
+        threshold = self.thresholds.get(name, 0.0)
+        if rank(item) < threshold:
+            return
+        step = bucket(item)
+        cut = min(1.0, max(0.0, threshold * DEPTH_STEPS - step))
+        seen = self._seen.setdefault(name, {})
+        seen[step] = seen.get(step, 0.0) + 1 / max(0.01, 1 - cut)
+
+    def enforced(self, organisation_id: OrganisationId) -> float:
+        """Return the threshold below which the target itself sheds."""
+        return self._enforced.get(organisation_id, 0.0)
+
+    def completed(self) -> None:
+        """Count a request that ended at the target."""
+        self._completed += 1
+
+    def capacity_per_ms(self, limit: float) -> float:
+        """Return the learned completions per ms when `limit` requests run, or 0 if unknown."""
+        return self._rate / self._running * limit if self._running > 0 else 0.0
+
+    def queue_delay_ms(self, state: TargetState) -> float:
+        """Return how long a request would wait behind all that wait now."""
+        capacity = self.capacity_per_ms(state.limit)
+        return state.queued / capacity if capacity > 0 else 0.0
+
+    def over_share(self) -> set[OrganisationId]:
+        """Return the organisations whose important or critical work alone exceeds their share."""
+        return {name for name, cut in self.thresholds.items() if cut > Priority.IMPORTANT}
+
+    def observe(self, state: TargetState, queue_target_ms: float, now_ms: float) -> bool:
+        """Account for the time since the last call; call it before each change of the state.
+
+        Args:
+            state: The state that lasted until now.
+            queue_target_ms: Queueing delay above which the target counts as overloaded.
+            now_ms: Present time in ms.
+
+        Returns:
+            Whether a window closed and thresholds may have changed.
+        """
+        self._running_ms += state.running * (now_ms - self._observed_at_ms)
+        self._observed_at_ms = now_ms
+        self._smallest_queue = min(self._smallest_queue, state.queued)
+        length_ms = now_ms - self._window_from_ms
+        if length_ms < self.WINDOW_MS:
+            return False
+        self._close_window(state, queue_target_ms, length_ms)
+        self._window_from_ms = now_ms
+        return True
+
+    def _close_window(self, state: TargetState, queue_target_ms: float, length_ms: float) -> None:
+        self._measure_capacity(length_ms)
+        self._measure_demand(length_ms)
+        capacity = self.capacity_per_ms(state.limit)
+        # At least twice the root of the limit may wait: with less, chance leaves places idle.
+        allowed = max(queue_target_ms * capacity, 2 * sqrt(state.limit))
+        if self._smallest_queue > allowed:
+            self.overloaded = True
+        if self.overloaded and capacity > 0:
+            self._share_capacity(capacity, (allowed - self._smallest_queue) / allowed)
+        self._recent.append(self.thresholds)
+        self._enforced = {
+            name: min(recent.get(name, 0.0) for recent in self._recent) for name in self.thresholds
+        }
+        self._smallest_queue = state.queued
+
+    def _measure_capacity(self, length_ms: float) -> None:
+        gain = 1 - exp(-length_ms / self.CAPACITY_TIME_MS)
+        self._rate += gain * (self._completed / length_ms - self._rate)
+        self._running += gain * (self._running_ms / length_ms - self._running)
+        self._completed = 0
+        self._running_ms = 0.0
+
+    def _measure_demand(self, length_ms: float) -> None:
+        gain = 1 - exp(-length_ms / self.DEMAND_TIME_MS)
+        unseen = exp(-length_ms / self.UNSEEN_TIME_MS)
+        for name in self._seen.keys() | self.demand.keys():
+            demand = self.demand.setdefault(name, {})
+            seen = self._seen.get(name, {})
+            lowest = int(self.thresholds.get(name, 0.0) * DEPTH_STEPS)
+            for step in seen.keys() | demand.keys():
+                known = demand.get(step, 0.0)
+                if step >= lowest:
+                    known += gain * (seen.get(step, 0.0) / length_ms - known)
+                else:
+                    known *= unseen
+                demand[step] = known
+            self.demand[name] = {step: rate for step, rate in demand.items() if rate > 1e-6}
+        self.demand = {name: demand for name, demand in self.demand.items() if demand}
+        self._seen = {}
+
+    def _share_capacity(self, capacity: float, error: float) -> None:
+        error = max(-4.0, min(1.0, error))
+        low, high = self.TRIM_RANGE
+        self._trim = max(low, min(high, self._trim + self.TRIM_GAIN * max(-1.0, error)))
+        supply = capacity * (1 + self._trim + self.GAIN * error)
+        totals = {name: sum(demand.values()) for name, demand in self.demand.items()}
+        weights = {name: self.weights(name) for name in totals}
+        shares = weighted_max_min(supply, totals, weights)
+        cuts = {name: cut_for_share(shares[name], self.demand[name]) for name in totals}
+        self.thresholds = {name: cut for name, cut in cuts.items() if cut > 0}
+        self._calm = 0 if self.thresholds or error < 0 else self._calm + 1
+        if self._calm >= self.CALM_WINDOWS:
+            self.overloaded = False
+            self._trim = 0.0
+            self._calm = 0
--- a/gentianthread/state/work.py
+++ b/gentianthread/state/work.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..ids import OrganisationId, Priority, RequestId, ServiceId
+from ..ids import OrganisationId, Priority, RequestId, RouteId, ServiceId
 
 
 @attrs.frozen
@@ -17,6 +17,8 @@
         depth: Hops from the root request, which has 0.
         deadline_at_ms: When the caller stops waiting, on the local clock.
         idempotent: Whether it may run twice.
+        route_id: Route that the request matched at this hop; shed levels and chain times are kept
+            by it, so that an overload behind one route does not shed the others.
     """
 
     root_request_id: RequestId
@@ -26,6 +28,7 @@
     depth: int
     deadline_at_ms: float
     idempotent: bool
+    route_id: RouteId | None = None
 
 
 @attrs.frozen
@@ -36,13 +39,18 @@
     priority; the fraction orders requests inside a priority.
 
     Attributes:
-        threshold: Work with a smaller rank is shed; 0 sheds nothing.
+        threshold: Work with a smaller rank is shed, unless its organisation has its own threshold
+            below; 0 sheds nothing.
         queue_delay_ms: Delay that admitted work waits at present.
         running: Requests that run on the target.
         limit: Requests that may run at once.
+        by_organisation: Thresholds of the organisations that ask for more than their weighted
+            max-min share.
     """
 
     threshold: float = 0.0
     queue_delay_ms: float = 0.0
     running: int = 0
     limit: int = 0
+    by_organisation: tuple[tuple[OrganisationId, float], ...] = ()
+    age_ms: float = 0.0
--- /dev/null
+++ b/tests/work_items.py
@@ -0,0 +1,29 @@
+"""Build work items for tests and benchmarks."""
+
+from itertools import count
+
+from gentianthread.ids import OrganisationId, Priority, RequestId, ServiceId
+from gentianthread.state.work import WorkItem
+
+_numbers = count()
+
+
+def work_item(
+    root: str | None = None,
+    organisation: str = "alpha",
+    priority: Priority = Priority.NORMAL,
+    depth: int = 0,
+    deadline_at_ms: float = 1e9,
+    service: str = "catalogue",
+    idempotent: bool = True,
+) -> WorkItem:
+    """Return a work item; each has its own root request unless one is named."""
+    return WorkItem(
+        root_request_id=RequestId(root or f"root-{next(_numbers)}"),
+        service_id=ServiceId(service),
+        organisation_id=OrganisationId(organisation),
+        priority=priority,
+        depth=depth,
+        deadline_at_ms=deadline_at_ms,
+        idempotent=idempotent,
+    )
