--- a/tests/coordination/test_links.py
+++ b/tests/coordination/test_links.py
@@ -4,11 +4,21 @@
 
 from gentianthread.coordination.link_events import Backoff, LinkState
 from gentianthread.coordination.links import UNPROVEN_LIMIT, UNUSED_MS, LinkPeerNetwork
-from gentianthread.errors import ConnectionLost, PeerTimeout, PeerUnreachable, StreamAborted
+from gentianthread.errors import (
+    ConnectionLost,
+    HandshakeError,
+    PeerTimeout,
+    PeerUnreachable,
+    StreamAborted,
+)
 from gentianthread.ids import StartNumber, UpstreamId
 from gentianthread.protocol.codec import encode
 from gentianthread.protocol.messages_links import DialerProof
-from gentianthread.transport.connections import MemoryTransport, WebSocketTransport
+from gentianthread.transport.connections import (
+    MemoryTransport,
+    WebSocketTransport,
+    memory_connection_pair,
+)
 
 from ..base import SocketTestCase, VirtualTimeTestCase
 from .test_peer_network import HOST, SECRET, LinkFleet, Number, identity, read_body
@@ -128,19 +138,11 @@
         await call(first)
         await settle(1_500)
         stream = await first.open_whole(B, Number(1), b"moved")
-        cuts = 0
-
-        def cut(event):
-            nonlocal cuts
-            if event.state is LinkState.UP:
-                cuts += 1
-                loop = asyncio.get_running_loop()
-                loop.call_soon(first._peers[B].links[0].fail, ConnectionLost("b", "cut"))
-
-        first.link_events.subscribe(cut)
+        moves = []
         original = first._adopt
 
         def adopt(target, moved):
+            moves.append(moved)
             original(target, moved)
             target.fail(ConnectionLost("b", "test cuts the link"))
 
@@ -148,7 +150,7 @@
         first._peers[B].links[0].fail(ConnectionLost("b", "test cuts the link"))
         with self.assertRaisesType(StreamAborted):
             await stream.receive_head()
-        self.assertEqual((1, False), (cuts, stream.may_have_sent))
+        self.assertEqual(([stream], False), (moves, stream.may_have_sent))
         await self.fleet.close()
 
     async def test_request_that_was_sent_is_lost_and_not_repeated(self):
@@ -188,6 +190,32 @@
         self.assertEqual([new.local], [link.peer for link in first._peers[B].links if link.usable])
         await self.fleet.close()
 
+    async def test_process_that_is_replaced_during_its_handshake_is_refused(self):
+        """Guards against an old process whose handshake ends after that of its replacement."""
+        first, _ = await self.open_two()
+        first._admit(identity("b", 1))
+        first.note_start_number(B, StartNumber(2))
+        near, _ = memory_connection_pair()
+        with self.assertRaisesType(HandshakeError):
+            first._add_link(near, identity("b", 1), dialed=False)
+        self.assertEqual(frozenset(), first.connected())
+        await self.fleet.close()
+
+    async def test_peer_that_dials_again_gets_the_new_link(self):
+        """Guards against new requests on a link that is dead at the peer's end."""
+        first, second = await self.open_two()
+        await call(first)
+        await settle(5_000)
+        # The closing of the old connection is lost, so only the second end knows of it.
+        self.transport.connections[0].go_silent()
+        second._peers[A].links[0].fail(ConnectionLost("a", "test cuts the link"))
+        await call(second, A)
+        started_ms = now_ms()
+        self.assertEqual(b"body", await call(first))
+        self.assertAlmostEqual(2, now_ms() - started_ms, 3)
+        self.assertEqual(2, len(self.transport.connections))
+        await self.fleet.close()
+
     async def test_old_process_is_refused_while_it_still_dials(self):
         """Guards against an old process that takes the link of its replacement."""
         first, old = await self.open_two()
--- a/tests/protocol/test_handshake.py
+++ b/tests/protocol/test_handshake.py
@@ -32,9 +32,10 @@
 
 
 class TestHandshake(VirtualTimeTestCase):
-    async def assert_refused(self, work):
-        with self.assertRaisesType(HandshakeError):
+    async def assert_refused(self, work, problem="wrong proof"):
+        with self.assertRaisesType(HandshakeError) as caught:
             await work
+        self.assertIn(problem, caught.exception.problem)
 
     async def test_both_ends_learn_the_proven_identity(self):
         """Guards against links to a peer whose identity is unknown."""
@@ -113,11 +114,28 @@
         await near.send(encode(DialerProof(make_proof(SECRET, Role.DIALER, proven, challenge))))
         await self.assert_refused(accepting)
 
+    async def test_proof_covers_every_part(self):
+        """Guards against a nonce or an identity that a proof does not bind."""
+        hello, challenge = Hello(1, DIALER, bytes(32)), Challenge(ACCEPTOR, bytes(32))
+        other = b"x" * 32
+        proofs = {
+            make_proof(SECRET, Role.DIALER, hello, challenge),
+            make_proof(SECRET, Role.ACCEPTOR, hello, challenge),
+            make_proof(other, Role.DIALER, hello, challenge),
+            make_proof(SECRET, Role.DIALER, Hello(2, DIALER, bytes(32)), challenge),
+            make_proof(SECRET, Role.DIALER, Hello(1, DIALER, other), challenge),
+            make_proof(SECRET, Role.DIALER, Hello(1, identity("a", 2), bytes(32)), challenge),
+            make_proof(SECRET, Role.DIALER, Hello(1, identity("c"), bytes(32)), challenge),
+            make_proof(SECRET, Role.DIALER, hello, Challenge(ACCEPTOR, other)),
+            make_proof(SECRET, Role.DIALER, hello, Challenge(identity("b", 2), bytes(32))),
+        }
+        self.assertEqual(9, len(proofs))
+
     async def test_other_upstream_than_expected_is_refused(self):
         """Guards against requests for one upstream that reach the node of another."""
         near, far = memory_connection_pair()
         accepting = accept(far)
-        await self.assert_refused(dial(near, expected="c"))
+        await self.assert_refused(dial(near, expected="c"), "b in place of c")
         near.abort()
         with self.assertRaisesType(ConnectionLost):
             await accepting
@@ -131,7 +149,7 @@
 
         accepting = accept(far, admit=admit)
         dialling = asyncio.ensure_future(dial(near))
-        await self.assert_refused(accepting)
+        await self.assert_refused(accepting, "start number 1 is old")
         far.abort()
         with self.assertRaisesType(ConnectionLost):
             await dialling
@@ -139,18 +157,24 @@
     async def test_slow_peer_is_refused_after_two_seconds(self):
         """Guards against strangers who hold connections open."""
         _, far = memory_connection_pair()
-        await self.assert_refused(accept(far))
+        await self.assert_refused(accept(far), "not finished in 2000 ms")
         self.assertAlmostEqual(2.0, asyncio.get_running_loop().time(), 3)
 
     async def test_one_bad_message_is_refused(self):
         """Guards against a stranger who may try again on the same connection."""
-        wrong = [b"", b"\xff", encode(DialerProof(b"")), encode(Hello(2, DIALER, bytes(32)))]
-        wrong += [encode(Hello(1, DIALER, b"short")), encode(Hello(1, ACCEPTOR, bytes(32)))]
-        for data in wrong:
+        wrong = {
+            b"": "bad message",
+            b"\xff": "bad message",
+            encode(DialerProof(b"")): "DialerProof in place of Hello",
+            encode(Hello(2, DIALER, bytes(32))): "version 2",
+            encode(Hello(1, DIALER, b"short")): "nonce of 5 bytes",
+            encode(Hello(1, ACCEPTOR, bytes(32))): "upstream of this node",
+        }
+        for data, problem in wrong.items():
             near, far = memory_connection_pair()
             accepting = accept(far)
             await near.send(data)
-            await self.assert_refused(accepting)
+            await self.assert_refused(accepting, problem)
 
     async def test_long_message_is_refused(self):
         """Guards against a stranger who makes the node hold long messages."""
--- a/tests/protocol/test_link.py
+++ b/tests/protocol/test_link.py
@@ -1,7 +1,8 @@
 import asyncio
 
 from gentianthread.errors import ConnectionLost, ConnectionSilent, MessageError, StreamAborted
-from gentianthread.protocol.link import OPEN_STREAMS_LIMIT
+from gentianthread.protocol.link import OPEN_STREAMS_LIMIT, UNREAD_LIMIT_BYTES
+from gentianthread.protocol.link_queue import QUEUE_LIMIT_BYTES
 from gentianthread.protocol.streams import STREAM_CREDIT_BYTES
 
 from ..base import VirtualTimeTestCase
@@ -181,6 +182,58 @@
         await settle()
         self.assertEqual(OPEN_STREAMS_LIMIT, len(far.link.streams))
 
+    async def test_unread_bytes_of_all_streams_are_limited(self):
+        """Guards against many stalled readers that together fill the memory of the node."""
+        near, far = link_pair()
+
+        async def serve(head, stream):
+            await stream.send_chunk(bytes(8 * STREAM_CREDIT_BYTES))
+            await stream.finish()
+
+        far.owner.serve = serve
+        stalled = [
+            near.link.open_stream(Note("stalled"))
+            for _ in range(UNREAD_LIMIT_BYTES // STREAM_CREDIT_BYTES + 2)
+        ]
+        await settle(1_000)
+        slow = near.link.open_stream(Note("slow"))
+        received = 0
+        with self.assertRaisesType(TimeoutError):
+            async with asyncio.timeout(1):
+                while True:
+                    received += len(await slow.receive_chunk())
+        self.assertEqual(STREAM_CREDIT_BYTES, received)
+        for stream in stalled[:3]:
+            stream.abort("reader left")
+        received += len(await read_body(slow))
+        self.assertEqual(8 * STREAM_CREDIT_BYTES, received)
+
+    async def test_queued_bytes_of_all_streams_are_limited(self):
+        """Guards against many senders that fill the memory while the connection is stuck."""
+        near, _ = link_pair(bytes_per_s=1_000_000)
+        queued = []
+
+        async def send():
+            stream = near.link.open_stream(Note("head"))
+            for _ in range(4):
+                await stream.send_chunk(bytes(16_384))
+                queued.append(16_384)
+            await stream.finish()
+
+        sending = [asyncio.ensure_future(send()) for _ in range(400)]
+        await settle(10)
+        self.assertTrue(QUEUE_LIMIT_BYTES <= sum(queued) <= QUEUE_LIMIT_BYTES + 65_536)
+        await asyncio.gather(*sending)
+        self.assertEqual(400, len(near.link.streams))
+
+    async def test_queued_control_bytes_are_limited(self):
+        """Guards against control messages that fill the memory while the connection is stuck."""
+        near, _ = link_pair(bytes_per_s=1_000)
+        with self.assertRaisesType(ConnectionLost):
+            for _ in range(10):
+                near.link.control.send(Note("x" * 1_000_000))
+        self.assertIsInstance(near.link.error, ConnectionLost)
+
     async def test_long_head_is_refused_at_the_sender(self):
         """Guards against a head that would close the link for every request on it."""
         near, _ = link_pair()
