Carry routes and shed levels through the request path

Cause: admission and routing learn levels per route and organisation, but the request path sent only the overall threshold and never told admission what inner calls met, so nothing was refused at the root for an overload further down. Change: work items carry their route, answers the level for their route with the thresholds of organisations, inner calls feed Admission.note_inner; early shedding comes before the quota, so that shed work takes no unit of its organisation.

--- a/gentianthread/coordination/answers.py
+++ b/gentianthread/coordination/answers.py
@@ -189,12 +189,26 @@
 
 def load_of(level: ShedLevel) -> Load:
     """Return the wire form of a load."""
-    return Load(level.threshold, level.queue_delay_ms, level.running, level.limit)
+    return Load(
+        level.threshold,
+        level.queue_delay_ms,
+        level.running,
+        level.limit,
+        level.by_organisation,
+        level.age_ms,
+    )
 
 
 def level_of(load: Load) -> ShedLevel:
     """Return the load of a wire form."""
-    return ShedLevel(load.threshold, load.queue_delay_ms, load.running, load.limit)
+    return ShedLevel(
+        load.threshold,
+        load.queue_delay_ms,
+        load.running,
+        load.limit,
+        load.by_organisation,
+        load.age_ms,
+    )
 
 
 async def drain_answer(answer: Answer, limit_bytes: int) -> list[bytes] | None:
--- a/gentianthread/coordination/attempts.py
+++ b/gentianthread/coordination/attempts.py
@@ -144,7 +144,11 @@
         used = None if answer is None else answer.used_attempts
         call.state.allowance.settle(attempt.lent, used)
         latency_ms = self.clock.now_ms() - attempt.started_at_ms
-        self.router.finished(attempt.upstream_id, attempt.outcome, latency_ms, level)
+        item = call.item
+        self.router.finished(attempt.upstream_id, attempt.outcome, latency_ms, level, item)
+        reported = None if call.parent is None else self.router.reported(item)
+        if reported is not None:
+            self.executor.admission.note_inner(call.parent.item, item.service_id, reported)
 
     async def _prepare_retry(self, call: Call, verdict: Verdict) -> bool:
         replayable = call.body is None or call.body.replayable
--- a/gentianthread/coordination/calls.py
+++ b/gentianthread/coordination/calls.py
@@ -152,6 +152,7 @@
         0,
         now_ms + _limit_ms(route, parsed),
         route.idempotent,
+        route.route_id,
     )
 
 
@@ -164,18 +165,19 @@
 ) -> WorkItem:
     # A key beside a handle must belong to the same organisation, or the request would run for
     # another one than its key says.
-    if organisation_id not in (None, parent.organisation_id):
+    if organisation_id not in (None, parent.item.organisation_id):
         raise Refused(RefusalReason.KEY_UNKNOWN, not_run=True)
-    if parent.depth + 1 >= DEPTH_LIMIT:
+    if parent.item.depth + 1 >= DEPTH_LIMIT:
         raise Refused(RefusalReason.DEPTH_EXCEEDED, not_run=True)
     return WorkItem(
-        parent.root_request_id,
+        parent.item.root_request_id,
         route.service_id,
-        parent.organisation_id,
-        parent.priority,
-        parent.depth + 1,
-        min(now_ms + _limit_ms(route, parsed), parent.deadline_at_ms),
+        parent.item.organisation_id,
+        parent.item.priority,
+        parent.item.depth + 1,
+        min(now_ms + _limit_ms(route, parsed), parent.item.deadline_at_ms),
         route.idempotent,
+        route.route_id,
     )
 
 
--- a/gentianthread/coordination/executor.py
+++ b/gentianthread/coordination/executor.py
@@ -45,7 +45,7 @@
             answer.status,
             answer_headers(answer.headers),
             failed and context.inner_failed,
-            load_of(executor.admission.level()),
+            load_of(executor.admission.level_for(context.item)),
         )
 
     async def read(self) -> bytes | None:
@@ -144,6 +144,7 @@
             head.depth,
             deadline_at_ms,
             head.idempotent,
+            head.route_id,
         )
         try:
             if self.leaving is not None:
@@ -153,7 +154,7 @@
             permit = await self.admission.admit(item)
         except Refused as refusal:
             self.metrics.count(f"executor.refused.{refusal.reason.value}")
-            return self.refuse(refusal, 0)
+            return self.refuse(refusal, 0, item)
         return await self._run_admitted(head, body, item, permit)
 
     async def _run_admitted(
@@ -163,16 +164,9 @@
         remaining_ms = item.deadline_at_ms - started_at_ms
         if remaining_ms <= 0:
             permit.release(Outcome.CANCELLED, 0.0)
-            return self.refuse(Refused(RefusalReason.DEADLINE_EXCEEDED, not_run=True), 0)
+            return self.refuse(Refused(RefusalReason.DEADLINE_EXCEEDED, not_run=True), 0, item)
         self.running += 1
-        context = self.contexts.open(
-            item.root_request_id,
-            item.organisation_id,
-            item.priority,
-            item.depth,
-            item.deadline_at_ms,
-            Allowance(head.lent_attempts),
-        )
+        context = self.contexts.open(item, Allowance(head.lent_attempts))
         headers = [
             *(pair for pair in head.headers if pair[0] != CONTENT_LENGTH),
             (CONTEXT, context.handle),
@@ -201,17 +195,24 @@
             return LocalAnswer(self, context, permit, answer, started_at_ms)
         self.end(context, permit, outcome, self.clock.now_ms() - started_at_ms)
         self.metrics.count(f"executor.refused.{refusal.reason.value}")
-        return self.refuse(refusal, context.allowance.used)
+        return self.refuse(refusal, context.allowance.used, item)
+
+    def refuse(self, refusal: Refused, used_attempts: int, item: WorkItem | None = None) -> Answer:
+        """Return a refusal as an answer.
 
-    def refuse(self, refusal: Refused, used_attempts: int) -> Answer:
-        """Return a refusal as an answer."""
+        Args:
+            refusal: Why.
+            used_attempts: Part of the lent allowance that was used.
+            item: The request; without it the answer carries the level of the target alone.
+        """
+        level = self.admission.level() if item is None else self.admission.level_for(item)
         return RefusedAnswer(
             RefusalHead(
                 refusal.reason,
                 refusal.not_run,
                 refusal.retry_after_ms,
                 used_attempts,
-                load_of(self.admission.level()),
+                load_of(level),
             )
         )
 
--- a/gentianthread/coordination/gateway.py
+++ b/gentianthread/coordination/gateway.py
@@ -153,9 +153,10 @@
         try:
             async with asyncio.timeout(remaining_ms / 1000):
                 if call.parent is None:
+                    # Work that would be shed further on takes no unit of its organisation.
+                    self.attempts.router.check_early(call.item)
                     wait_ms = min(QUOTA_WAIT_LIMIT_MS, remaining_ms / 10)
                     await self.quota.take(call.item.organisation_id, wait_ms)
-                    self.attempts.router.check_early(call.item)
                 await self.attempts.answer(call, relay)
         except TimeoutError:
             if exchange.head_sent:
@@ -224,7 +225,7 @@
         """
         organisation_id = authenticate(plan, parsed)
         if parent is not None:
-            organisation_id = parent.organisation_id
+            organisation_id = parent.item.organisation_id
         if organisation_id is None:
             raise Refused(RefusalReason.KEY_MISSING, not_run=True)
         query = parse_qs(urlsplit(exchange.target).query)
--- a/gentianthread/state/contexts.py
+++ b/gentianthread/state/contexts.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from ..ids import OrganisationId, Priority, RequestId
 from .allowance import Allowance
+from .work import WorkItem
 
 HANDLE_BYTES = 16
 
@@ -17,22 +17,14 @@
 
     Attributes:
         handle: Random text that the target copies to its inner calls.
-        root_request_id: Id of the root request.
-        organisation_id: Organisation of the root request.
-        priority: Priority of the root request.
-        depth: Hops from the root request.
-        deadline_at_ms: When the caller stops waiting, on the local clock.
+        item: The request.
         allowance: Retries that the request and its inner calls may still use.
         inner_failed: Whether an inner call failed.
         children: Tasks of running inner calls.
     """
 
     handle: str
-    root_request_id: RequestId
-    organisation_id: OrganisationId
-    priority: Priority
-    depth: int
-    deadline_at_ms: float
+    item: WorkItem
     allowance: Allowance
     inner_failed: bool = False
     children: set[asyncio.Task] = attrs.field(factory=set)
@@ -47,25 +39,9 @@
     def __len__(self) -> int:
         return len(self._running)
 
-    def open(
-        self,
-        root_request_id: RequestId,
-        organisation_id: OrganisationId,
-        priority: Priority,
-        depth: int,
-        deadline_at_ms: float,
-        allowance: Allowance,
-    ) -> RunningContext:
+    def open(self, item: WorkItem, allowance: Allowance) -> RunningContext:
         """Issue a handle for a request that starts to run."""
-        context = RunningContext(
-            secrets.token_hex(HANDLE_BYTES),
-            root_request_id,
-            organisation_id,
-            priority,
-            depth,
-            deadline_at_ms,
-            allowance,
-        )
+        context = RunningContext(secrets.token_hex(HANDLE_BYTES), item, allowance)
         self._running[context.handle] = context
         return context
 
