--- /dev/null
+++ b/bench/support/processes.py
@@ -0,0 +1,145 @@
+"""Start nodes and stand-in targets as processes on loopback addresses, for benchmarks and tests."""
+
+import asyncio
+import socket
+import sys
+from pathlib import Path
+
+import attrs
+
+from gentianthread.ids import UpstreamId
+from gentianthread.standins.fleet import make_plan
+from gentianthread.state.bundle import make_bundle, make_values
+from gentianthread.state.plan import Plan
+
+START_TIMEOUT_S = 10.0
+
+SETTINGS = """
+[node]
+upstream = {upstream}
+availability_zone = larisa-a
+[listeners]
+callers = 127.0.0.1:{callers}
+target = 127.0.0.1:{inner}
+operator = 127.0.0.1:{operator}
+peers = 127.0.0.1:{peers}
+[target]
+address = 127.0.0.1:{target}
+[peers]
+fleet_secret = not a secret, only used on loopback
+[platform]
+bundle_folder = {bundle}
+[log]
+level = warning
+"""
+
+
+@attrs.define
+class Ports:
+    """Hold the ports of one node and its target."""
+
+    callers: int
+    inner: int
+    operator: int
+    peers: int
+    target: int
+
+
+def free_ports(number: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    held = [socket.socket() for _ in range(number)]
+    try:
+        for one in held:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in held]
+    finally:
+        for one in held:
+            one.close()
+
+
+class ProcessFleet:
+    """Run one node and one target process for each upstream of a small plan."""
+
+    def __init__(self, folder: Path, services: dict[str, int], slots: int = 64):
+        """Prepare the files of a fleet.
+
+        Args:
+            folder: Where settings and bundle go.
+            services: Number of upstreams of each service.
+            slots: Slots of each target.
+        """
+        self.folder = folder
+        self.plan = make_plan(services, ("alpha",), slots=slots)
+        self.ports = {name: Ports(*free_ports(5)) for name in self.plan.upstreams}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self._publish()
+
+    def _publish(self) -> None:
+        upstreams = {
+            name: attrs.evolve(
+                upstream,
+                peer_port=self.ports[name].peers,
+                caller_port=self.ports[name].callers,
+                target_port=self.ports[name].target,
+            )
+            for name, upstream in self.plan.upstreams.items()
+        }
+        plan: Plan = attrs.evolve(self.plan, upstreams=upstreams)
+        for key, value in make_values(make_bundle(plan)).items():
+            file = self.folder / key
+            file.parent.mkdir(parents=True, exist_ok=True)
+            file.write_bytes(value)
+
+    async def start(self) -> None:
+        """Start all processes and wait until they listen."""
+        for name, ports in self.ports.items():
+            settings = self.folder / f"{name}.ini"
+            fields = {**attrs.asdict(ports), "upstream": name, "bundle": self.folder}
+            settings.write_text(SETTINGS.format(**fields))
+            await self._spawn(
+                f"target {name}", "bench.support.target", str(ports.target), str(ports.inner)
+            )
+            await self._spawn(name, "gentianthread.commands.node", str(settings))
+        for ports in self.ports.values():
+            for port in (ports.callers, ports.target):
+                await _wait_for(port)
+
+    async def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", module, *arguments, stdout=asyncio.subprocess.PIPE
+        )
+
+    async def stop(self) -> dict[str, int]:
+        """Ask all processes to end and return their exit codes."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.terminate()
+        codes = {}
+        for name, process in self.processes.items():
+            try:
+                async with asyncio.timeout(START_TIMEOUT_S):
+                    codes[name] = await process.wait()
+            except TimeoutError:
+                process.kill()
+                codes[name] = await process.wait()
+        return codes
+
+    def url(self, upstream_id: UpstreamId | str) -> str:
+        """Return the address for callers of a node."""
+        return f"http://127.0.0.1:{self.ports[upstream_id].callers}"
+
+    def target_url(self, upstream_id: UpstreamId | str) -> str:
+        """Return the address of a target."""
+        return f"http://127.0.0.1:{self.ports[upstream_id].target}"
+
+
+async def _wait_for(port: int) -> None:
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+            except OSError:
+                await asyncio.sleep(0.02)
+            else:
+                writer.close()
+                return
--- a/gentianthread/standins/target.py
+++ b/gentianthread/standins/target.py
@@ -85,6 +85,7 @@
     Attributes:
         behaviour: How requests are answered.
         seen: Every request that arrived.
+        keep_seen: Whether requests are recorded and executions counted.
         executions: Executions by the `id` of the query, or by request id without one.
         running: Requests that run.
         most_running: Largest number of requests that ran together.
@@ -105,6 +106,7 @@
         self.behaviour = behaviour or Behaviour()
         self.choose = choose
         self.seen: list[Seen] = []
+        self.keep_seen = True
         self.executions: Counter[str] = Counter()
         self.running = 0
         self.most_running = 0
@@ -133,10 +135,12 @@
             await self._answer_probe(exchange)
             return
         seen = Seen(exchange.method, exchange.target, tuple(exchange.headers))
-        self.seen.append(seen)
+        if self.keep_seen:
+            self.seen.append(seen)
         query = parse_qs(urlsplit(exchange.target).query)
         name = query.get("id", [seen.header(REQUEST_ID) or ""])[0]
-        self.executions[name] += 1
+        if self.keep_seen:
+            self.executions[name] += 1
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
