--- a/gentianthread/coordination/process.py
+++ b/gentianthread/coordination/process.py
@@ -15,6 +15,7 @@
 from ..settings import Settings
 from ..state.config_store import ConfigStore
 from ..state.executions import Executions
+from ..transport.connections import WebSocketTransport
 from .dump import describe_node
 from .links import LinkPeerNetwork
 from .node import Node, NodeAddresses, NodeParts
@@ -68,7 +69,13 @@
         start_number = StartNumber(wall_clock_ms())
         self.local = NodeIdentity(settings.upstream_id, settings.availability_zone, start_number)
         secret = settings.fleet_secret.encode()
-        self.network = LinkPeerNetwork(self.local, secret, self._address_of, metrics=self.metrics)
+        self.network = LinkPeerNetwork(
+            self.local,
+            secret,
+            self._address_of,
+            transport=WebSocketTransport(settings.source_address),
+            metrics=self.metrics,
+        )
         self.node = Node(self.local, _addresses(settings), self._parts())
         self._asked = asyncio.Event()
         self._asked_again = asyncio.Event()
--- a/gentianthread/settings.py
+++ b/gentianthread/settings.py
@@ -39,6 +39,8 @@
         operator: Address for operators, on loopback.
         peers: Address for other nodes.
         target: Address of the own target.
+        source_address: IP address that outgoing connections to other nodes and to the platform come
+            from, or None for the system's choice. It matters on hosts with several addresses.
         fleet_secret: Secret that all nodes share; never shown.
         platform: Address of the platform's services, or None.
         bundle_folder: Folder that `gentianctl bundle` wrote, read at the start, or None.
@@ -58,6 +60,7 @@
     operator: Address
     peers: Address
     target: Address
+    source_address: str | None
     fleet_secret: str = attrs.field(repr=False)
     platform: Address | None
     bundle_folder: Path | None
@@ -109,6 +112,11 @@
     return Form(f"{kind} and a port, as 127.0.0.1:8080", read)
 
 
+def ip() -> Form:
+    """Return the form of an IP address without a port."""
+    return Form("an IP address without a port", lambda found: str(ipaddress.ip_address(found)))
+
+
 def folder() -> Form:
     """Return the form of a folder that exists."""
 
@@ -166,6 +174,7 @@
         operator=listeners.get("operator", address(loopback=True)),
         peers=listeners.get("peers", address()),
         target=sections["target"].get("address", address()),
+        source_address=peers.get("source_address", ip(), None),
         fleet_secret=_read_secret(peers),
         platform=platform.get("address", address(), None),
         bundle_folder=platform.get("bundle_folder", folder(), None),
--- a/gentianthread/transport/connections.py
+++ b/gentianthread/transport/connections.py
@@ -399,12 +399,20 @@
         "logger": _library_logger,
     }
 
+    def __init__(self, source_address: str | None = None):
+        """Create a transport.
+
+        Args:
+            source_address: IP address that outgoing connections come from, or None for any.
+        """
+        self._source = {} if source_address is None else {"local_addr": (source_address, 0)}
+
     async def connect(self, host: str, port: int) -> WebSocketConnection:
         """Open a WebSocket."""
         name = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         try:
             socket = await connect(
-                f"ws://{name}/", proxy=None, user_agent_header=None, **self._options
+                f"ws://{name}/", proxy=None, user_agent_header=None, **self._source, **self._options
             )
         except (OSError, TimeoutError, WebSocketException) as error:
             raise ConnectionLost(name, f"{type(error).__name__}: {error}") from error
--- a/gentianthread/transport/platform_http.py
+++ b/gentianthread/transport/platform_http.py
@@ -40,13 +40,20 @@
     at most twice the reads.
     """
 
-    def __init__(self, base_url: str, read_timeout_ms: float = READ_TIMEOUT_MS):
+    def __init__(
+        self,
+        base_url: str,
+        read_timeout_ms: float = READ_TIMEOUT_MS,
+        source_address: str | None = None,
+    ):
         """Create an adapter; connections open on demand.
 
         Args:
             base_url: Where the service is, such as http://10.0.0.5:8100.
             read_timeout_ms: Longest wait for an answer, in ms.
+            source_address: IP address that connections come from, or None for any.
         """
+        self._source = None if source_address is None else (source_address, 0)
         self._base_url = base_url.rstrip("/")
         self._read_timeout_ms = read_timeout_ms
         self._session: aiohttp.ClientSession | None = None
@@ -104,7 +111,10 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=None))
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(local_addr=self._source),
+                timeout=aiohttp.ClientTimeout(total=None),
+            )
         return self._session
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -21,6 +21,7 @@
 address = 127.0.0.1:9000
 
 [peers]
+source_address = 127.0.3.9
 fleet_secret = 0123456789abcdef0123456789abcdef
 
 [limits]
@@ -47,6 +48,7 @@
         settings = self.read(GOOD)
         self.assertEqual(Address("::1", 8082), settings.operator)
         self.assertEqual((120_000.0, 30_000.0), (settings.idempotency_window_ms, settings.grace_ms))
+        self.assertEqual("127.0.3.9", settings.source_address)
         self.assertNotIn(settings.fleet_secret, repr(settings))
 
     def test_each_wrong_field_is_named(self):
@@ -96,6 +98,7 @@
                 "target",
                 "10.0.0.1:8081",
             ),
+            ("127.0.3.9", "127.0.3.9:80", "peers", "source_address", "127.0.3.9:80"),
             ("upstream = pricing-0\n", "", "node", "upstream", None),
             (
                 "0123456789abcdef0123456789abcdef",
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -121,3 +121,18 @@
 class TestWebSocketConnection(ConnectionCases, SocketTestCase):
     def make_transport(self):
         return WebSocketTransport()
+
+
+class TestSourceAddress(SocketTestCase):
+    async def test_connections_come_from_the_chosen_address(self):
+        """Guards against a host with several addresses whose peers see the wrong one."""
+        seen = asyncio.get_running_loop().create_future()
+
+        async def accept(connection):
+            seen.set_result(connection.peer_address)
+
+        listener = await WebSocketTransport().listen(HOST, 0, accept)
+        near = await WebSocketTransport("127.0.3.9").connect(HOST, listener.port)
+        self.assertEqual("127.0.3.9", (await seen).partition(":")[0])
+        await near.close()
+        await listener.close()
--- a/tests/transport/test_platform_http.py
+++ b/tests/transport/test_platform_http.py
@@ -1,3 +1,4 @@
+import asyncio
 import json
 
 import aiohttp
@@ -31,6 +32,25 @@
         await self.run_case(body)
 
 
+class TestSourceAddress(SocketTestCase):
+    async def test_reads_come_from_the_chosen_address(self):
+        """Guards against a host with several addresses whose platform sees the wrong one."""
+        seen = []
+
+        def close(_reader, writer):
+            seen.append(writer.get_extra_info("peername")[0])
+            writer.close()
+
+        server = await asyncio.start_server(close, "127.0.0.1", 0)
+        base = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        platform = HttpPlatform(base, READ_TIMEOUT_MS, "127.0.3.9")
+        with self.assertRaisesType(PlatformUnavailable):
+            await platform.read("head")
+        await platform.close()
+        server.close()
+        self.assertEqual({"127.0.3.9"}, set(seen))
+
+
 class TestPlatformStandin(SocketTestCase):
     async def test_control(self):
         """Guards against a stand-in that a demonstration cannot control while it is down."""
