Keep keys in request bodies away from targets

Cause: the head was searched for keys, the body was not, so a caller that posts its key sent it to a target (P4). Change: the body is cut off before the caller's own key, also where it spans two parts, and the request is refused as key_misplaced.

--- a/gentianthread/coordination/answers.py
+++ b/gentianthread/coordination/answers.py
@@ -131,7 +131,7 @@
             source: Gives the bytes once.
         """
         self.length = source.length
-        self._source = source
+        self.source = source
         self._kept: list[bytes] | None = []
         self._kept_bytes = 0
         self._position = 0
@@ -154,7 +154,7 @@
             return data
         if self._ended:
             return None
-        data = await self._source.read()
+        data = await self.source.read()
         if data is None:
             self._ended = True
             return None
--- a/gentianthread/coordination/calls.py
+++ b/gentianthread/coordination/calls.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..errors import Refused
+from ..errors import KeyInBody, Refused
 from ..ids import ANONYMOUS, OrganisationId, RefusalReason, RequestId, UpstreamId
 from ..protocol.headers import ParsedHead
 from ..state.allowance import Allowance
@@ -22,16 +22,62 @@
 
 
 class ExchangeBody(Body):
-    """Read the request body of an exchange."""
+    """Read the request body of an exchange, and stop before a key of its caller.
 
-    def __init__(self, exchange: Exchange):
-        """Create a body."""
+    Attributes:
+        has_key: Whether the caller's key was found.
+    """
+
+    def __init__(self, exchange: Exchange, key: str | None = None):
+        """Create a body.
+
+        Args:
+            exchange: The request.
+            key: The caller's key, which must not reach a target.
+        """
         self.length = exchange.body_length
+        self.has_key = False
         self._exchange = exchange
+        self._key = b"" if key is None else key.encode()
+        # The start of a key at the end of one part is kept back until the next part has come.
+        self._kept_back = b""
+        self._ended = False
 
     async def read(self) -> bytes | None:
-        """Return the next bytes."""
-        return await self._exchange.read()
+        """Return the next bytes.
+
+        Raises:
+            KeyInBody: The next bytes contain the key.
+        """
+        if not self._key:
+            return await self._exchange.read()
+        while not self._ended:
+            if data := await self._read_checked():
+                return data
+        return None
+
+    async def _read_checked(self) -> bytes:
+        part = await self._exchange.read()
+        data = self._kept_back + (part or b"")
+        if self._key in data:
+            self.has_key = True
+            raise KeyInBody()
+        if part is None:
+            self._ended, self._kept_back = True, b""
+            return data
+        kept = _overlap(data, self._key)
+        self._kept_back = data[len(data) - kept :]
+        return data[: len(data) - kept] if kept else data
+
+
+def _overlap(data: bytes, key: bytes) -> int:
+    """Return the length of the longest end of the data that a key starts with."""
+    place = data.find(key[:1], max(0, len(data) - len(key) + 1))
+    while place >= 0:
+        if key.startswith(data[place:]):
+            return len(data) - place
+        place = data.find(key[:1], place + 1)
+    return 0
 
 
 @attrs.define(eq=False)
@@ -68,6 +114,15 @@
     tried: set[UpstreamId] = attrs.field(factory=set)
     may_have_run: bool = False
 
+    def check_body(self) -> None:
+        """Refuse a request whose body was found to contain the caller's key.
+
+        Raises:
+            Refused: The target got a part of the body at most, without its end.
+        """
+        if self.body is not None and self.body.source.has_key:
+            raise Refused(RefusalReason.KEY_MISPLACED, not_run=False)
+
 
 def authenticate(plan: Plan, parsed: ParsedHead) -> OrganisationId | None:
     """Return the organisation of the key in a head, or None without a key.
@@ -127,7 +182,7 @@
         item,
         call_id,
         parent,
-        ReplayBody(ExchangeBody(exchange)) if exchange.has_body else None,
+        ReplayBody(ExchangeBody(exchange, parsed.key)) if exchange.has_body else None,
         RetryState(allowance),
         None if route.idempotent else parsed.idempotency_key,
     )
--- a/gentianthread/coordination/gateway.py
+++ b/gentianthread/coordination/gateway.py
@@ -173,6 +173,7 @@
             TransportError: The answer broke off.
         """
         head = answer.head
+        call.check_body()
         if isinstance(head, RefusalHead):
             not_run = head.not_run and not call.may_have_run
             raise Refused(head.reason, not_run=not_run, retry_after_ms=head.retry_after_ms)
--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -217,6 +217,13 @@
         super().__init__(f"stream aborted: {problem}")
 
 
+class KeyInBody(TransportError):
+    """Report a request body that contains the key of its caller; it was cut off before the key."""
+
+    def __init__(self) -> None:
+        super().__init__("the request body contains the caller's key")
+
+
 class PlatformUnavailable(TransportError):
     """Report a platform service that failed or did not answer.
 
--- a/tests/coordination/test_request_path.py
+++ b/tests/coordination/test_request_path.py
@@ -1,3 +1,4 @@
+from gentianthread.standins.fleet import key_of
 from gentianthread.standins.target import digest_of, pattern
 
 from ..fleets import FleetTestCase
@@ -44,6 +45,20 @@
                         (length, True), (target.seen[-1].body_bytes, target.seen[-1].body_complete)
                     )
 
+    async def test_key_in_a_body_stays_away_from_the_target(self):
+        """Guards against keys that callers put into a body, short or long (P4)."""
+        key = key_of("alpha").encode()
+        async with self.fleet() as fleet:
+            for path in ("/catalogue", "/pricing"):
+                for data in (b"key=" + key, b"y" * 300_000 + key):
+                    status, headers, _ = await self.call(
+                        fleet, "catalogue-0", path, method="POST", data=data
+                    )
+                    self.assertEqual((400, "key_misplaced"), (status, headers["Gentian-Refusal"]))
+                    self.assertNotIn("Gentian-Not-Run", headers)
+                seen = fleet.members[f"{path[1:]}-0"].target.seen
+                self.assertFalse(any(request.body_complete for request in seen))
+
     async def test_refusals_before_the_target(self):
         """Guards against requests that run without a valid key (P3) or off every route."""
         async with self.fleet() as fleet:
