--- a/gentianthread/protocol/codec.py
+++ b/gentianthread/protocol/codec.py
@@ -154,8 +154,6 @@
 
 def _expect(accepted: type | tuple[type, ...], name: str) -> Converter:
     def convert(value: Any) -> Any:
-        if type(value) is accepted:
-            return value
         if not isinstance(value, accepted) or (isinstance(value, bool) and accepted is not bool):
             raise TypeError(f"{type(value).__name__} in place of {name}")
         return value
