--- a/gentianthread/protocol/link.py
+++ b/gentianthread/protocol/link.py
@@ -34,6 +34,10 @@
 # hold 256 MiB; the receiver stops returning credit long before.
 OPEN_STREAMS_LIMIT = 1_024
 
+# Handlers that one link may keep running. Those of aborted streams end on their own time, so the
+# limit on open streams does not bound them.
+TASKS_LIMIT = 4 * OPEN_STREAMS_LIMIT
+
 # Unread bytes of all streams of a link above which no credit is returned.
 UNREAD_LIMIT_BYTES = 16 * 1024 * 1024
 
@@ -381,7 +385,8 @@
             self.drop(FrameKind.OPEN, stream_id)
             return
         self._last_peer_id = stream_id
-        if len(self.streams) - self._opened_here >= OPEN_STREAMS_LIMIT:
+        accepted = len(self.streams) - self._opened_here
+        if accepted >= OPEN_STREAMS_LIMIT or len(self._tasks) >= TASKS_LIMIT:
             self.send_control(FrameKind.ABORT, stream_id, b"too many open streams")
             return
         head = decode(payload)
--- a/tests/protocol/test_link_faults.py
+++ b/tests/protocol/test_link_faults.py
@@ -8,6 +8,7 @@
 from gentianthread.errors import ConnectionLost, FrameError, MessageError, ProtocolError
 from gentianthread.protocol.codec import encode
 from gentianthread.protocol.frames import LINK_MESSAGE_LIMIT_BYTES, FrameKind, read_frames
+from gentianthread.protocol.link import TASKS_LIMIT
 from gentianthread.protocol.link_control import HANDLERS_LIMIT
 from gentianthread.protocol.streams import STREAM_CREDIT_BYTES
 
@@ -101,6 +102,28 @@
         running.set()
 
 
+class TestHandlerLimit(VirtualTimeTestCase):
+    async def test_handlers_of_aborted_streams_are_limited(self):
+        """Guards against a peer that opens and aborts streams faster than their handlers end."""
+        end, raw = link_and_raw_peer()
+        leave = asyncio.Event()
+
+        async def serve(head, stream):
+            await leave.wait()
+
+        end.owner.serve = serve
+        for number in range(TASKS_LIMIT + 3):
+            stream_id = 2 * number + 1
+            await raw.send(frame(OPEN, stream_id, NOTE) + frame(ABORT, stream_id))
+        await settle(1)
+        self.assertEqual((TASKS_LIMIT, None), (len(end.owner.streams), end.link.error))
+        leave.set()
+        await settle(1)
+        await raw.send(frame(OPEN, 99_999, NOTE))
+        await settle(1)
+        self.assertEqual(TASKS_LIMIT + 1, len(end.owner.streams))
+
+
 class TestViolations(VirtualTimeTestCase):
     async def check_closed(self, error_type, *messages):
         """Send messages and check that they close the link with a typed error."""
