Send short answers between nodes in one message and prepare message packers

A short answer crossed the link as head, chunk and finish mark with three wake-ups, each forwarded request took two extra tasks for its abort watch, and the codec inspected every value it packed. Short answers now go out with send_whole, a callback replaces the watch tasks, and packers are prepared once per message type.

--- a/gentianthread/coordination/answers.py
+++ b/gentianthread/coordination/answers.py
@@ -36,6 +36,13 @@
             TransportError: The answer is truncated.
         """
 
+    def take_whole(self) -> bytes | None:
+        """Return the whole body if all of it is here, and end the answer; None otherwise.
+
+        Lets a short answer go out in one message instead of three.
+        """
+        return None
+
     @abstractmethod
     def abort(self, problem: str) -> None:
         """Cancel what is still under way; does nothing after the complete end."""
@@ -49,6 +56,10 @@
         self.head = head
         self.used_attempts = head.used_attempts
 
+    def take_whole(self) -> bytes | None:
+        """Return no bytes."""
+        return b""
+
     async def read(self) -> bytes | None:
         """Return None."""
         return None
--- a/gentianthread/coordination/executor.py
+++ b/gentianthread/coordination/executor.py
@@ -62,6 +62,16 @@
             self._end(Outcome.FAILURE if failed else Outcome.SUCCESS)
         return data
 
+    def take_whole(self) -> bytes | None:
+        """Return the body if the target has sent all of it."""
+        if self._permit is None:
+            return None
+        whole = self._answer.take_whole()
+        if whole is not None:
+            failed = self.head.status >= FAILURE_STATUS
+            self._end(Outcome.FAILURE if failed else Outcome.SUCCESS)
+        return whole
+
     def abort(self, problem: str) -> None:
         """Cancel the request at the target."""
         if self._permit is not None:
@@ -231,15 +241,23 @@
             head: The request.
             stream: Carries the body and the answer.
         """
-        work = asyncio.ensure_future(self._answer_stream(head, stream))
-        watch = asyncio.ensure_future(stream.aborted())
+        task = asyncio.current_task()
+        aborted = False
+
+        def cancel() -> None:
+            nonlocal aborted
+            aborted = True
+            task.cancel()
+
+        stream.call_on_abort(cancel)
         try:
-            await asyncio.wait((work, watch), return_when=asyncio.FIRST_COMPLETED)
+            await self._answer_stream(head, stream)
+        except asyncio.CancelledError:
+            if not aborted or task.uncancel() > 0:
+                raise
+            self.metrics.count("executor.aborted")
         finally:
-            watch.cancel()
-            if not work.done():
-                work.cancel()
-            await asyncio.gather(work, return_exceptions=True)
+            stream.forget_abort_call()
 
     async def _answer_stream(self, head: RequestHead, stream: Stream) -> None:
         deadline_at_ms = self.clock.now_ms() + head.remaining_ms
@@ -248,6 +266,11 @@
         try:
             async with asyncio.timeout(head.remaining_ms / 1000):
                 answer = await self.dispatch(head, body, deadline_at_ms)
+                whole = answer.take_whole()
+                if whole is not None:
+                    summary = ResponseSummary(answer.used_attempts or 0, answer.service_ms)
+                    await stream.send_whole(answer.head, whole, summary)
+                    return
                 await stream.send_head(answer.head)
                 while (data := await answer.read()) is not None:
                     await stream.send_chunk(data)
--- a/gentianthread/coordination/idempotency.py
+++ b/gentianthread/coordination/idempotency.py
@@ -356,6 +356,14 @@
             self._parts.clear()
         return data
 
+    def take_whole(self) -> bytes | None:
+        """Return the body if all of it is here, and record it."""
+        whole = self._answer.take_whole()
+        if whole is not None:
+            self.used_attempts = self._answer.used_attempts
+            self._complete(whole)
+        return whole
+
     def _complete(self, body: bytes | None) -> None:
         record, self._record = self._record, None
         if record is not None:
--- a/gentianthread/protocol/codec.py
+++ b/gentianthread/protocol/codec.py
@@ -84,8 +84,40 @@
     if cls not in _codes_by_type:
         raise MessageError(cls.__name__, "type is not registered")
     code = _codes_by_type[cls]
-    names = [field.name for field in attrs.fields(cls)]
-    return lambda value: [code, *[_pack(getattr(value, name)) for name in names]]
+    pack = _packer_of_fields(cls)
+    return lambda value: [code, *pack(value)]
+
+
+def _packer_of_fields(cls: type) -> Callable[[Any], list]:
+    """Return the function that turns a value of a class into the list of its packed fields."""
+    hints = get_type_hints(cls)
+    fields = [(field.name, _packer(hints[field.name])) for field in attrs.fields(cls)]
+
+    def pack(value: Any) -> list:
+        return [
+            getattr(value, name) if convert is None else convert(getattr(value, name))
+            for name, convert in fields
+        ]
+
+    return pack
+
+
+def _packer(hint: Any) -> Converter | None:
+    """Return the function that packs values of a type hint, or None where CBOR takes them as is."""
+    hint = getattr(hint, "__supertype__", hint)
+    origin = get_origin(hint)
+    if origin in (Union, UnionType):
+        inner = [part for part in get_args(hint) if part is not NoneType]
+        pack = _packer(inner[0]) if len(inner) == 1 else _pack
+        return None if pack is None else lambda value: None if value is None else pack(value)
+    if origin in (tuple, dict):
+        plain = all(part is Ellipsis or _packer(part) is None for part in get_args(hint))
+        return None if plain else _pack
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return lambda value: value.value
+    if isinstance(hint, type) and attrs.has(hint):
+        return _packer_of_fields(hint)
+    return None
 
 
 def _pack(value: Any) -> Any:
@@ -169,6 +201,8 @@
         each = _converter(parts[0])
         return lambda value: tuple(each(item) for item in check(value))
     converters = tuple(_converter(part) for part in parts)
+    if parts == (str, str):
+        return _text_pair
 
     def convert(value: Any) -> tuple:
         items = check(value)
@@ -177,6 +211,15 @@
     return convert
 
 
+def _text_pair(value: Any) -> tuple[str, str]:
+    """Convert a header field; the usual type of long sequences, so it has no inner calls."""
+    if type(value) is list and len(value) == 2:
+        first, second = value
+        if type(first) is str and type(second) is str:
+            return first, second
+    raise TypeError("no pair of texts")
+
+
 def _dict(parts: tuple) -> Converter:
     check = _expect(dict, "a map")
     key, item = _converter(parts[0]), _converter(parts[1])
--- a/gentianthread/protocol/link_stream.py
+++ b/gentianthread/protocol/link_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from ..errors import FrameError, MessageError, StreamAborted
@@ -102,6 +103,7 @@
         self._room = Signal()
         self._arrival = Signal()
         self._abort = Signal()
+        self._on_abort: Callable[[], None] | None = None
 
     # The side of the application.
 
@@ -182,13 +184,30 @@
         if complete:
             # The finish mark may still wait to be sent; the other end is to get it.
             self._problem = problem
-            self._abort.notify()
+            self._notify_abort()
             return
         if self._sent:
             text = problem.encode()[:PROBLEM_LIMIT_BYTES]
             self.link.send_control(_ABORT, self.stream_id, text)
         self.end(problem)
 
+    def _notify_abort(self) -> None:
+        self._abort.notify()
+        callback, self._on_abort = self._on_abort, None
+        if callback is not None:
+            callback()
+
+    def call_on_abort(self, callback: Callable[[], None]) -> None:
+        """Keep the function for the end of the stream."""
+        if self._problem is not None:
+            callback()
+        else:
+            self._on_abort = callback
+
+    def forget_abort_call(self) -> None:
+        """Drop the function."""
+        self._on_abort = None
+
     async def aborted(self) -> str:
         """Wait for an abort."""
         while self._problem is None:
@@ -312,8 +331,9 @@
         if not self._finished:
             self._drop_unread()
         self.link.forget(self)
-        for signal in (self._room, self._arrival, self._abort):
-            signal.notify()
+        self._room.notify()
+        self._arrival.notify()
+        self._notify_abort()
 
     def end_service(self) -> None:
         """End what the handler of an accepted stream left open."""
--- a/gentianthread/protocol/streams.py
+++ b/gentianthread/protocol/streams.py
@@ -3,6 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from ..errors import StreamAborted
@@ -94,6 +95,25 @@
     async def aborted(self) -> str:
         """Wait until the stream is aborted by either end and return the problem."""
 
+    def call_on_abort(self, callback: Callable[[], None]) -> None:
+        """Call a function once when either end aborts the stream.
+
+        Args:
+            callback: Is called on the event loop; must not wait.
+        """
+
+        async def watch() -> None:
+            await self.aborted()
+            callback()
+
+        self._abort_watch = asyncio.ensure_future(watch())
+
+    def forget_abort_call(self) -> None:
+        """Drop the function that `call_on_abort` set."""
+        watch = getattr(self, "_abort_watch", None)
+        if watch is not None:
+            watch.cancel()
+
     @property
     @abstractmethod
     def may_have_sent(self) -> bool:
--- a/gentianthread/transport/http_client.py
+++ b/gentianthread/transport/http_client.py
@@ -96,6 +96,10 @@
             ConnectionLost: The answer is truncated.
         """
 
+    def take_whole(self) -> bytes | None:
+        """Return the whole body if all of it has arrived and none was read; None otherwise."""
+        return None
+
     @abstractmethod
     def close(self) -> None:
         """Drop the rest of the answer; a connection with unread bytes is closed."""
@@ -371,6 +375,17 @@
         self.close()
         return None
 
+    def take_whole(self) -> bytes | None:
+        """Return the whole body and give the connection back, if nothing is missing."""
+        payload = self._payload
+        if self._connection is None or payload.exception() is not None:
+            return None
+        if not payload.is_eof():
+            return None
+        data = payload.read_nowait()
+        self.close()
+        return data
+
     def close(self) -> None:
         """Give the connection back, or close it if the exchange is incomplete."""
         connection = self._connection
