Add the spread of configuration versions and the instance list reader

Cause: every node must have an accepted version within 3 s although the service can be down, stale or inconsistent, and its read rate must not grow with the fleet.

Change: two watchers per availability zone, flooded announcements whose withdrawals take effect at once, bundles pulled from the announcing neighbour, version exchange each second, backstop reads; a starting node asks peers and the service.

--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -70,6 +70,11 @@
 CONFIG_REFUSED = _event(301, Level.ERROR, "configuration from {source} refused: {error}")
 CONFIG_READ_FAILED = _event(302, Level.WARNING, "configuration service: {error}")
 KEY_WITHDRAWN = _event(303, Level.INFO, "key {key_id} withdrawn by version {version}")
+CONFIG_CONFLICT = _event(
+    304, Level.ERROR, "configuration version {version} of {source} has another digest"
+)
+NODE_READY = _event(305, Level.INFO, "configuration version {version} is the newest one found")
+LIST_READ_FAILED = _event(306, Level.WARNING, "instance list: {error}")
 
 # 400: requests
 REQUEST_REFUSED = _event(400, Level.DEBUG, "request {request_id} refused: {reason}")
--- a/gentianthread/state/config_store.py
+++ b/gentianthread/state/config_store.py
@@ -145,9 +145,12 @@
         # half-written where it was read.
         if hashlib.sha256(bundle.payload).digest() == bundle.digest:
             self._refused.add((bundle.version, bundle.digest))
-        self.last_refusal = (source, str(error))
         self._metrics.count("config.refused")
-        log(CONFIG_REFUSED, source=source, error=error)
+        refusal = (source, str(error))
+        # A wrong bundle is read again and again until it is replaced; one line is enough.
+        if refusal != self.last_refusal:
+            log(CONFIG_REFUSED, source=source, error=error)
+        self.last_refusal = refusal
 
 
 def withdrawn_keys(before: Plan | None, after: Plan) -> tuple[KeyId, ...]:
--- a/gentianthread/state/member_table.py
+++ b/gentianthread/state/member_table.py
@@ -116,6 +116,7 @@
         self._observers: dict[int, dict[UpstreamId, AvailabilityZoneId]] = {}
         self._cut_zones: frozenset[AvailabilityZoneId] = frozenset()
         self._buckets = [0] * BUCKETS
+        self._total = 0
         self.apply(MemberRecord(local, 1))
 
     def apply(self, record: MemberRecord) -> list[Member] | None:
@@ -133,7 +134,7 @@
             return None
         affected = {upstream_id, *self._forget(known), *self._names_of(record.silent)}
         self.records[upstream_id] = record
-        self._buckets[_bucket(upstream_id)] ^= _hash(record)
+        self._toggle(record)
         for mark in record.silent:
             observers = self._observers.setdefault(mark, {})
             observers[upstream_id] = record.identity.availability_zone
@@ -205,7 +206,7 @@
 
     def digest(self) -> bytes:
         """Return a hash of all records."""
-        return xxhash.xxh64_digest(self.bucket_digests())
+        return self._total.to_bytes(_DIGEST_BYTES)
 
     def bucket_digests(self) -> bytes:
         """Return the hashes of all buckets."""
@@ -226,11 +227,17 @@
         wanted = set(buckets)
         return [record for name, record in self.records.items() if _bucket(name) in wanted]
 
+    def _toggle(self, record: MemberRecord) -> None:
+        """Add a record to the hashes, or take it out again."""
+        value = _hash(record)
+        self._buckets[_bucket(record.identity.upstream_id)] ^= value
+        self._total ^= value
+
     def _forget(self, known: MemberRecord | None) -> list[UpstreamId]:
         if known is None:
             return []
         upstream_id = known.identity.upstream_id
-        self._buckets[_bucket(upstream_id)] ^= _hash(known)
+        self._toggle(known)
         for mark in known.silent:
             observers = self._observers.get(mark, {})
             observers.pop(upstream_id, None)
--- a/tests/coordination/fleets.py
+++ b/tests/coordination/fleets.py
@@ -5,12 +5,22 @@
 from reactivex.subject import BehaviorSubject
 
 from gentianthread.clock import LoopClock
+from gentianthread.coordination.config_spread import ConfigSpread
 from gentianthread.coordination.membership import Membership
 from gentianthread.coordination.peer_network import MemoryFabric
 from gentianthread.ids import NodeIdentity
 from gentianthread.metrics import MemoryMetrics
+from gentianthread.state.bundle import make_bundle, make_values
+from gentianthread.state.config_store import ConfigStore
 from gentianthread.state.members import MemberState
-from gentianthread.transport.platforms import InstanceList, ListedInstance
+from gentianthread.transport.platforms import (
+    InstanceList,
+    ListedInstance,
+    MemoryPlatform,
+    PlatformState,
+)
+
+from ..plans import small_plan
 
 
 class Fleet:
@@ -77,7 +87,71 @@
     def digests(self) -> set[bytes]:
         return {members.table.digest() for members in self.members.values()}
 
+    def observers_of(self, name: str) -> list[str]:
+        """Return the nodes that have a node as a neighbour."""
+        return [other for other, item in self.members.items() if name in item.neighbours()]
+
     async def close(self) -> None:
         for members in [*self.members.values(), *self.stopped]:
             await members.close()
         await self.fabric.close()
+
+
+class ConfigFleet(Fleet):
+    """Run membership and the spread of configuration versions.
+
+    All nodes read one platform service unless `service_of` says otherwise.
+    """
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.service = PlatformState()
+        self.service_of: dict[str, PlatformState] = {}
+        self.spreads: dict[str, ConfigSpread] = {}
+        self.accepted_at_ms: dict[tuple[str, int], float] = {}
+
+    def start(self, name: str, start_number: int = 1) -> Membership:
+        members = super().start(name, start_number)
+        spread = ConfigSpread(
+            members.network,
+            members,
+            MemoryPlatform(self.service_of.get(name, self.service)),
+            ConfigStore(self.metrics[name]),
+            self.clock,
+            random.Random(self.random.random()),
+            self.metrics[name],
+            members.contacts,
+        )
+        spread.store.changes.subscribe(lambda plan: self._note(name, plan.version))
+        spread.start()
+        self.spreads[name] = spread
+        return members
+
+    def _note(self, name: str, version: int) -> None:
+        self.accepted_at_ms.setdefault((name, version), self.clock.now_ms())
+
+    async def kill(self, name: str) -> Membership:
+        spread = self.spreads.pop(name)
+        await spread.close()
+        return await super().kill(name)
+
+    def publish(self, version: int, **options) -> None:
+        self.service.publish(make_values(make_bundle(small_plan(version=version, **options))))
+
+    def versions(self) -> set[int]:
+        return {spread.store.version for spread in self.spreads.values()}
+
+    def with_key(self, key_id: str) -> list[str]:
+        """Return the nodes at which a key works."""
+        return [name for name, s in self.spreads.items() if key_id in s.store.current.keys]
+
+    def watchers(self) -> list[str]:
+        return [name for name, spread in self.spreads.items() if spread.watching]
+
+    def count(self, counter: str) -> int:
+        return sum(metrics.counters[counter] for metrics in self.metrics.values())
+
+    async def close(self) -> None:
+        for spread in self.spreads.values():
+            await spread.close()
+        await super().close()
--- /dev/null
+++ b/tests/coordination/test_config_spread.py
@@ -0,0 +1,316 @@
+import functools
+
+import attrs
+
+from gentianthread.coordination.config_spread import (
+    BACKSTOP_INTERVAL_MS,
+    LONE_START_MS,
+    RETRY_LIMIT_MS,
+)
+from gentianthread.coordination.peer_network import MemoryLinkRules
+from gentianthread.ids import NodeIdentity
+from gentianthread.protocol.messages_config import Announcement, Part, PartRequest, VersionExchange
+from gentianthread.state.bundle import HEAD_KEY, encode_head, make_bundle, make_values, part_key
+from gentianthread.state.config_store import Offer
+from gentianthread.transport.platforms import PlatformFaults, PlatformState
+
+from ..base import VirtualTimeTestCase
+from ..plans import small_plan
+from .fleets import ConfigFleet
+
+BOUND_MS = 3_000
+
+
+def with_fleet(**options):
+    """Run a test with a fleet that has settled on version 1."""
+
+    def decorate(method):
+        @functools.wraps(method)
+        async def run(self):
+            fleet = ConfigFleet(**options)
+            try:
+                fleet.publish(1)
+                await fleet.start_all()
+                self.assertEqual({1}, fleet.versions())
+                await method(self, fleet)
+            finally:
+                await fleet.close()
+
+        return run
+
+    return decorate
+
+
+def bundle_of(version: int, **options):
+    return make_bundle(small_plan(version=version, **options))
+
+
+class TestConfigSpread(VirtualTimeTestCase):
+    # Nothing comes from outside the loop, so it need not wait before it advances the time.
+    loop_options = {"start": 0, "noop_cycles": 0}
+
+    @with_fleet()
+    async def test_new_version_is_in_force_everywhere(self, fleet):
+        """Guards against a version that needs longer than 3 s (P12)."""
+        fleet.publish(2)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual({2}, fleet.versions())
+
+    @with_fleet()
+    async def test_two_watchers_per_zone_and_one_pull_per_node(self, fleet):
+        """Guards against a read rate at the service that grows with the fleet."""
+        self.assertEqual(["a", "a", "b", "b", "c", "c"], sorted(n[0] for n in fleet.watchers()))
+        reads, pulls = fleet.service.reads, fleet.count("config.pulled")
+        fleet.publish(2)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        # Each of 6 watchers may read the part and starts the next watch.
+        self.assertTrue(fleet.service.reads - reads <= 12, fleet.service.reads - reads)
+        pulled = fleet.count("config.pulled") - pulls
+        self.assertTrue(6 <= pulled <= 12, pulled)
+
+    @with_fleet()
+    async def test_watcher_that_fails_is_replaced(self, fleet):
+        """Guards against a zone without watchers after two failures."""
+        for name in [name for name in fleet.watchers() if name[0] == "b"]:
+            await fleet.kill(name)
+        await fleet.clock.sleep_ms(6_000)
+        self.assertEqual(2, len([name for name in fleet.watchers() if name[0] == "b"]))
+
+    @with_fleet()
+    async def test_lost_and_doubled_announcements(self, fleet):
+        """Guards against nodes that stay behind when announcements are lost."""
+        fleet.fabric.default_rules = MemoryLinkRules(delay_ms=5, loss=0.3, duplication=0.3)
+        fleet.publish(2)
+        await fleet.clock.sleep_ms(10_000)
+        self.assertEqual({2}, fleet.versions())
+
+    @with_fleet(zones="ab", per_zone=2)
+    async def test_stale_service_after_restart(self, fleet):
+        """Guards against a restarted service with old content that reverts the fleet (P12)."""
+        fleet.service.set_faults(PlatformFaults(stale=True))
+        stale = fleet.service
+        fleet.service = PlatformState()
+        fleet.publish(2)
+        watcher = fleet.watchers()[0]
+        fleet.spreads[watcher]._offer(bundle_of(2), "test")
+        await fleet.clock.sleep_ms(2_000)
+        self.assertEqual({2}, fleet.versions())
+        stale.set_faults(PlatformFaults(down=True))
+        await fleet.clock.sleep_ms(5_000)
+        stale.set_faults(PlatformFaults())
+        await fleet.clock.sleep_ms(2 * BACKSTOP_INTERVAL_MS)
+        self.assertEqual({2}, fleet.versions())
+
+    @with_fleet(zones="a", per_zone=3)
+    async def test_service_down_for_an_hour(self, fleet):
+        """Guards against a fleet that misses changes made while the service was down."""
+        fleet.service.set_faults(PlatformFaults(down=True))
+        await fleet.clock.sleep_ms(1_800_000)
+        reads = fleet.service.reads
+        await fleet.clock.sleep_ms(1_800_000)
+        # 2 watchers try again about every 1.5 s, and all nodes each 5 minutes.
+        self.assertTrue(fleet.service.reads - reads < 2 * 1_800 + 3 * 12)
+        self.assertEqual({1}, fleet.versions())
+        fleet.publish(2)
+        fleet.publish(3, withdrawn=frozenset({"alpha"}))
+        fleet.service.set_faults(PlatformFaults())
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual({3}, fleet.versions())
+        self.assertEqual([], fleet.with_key("alpha1"))
+
+    @with_fleet()
+    async def test_silent_service(self, fleet):
+        """Guards against watchers that hang on a service which stopped answering."""
+        fleet.service.set_faults(PlatformFaults(silent=True))
+        await fleet.clock.sleep_ms(60_000)
+        fleet.publish(2)
+        fleet.service.set_faults(PlatformFaults())
+        # A watch that began in the silence ends with its bound of 22 s.
+        await fleet.clock.sleep_ms(25_000)
+        self.assertEqual({2}, fleet.versions())
+
+    @with_fleet()
+    async def test_half_written_bundle(self, fleet):
+        """Guards against a head without its parts that is accepted or stops the watch."""
+        values = make_values(bundle_of(2))
+        part = values.pop(part_key(2, 0))
+        fleet.service.publish(values)
+        await fleet.clock.sleep_ms(10_000)
+        self.assertEqual({1}, fleet.versions())
+        fleet.service.publish({part_key(2, 0): part})
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual({2}, fleet.versions())
+
+    @with_fleet()
+    async def test_wrong_digest(self, fleet):
+        """Guards against a bundle whose content is not the announced one."""
+        wrong = attrs.evolve(bundle_of(2).head, digest=bytes(32))
+        values = make_values(bundle_of(2))
+        fleet.service.publish({**values, HEAD_KEY: encode_head(wrong)})
+        await fleet.clock.sleep_ms(10_000)
+        self.assertEqual({1}, fleet.versions())
+        self.assertTrue(fleet.count("config.refused") > 0)
+        fleet.publish(3)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual({3}, fleet.versions())
+
+    @with_fleet()
+    async def test_bad_content(self, fleet):
+        """Guards against a bundle that breaks the rules and takes the fleet down."""
+        bad = make_bundle(attrs.evolve(small_plan(version=2), services={}))
+        reads = fleet.service.reads
+        fleet.service.publish(make_values(bad))
+        await fleet.clock.sleep_ms(30_000)
+        self.assertEqual({1}, fleet.versions())
+        # A refused version is not read again and again.
+        self.assertTrue(fleet.service.reads - reads < 40, fleet.service.reads - reads)
+
+    @with_fleet()
+    async def test_conflicting_replicas(self, fleet):
+        """Guards against replicas of the service that show one version with two contents."""
+        replica = PlatformState()
+        replica.publish(make_values(bundle_of(1, rate_per_s=5.0)))
+        victim = "c9"
+        fleet.service_of[victim] = replica
+        fleet.start(victim)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        for name in fleet.names:
+            organisation = fleet.spreads[name].store.current.organisations["alpha"]
+            self.assertEqual(1000.0, organisation.rate_per_s)
+        self.assertTrue(fleet.count("config.conflicts") > 0)
+        fleet.publish(2)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual({2}, fleet.versions())
+
+    @with_fleet()
+    async def test_downgrade_offered_by_a_peer(self, fleet):
+        """Guards against a peer with an older version that reverts others (P12)."""
+        fleet.publish(5)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        old = bundle_of(3)
+        rogue = fleet.fabric.attach(NodeIdentity("a9", "a", 1))
+        rogue.subscribe(PartRequest, lambda sender, request: Part(old.part(request.number)))
+        for name in fleet.names:
+            await rogue.send(name, Announcement(3, old.digest, 1, ("alpha1",)))
+            await rogue.request(name, VersionExchange(3, old.digest, 1, ()), 100)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual({5}, fleet.versions())
+        self.assertEqual(12, len(fleet.with_key("alpha1")))
+
+    @with_fleet()
+    async def test_announced_content_that_nobody_has(self, fleet):
+        """Guards against an announcement with false content that stops later versions."""
+        rogue = fleet.fabric.attach(NodeIdentity("a9", "a", 1))
+        rogue.subscribe(PartRequest, lambda sender, request: Part(b"junk"))
+        await rogue.send("a0", Announcement(2, bytes(32), 1, ()))
+        await fleet.clock.sleep_ms(5_000)
+        self.assertEqual({1}, fleet.versions())
+        fleet.publish(2)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual({2}, fleet.versions())
+
+    @with_fleet()
+    async def test_withdrawal_with_the_service_down_and_one_peer_informed(self, fleet):
+        """Guards against a withdrawn key that works because the service is down (P5)."""
+        fleet.service.set_faults(PlatformFaults(down=True))
+        informed = fleet.spreads["c2"]
+        offer = informed._offer(bundle_of(2, withdrawn=frozenset({"alpha"})), "test")
+        self.assertEqual(Offer.ACCEPTED, offer)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual({2}, fleet.versions())
+        self.assertEqual([], fleet.with_key("alpha1"))
+
+    @with_fleet()
+    async def test_withdrawal_whose_bundle_does_not_arrive(self, fleet):
+        """Guards against a withdrawn key that works until its bundle arrives (P5)."""
+        fleet.service.set_faults(PlatformFaults(down=True))
+        messenger = fleet.fabric.attach(NodeIdentity("a9", "a", 1))
+        await messenger.send("a0", Announcement(2, bytes(32), 1, ("alpha1",)))
+        fleet.fabric.detach(messenger)
+        await fleet.clock.sleep_ms(500)
+        self.assertEqual([], fleet.with_key("alpha1"))
+        self.assertEqual({1}, fleet.versions())
+        restarted = "b2"
+        await fleet.kill(restarted)
+        fleet.start(restarted, start_number=2)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual([], fleet.with_key("alpha1"))
+
+    @with_fleet(zones="abcd")
+    async def test_partition_between_zones_during_a_change(self, fleet):
+        """Guards against a zone that misses a change made while it was cut off."""
+        fleet.service_of.clear()
+        fleet.cut_zone("a")
+        for name in fleet.zone("a"):
+            fleet.spreads[name]._platform.state = PlatformState()
+            fleet.spreads[name]._platform.state.set_faults(PlatformFaults(down=True))
+        # A watch that waits at the service may still bring one version.
+        await fleet.clock.sleep_ms(30_000)
+        fleet.publish(2, withdrawn=frozenset({"alpha"}))
+        await fleet.clock.sleep_ms(BOUND_MS)
+        inside, outside = fleet.zone("a"), set(fleet.names) - fleet.zone("a")
+        self.assertEqual({1}, {fleet.spreads[name].store.version for name in inside})
+        self.assertEqual({2}, {fleet.spreads[name].store.version for name in outside})
+        fleet.fabric.heal()
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertEqual({2}, fleet.versions())
+        self.assertEqual([], fleet.with_key("alpha1"))
+
+    @with_fleet()
+    async def test_starting_node_with_a_stale_service_takes_the_version_of_peers(self, fleet):
+        """Guards against a new node that serves with an older version than its peers."""
+        fleet.publish(2)
+        await fleet.clock.sleep_ms(BOUND_MS)
+        stale = PlatformState()
+        stale.publish(make_values(bundle_of(1)))
+        fleet.service_of["c9"] = stale
+        fleet.start("c9")
+        spread = fleet.spreads["c9"]
+        await spread.ready.wait()
+        self.assertEqual(2, spread.store.version)
+
+    @with_fleet()
+    async def test_starting_node_with_the_service_down(self, fleet):
+        """Guards against a new node that cannot start while the service is down."""
+        fleet.service.set_faults(PlatformFaults(down=True))
+        fleet.start("c9")
+        await fleet.clock.sleep_ms(BOUND_MS)
+        self.assertTrue(fleet.spreads["c9"].ready.is_set())
+        self.assertEqual(1, fleet.spreads["c9"].store.version)
+
+    async def test_start_without_any_version(self):
+        """Guards against a node that reports ready without a configuration."""
+        fleet = ConfigFleet()
+        try:
+            fleet.service.set_faults(PlatformFaults(down=True))
+            await fleet.start_all(60_000)
+            self.assertEqual({0}, fleet.versions())
+            self.assertFalse(any(spread.ready.is_set() for spread in fleet.spreads.values()))
+            fleet.publish(1)
+            fleet.service.set_faults(PlatformFaults())
+            await fleet.clock.sleep_ms(2 * BOUND_MS)
+            self.assertEqual({1}, fleet.versions())
+            self.assertTrue(all(spread.ready.is_set() for spread in fleet.spreads.values()))
+        finally:
+            await fleet.close()
+
+    async def test_lone_node(self):
+        """Guards against a first node that waits for peers without end."""
+        fleet = ConfigFleet(zones="a", per_zone=1)
+        try:
+            fleet.publish(1)
+            await fleet.start_all(LONE_START_MS + RETRY_LIMIT_MS)
+            self.assertTrue(fleet.spreads["a0"].ready.is_set())
+        finally:
+            await fleet.close()
+
+    @with_fleet(zones="a", per_zone=3)
+    async def test_calm_fleet_reads_little(self, fleet):
+        """Guards against backstop reads that come too often or all at once."""
+        reads = fleet.service.reads
+        await fleet.clock.sleep_ms(BACKSTOP_INTERVAL_MS * 4)
+        backstop = 3 * 4
+        # A watch of 20 s from each of 2 watchers comes on top.
+        watches = 2 * BACKSTOP_INTERVAL_MS * 4 / 20_000
+        found = fleet.service.reads - reads
+        self.assertTrue(0.7 * backstop <= found - watches <= 1.5 * backstop, found - watches)
