--- /dev/null
+++ b/gentianthread/coordination/escrow_quota.py
@@ -0,0 +1,165 @@
+"""Assemble the quota of one process: escrow with delegation."""
+
+from ..clock import Clock
+from ..errors import RateExceeded
+from ..events import PROCESS_PAUSED, QUOTA_PERMISSIONS_DROPPED, TASK_FAILED
+from ..ids import NodeIdentity, OrganisationId
+from ..logs import log
+from ..protocol.messages_quota import (
+    Draw,
+    DrawAnswer,
+    FleetPoll,
+    Hello,
+    Poll,
+    Release,
+    Tier,
+    Withdraw,
+)
+from ..state.members import Members
+from ..state.plan import Plan
+from .peer_network import PeerNetwork
+from .quota import Quota
+from .quota_context import QuotaContext, QuotaTimes
+from .quota_draws import DrawLoop
+from .quota_fleet_holder import FleetHolder
+from .quota_member import QuotaMember
+from .quota_stock import NodeStock
+from .quota_zone_holder import ZoneHolder
+
+
+class EscrowQuota(Quota):
+    """Keep organisations within rate and burst over the fleet.
+
+    Every process is a member and can become holder of its zone and fleet holder of organisations.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        members: Members,
+        clock: Clock,
+        times: QuotaTimes | None = None,
+    ):
+        """Create the roles and subscribe to their messages.
+
+        Args:
+            network: Network end of the process.
+            members: View of the fleet.
+            clock: Clock of all leases.
+            times: Times and amounts.
+        """
+        self.context = QuotaContext(network, members, clock, times or QuotaTimes())
+        self.member = QuotaMember(self.context)
+        self.stock = NodeStock(self.context, self.member)
+        self.zone_holder = ZoneHolder(self.context, self.member)
+        self.fleet_holder = FleetHolder(self.context, self.zone_holder)
+        times = self.context.times
+        self.stock.loop = DrawLoop(self.context, Tier.ZONE, times.draw_ms, self.stock)
+        self.zone_holder.loop = DrawLoop(
+            self.context, Tier.FLEET, times.zone_draw_ms, self.zone_holder
+        )
+        self._ticked_at_ms = clock.now_ms()
+        self._subscribe()
+
+    def start(self) -> None:
+        """Start the tasks."""
+        for name, work in (
+            ("quota ticks", self._tick()),
+            ("quota introduction", self.member.introduce()),
+            ("quota zone holder", self.zone_holder.run()),
+            ("quota fleet holder", self.fleet_holder.run()),
+            ("quota node draws", self.stock.loop.run()),
+            ("quota zone draws", self.zone_holder.loop.run()),
+        ):
+            self.context.spawn(self._report_failure(name, work))
+
+    async def leave(self) -> None:
+        """Hand the holder roles over before a planned stop."""
+        self.zone_holder.leaving = True
+        self.fleet_holder.step_down(sorted(self.fleet_holder.led))
+        await self.zone_holder.hand_over()
+
+    async def stop(self) -> None:
+        """End the tasks."""
+        await self.context.close()
+
+    def accept_plan(self, plan: Plan) -> None:
+        """Obey a plan; decreases apply at once, a larger fraction once it is safe."""
+        self._check_pause()
+        self.context.accept_plan(plan)
+        self.fleet_holder.accept_plan()
+
+    async def take(self, organisation_id: OrganisationId, max_wait_ms: float) -> None:
+        """Take one unit, waiting for it if need be."""
+        self._check_pause()
+        if self.context.organisation(organisation_id) is None:
+            raise RateExceeded()
+        await self.stock.take(organisation_id, max_wait_ms)
+
+    def expire_all(self) -> None:
+        """Drop all tokens and delegations; promises to others keep running."""
+        self.context.epoch += 1
+        tokens = self.stock.drop()
+        stocked, shares = self.zone_holder.expire_all()
+        shares += self.fleet_holder.expire_all()
+        self._ticked_at_ms = self.context.clock.now_ms()
+        log(QUOTA_PERMISSIONS_DROPPED, tokens=tokens + stocked, shares=shares)
+
+    def _subscribe(self) -> None:
+        subscribe = self.context.subscribe
+        subscribe(Hello, self._guard(self.member.on_hello))
+        subscribe(Poll, self._guard(self._on_poll))
+        subscribe(FleetPoll, self._guard(self._on_fleet_poll))
+        subscribe(Draw, self._guard(self._on_draw))
+        subscribe(Release, self._guard(self._on_release))
+        subscribe(Withdraw, self._guard(self.fleet_holder.on_withdraw))
+
+    def _guard(self, handler):
+        def checked(sender: NodeIdentity, message):
+            self._check_pause()
+            return handler(sender, message)
+
+        return checked
+
+    def _on_poll(self, sender: NodeIdentity, poll: Poll):
+        answer = self.member.on_poll(sender, poll)
+        if self.zone_holder.active and self.member.follows not in (None, self.context.local):
+            self.fleet_holder.step_down(sorted(self.fleet_holder.led))
+            self.context.spawn(self.zone_holder.hand_over())
+        return answer
+
+    def _on_fleet_poll(self, sender: NodeIdentity, poll: FleetPoll):
+        answer = self.zone_holder.on_fleet_poll(sender, poll)
+        if answer is not None and sender != self.context.local:
+            self.fleet_holder.step_down(sorted(set(answer.following) & self.fleet_holder.led))
+        return answer
+
+    def _on_draw(self, sender: NodeIdentity, draw: Draw) -> DrawAnswer | None:
+        role = self.fleet_holder if draw.tier is Tier.FLEET else self.zone_holder
+        return role.on_draw(sender, draw)
+
+    def _on_release(self, sender: NodeIdentity, release: Release):
+        if release.tier is Tier.FLEET:
+            return self.zone_holder.on_fleet_release(sender, release)
+        return self.member.on_release(sender, release)
+
+    def _check_pause(self) -> None:
+        now_ms = self.context.clock.now_ms()
+        gap_ms = now_ms - self._ticked_at_ms
+        if gap_ms > self.context.times.pause_ms:
+            log(PROCESS_PAUSED, gap_ms=gap_ms)
+            self.expire_all()
+
+    async def _tick(self) -> None:
+        while True:
+            self._check_pause()
+            self._ticked_at_ms = self.context.clock.now_ms()
+            self.stock.measure()
+            await self.context.clock.sleep_ms(self.context.times.tick_ms)
+
+    async def _report_failure(self, name: str, work) -> None:
+        try:
+            await work
+        except Exception as error:
+            log(TASK_FAILED, task=name, error=repr(error))
+            raise
--- /dev/null
+++ b/gentianthread/coordination/quota_cache.py
@@ -0,0 +1,112 @@
+"""Hold the tokens of one organisation that a zone holder passes on."""
+
+import math
+
+from ..clock import Clock
+from ..ids import NodeIdentity
+from ..protocol.messages_quota import DrawEntry
+from ..state.escrow import Holding, Ledger
+from .quota_context import QuotaTimes
+
+# Part of the tokens held ahead that stays at the zone holder for nodes that run out.
+ZONE_RESERVE = 0.5
+# Tokens with a smaller part of their validity left are not passed on.
+LEAST_VALIDITY_PART = 0.1
+
+
+class ZoneCache:
+    """Pass tokens of a fleet holder on to the nodes of an availability zone.
+
+    What the zone holder states as held is its own stock and all that its nodes can hold.
+    """
+
+    def __init__(self, clock: Clock, times: QuotaTimes):
+        """Create an empty cache.
+
+        Args:
+            clock: Clock of the leases.
+            times: Times and amounts.
+        """
+        self.clock = clock
+        self.times = times
+        self.giver: NodeIdentity | None = None
+        self.stock = Holding()
+        self.ledger: Ledger[NodeIdentity] = Ledger()
+        self.target = 0
+        self.unmet: dict[NodeIdentity, int] = {}
+        self._blocked_until_ms = 0.0
+
+    def follow(self, giver: NodeIdentity | None) -> None:
+        """Draw from another fleet holder once all tokens of the last one have run out."""
+        if giver == self.giver:
+            return
+        now_ms = self.clock.now_ms()
+        if self.held() > 0:
+            self._blocked_until_ms = max(
+                self._blocked_until_ms, self.stock.expires_at_ms, self.ledger.last_expiry_ms()
+            )
+        self.giver = giver
+        self.stock.amount = 0
+        self.stock.expires_at_ms = now_ms
+        self.target = 0
+
+    def is_open(self) -> bool:
+        """Return whether tokens of the present giver can be drawn and passed on."""
+        return self.giver is not None and self.clock.now_ms() >= self._blocked_until_ms
+
+    def held(self) -> int:
+        """Return the tokens that the zone can still spend."""
+        now_ms = self.clock.now_ms()
+        self.stock.expire(now_ms)
+        return self.stock.amount + self.ledger.outstanding(now_ms)
+
+    def wanted(self) -> int:
+        """Return the waiting requests that the stock cannot serve."""
+        return max(0, sum(self.unmet.values()) - self.stock.amount)
+
+    def validity_ms(self) -> float:
+        """Return how long tokens that are granted now can last."""
+        remaining_ms = self.stock.expires_at_ms - self.clock.now_ms()
+        return min(self.times.grant_ms, remaining_ms)
+
+    def return_excess(self) -> None:
+        """Give back stock above the target."""
+        excess = self.held() - self.target - sum(self.unmet.values())
+        if excess > 0:
+            self.stock.give_back(excess)
+
+    def settle(self, drawer: NodeIdentity, sequence: int, entry: DrawEntry) -> bool:
+        """Take a node's statement; returns whether its tokens may be renewed."""
+        now_ms = self.clock.now_ms()
+        self.stock.expire(now_ms)
+        credit = self.ledger.settle(drawer, sequence, entry.held, entry.returned, now_ms)
+        if credit is None or not self.is_open() or self._runs_out():
+            return False
+        self.stock.amount += credit
+        return True
+
+    def _runs_out(self) -> bool:
+        return self.validity_ms() < LEAST_VALIDITY_PART * self.times.grant_ms
+
+    def target_of(self, drawer: NodeIdentity) -> int:
+        """Return how many tokens a node should hold besides those for waiting requests."""
+        demand = self.ledger.records[drawer].demand_per_s
+        total = self.ledger.active_demand_per_s(self.clock.now_ms())
+        if demand <= 0 or total <= 0:
+            return 0
+        passed_on = self.target * (1 - ZONE_RESERVE) * demand / max(total, demand)
+        horizon = math.ceil(demand * self.times.prefetch_horizon_ms / 1000)
+        return min(horizon, round(passed_on))
+
+    def grant(self, drawer: NodeIdentity, entry: DrawEntry, target: int) -> int:
+        """Grant what brings a settled node up to its need, as far as the stock goes."""
+        need = max(entry.wanted, entry.wanted + target - entry.held)
+        amount = max(0, min(self.stock.amount, need))
+        self.stock.amount -= amount
+        self.ledger.grant(drawer, amount, self.clock.now_ms(), self.validity_ms())
+        return amount
+
+    def drop(self) -> int:
+        """Lose the stock and return how much it was; what nodes hold stays on record."""
+        lost, self.stock.amount = self.stock.amount, 0
+        return lost
--- /dev/null
+++ b/gentianthread/coordination/quota_context.py
@@ -0,0 +1,232 @@
+"""Share what the quota roles of one process need."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from ..clock import Clock
+from ..errors import PeerTimeout, PeerUnreachable
+from ..events import QUOTA_SUPERSEDED
+from ..ids import AvailabilityZoneId, NodeIdentity, OrganisationId, StartNumber, UpstreamId
+from ..logs import log
+from ..state.escrow import FractionHistory
+from ..state.members import Members, MemberState
+from ..state.plan import Organisation, Plan
+from ..state.rendezvous import choose
+from .peer_network import PeerNetwork
+
+
+@attrs.frozen
+class QuotaTimes:
+    """Set the times and amounts of the quota.
+
+    Attributes:
+        poll_ms: Time between the polls of a holder.
+        poll_timeout_ms: How long a holder waits for the answer to a poll.
+        delegation_ms: How long a delegation lasts; several polls may be lost in it.
+        grant_ms: How long granted tokens last without renewal.
+        draw_ms: Time between the regular draws of a node.
+        zone_draw_ms: Time between the regular draws of a zone holder.
+        spacing_ms: Least time between two draws of one organisation.
+        scarce_spacing_ms: The same while the last draw brought too little.
+        draw_timeout_ms: How long a drawer waits for an answer.
+        hold_ms: How long a zone holder holds a draw that it cannot serve.
+        hello_ms: Time between attempts to introduce a new process.
+        hello_patience_ms: When a silent peer counts as absent at a start.
+        tick_ms: Time between the checks for pauses.
+        pause_ms: Gap between ticks that counts as a pause.
+        prefetch_part: Largest part of the burst that is held ahead over all nodes.
+        prefetch_horizon_ms: Demand that a drawer holds ahead at most.
+    """
+
+    poll_ms: float = 1_000.0
+    poll_timeout_ms: float = 400.0
+    delegation_ms: float = 3_000.0
+    grant_ms: float = 1_000.0
+    draw_ms: float = 250.0
+    zone_draw_ms: float = 250.0
+    spacing_ms: float = 40.0
+    scarce_spacing_ms: float = 100.0
+    draw_timeout_ms: float = 150.0
+    hold_ms: float = 60.0
+    hello_ms: float = 250.0
+    hello_patience_ms: float = 3_000.0
+    tick_ms: float = 100.0
+    pause_ms: float = 500.0
+    prefetch_part: float = 0.08
+    prefetch_horizon_ms: float = 500.0
+
+    @property
+    def follow_ms(self) -> float:
+        """Return the silence after which a holder counts as lost."""
+        return 2.5 * self.poll_ms
+
+
+class QuotaContext:
+    """Hold the identity, the network, the plan and the known processes."""
+
+    def __init__(
+        self, network: PeerNetwork, members: Members, clock: Clock, times: QuotaTimes
+    ) -> None:
+        """Create a context.
+
+        Args:
+            network: Network end of the process.
+            members: View of the fleet.
+            clock: Clock of all leases.
+            times: Times and amounts.
+        """
+        self.network = network
+        self.local: NodeIdentity = network.local
+        self.members = members
+        self.clock = clock
+        self.times = times
+        self.history = FractionHistory()
+        self.plans: list[Plan] = []
+        self.superseded = False
+        # Rises with every loss of time-based permissions; answers to older requests are dropped.
+        self.epoch = 0
+        self._sequence = 0
+        self._heard: dict[tuple[str, NodeIdentity], int] = {}
+        self._starts: dict[UpstreamId, StartNumber] = {
+            self.local.upstream_id: self.local.start_number
+        }
+        self._handlers: dict[type, Callable[[NodeIdentity, Any], Any]] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def plan(self) -> Plan | None:
+        """Return the plan in force."""
+        return self.plans[-1] if self.plans else None
+
+    def accept_plan(self, plan: Plan) -> None:
+        """Obey a new plan; a lower fraction counts at once."""
+        if self.plans and plan.version <= self.plans[-1].version:
+            return
+        self.plans.append(plan)
+        self.history.accept(plan.version, plan.fractions.get(self.local.upstream_id, 0.0))
+        self._forget_plans()
+
+    def settle(self, version: int | None) -> None:
+        """Learn the newest plan version whose decreases are in force everywhere."""
+        self.history.settle(version)
+        self._forget_plans()
+
+    def organisation(self, organisation_id: OrganisationId) -> Organisation | None:
+        """Return an organisation of the plan in force."""
+        return self.plan.organisations.get(organisation_id) if self.plan else None
+
+    def zones(self) -> list[AvailabilityZoneId]:
+        """Return the zones of all plans that may be in force somewhere."""
+        return sorted(
+            {
+                upstream.availability_zone
+                for plan in self.plans
+                for upstream in plan.upstreams.values()
+            }
+        )
+
+    def planned(self, zone: AvailabilityZoneId) -> list[UpstreamId]:
+        """Return the upstreams of a zone in all plans that may be in force somewhere."""
+        return sorted(
+            {
+                upstream.upstream_id
+                for plan in self.plans
+                for upstream in plan.upstreams.values()
+                if upstream.availability_zone == zone
+            }
+        )
+
+    def reachable(self, zone: AvailabilityZoneId) -> list[UpstreamId]:
+        """Return the upstreams of a zone that the membership view reaches."""
+        names = set(self.members.reachable(zone))
+        if zone == self.local.availability_zone:
+            names.add(self.local.upstream_id)
+        return sorted(names)
+
+    def is_reachable(self, identity: NodeIdentity) -> bool:
+        """Return whether the membership view reaches a process."""
+        if identity == self.local:
+            return True
+        member = self.members.get(identity.upstream_id)
+        if member is None or self.knows_newer(identity):
+            return False
+        return member.state in (MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING)
+
+    def is_gone(self, upstream_id: UpstreamId) -> bool:
+        """Return whether the membership view holds an upstream's process for dead."""
+        member = self.members.get(upstream_id)
+        if upstream_id == self.local.upstream_id:
+            return False
+        return member is None or member.state is MemberState.FAILED
+
+    def note(self, upstream_id: UpstreamId, start_number: StartNumber) -> bool:
+        """Remember a process and return whether it is the newest known of its upstream."""
+        newest = max(self._starts.get(upstream_id, start_number), start_number)
+        self._starts[upstream_id] = newest
+        return start_number == newest
+
+    def knows_newer(self, identity: NodeIdentity) -> bool:
+        """Return whether a newer process of the same upstream is known."""
+        return self._starts.get(identity.upstream_id, 0) > identity.start_number
+
+    def mark_superseded(self) -> None:
+        """Learn that a newer process serves the local upstream."""
+        if not self.superseded:
+            self.superseded = True
+            log(QUOTA_SUPERSEDED, upstream_id=self.local.upstream_id)
+
+    def next_sequence(self) -> int:
+        """Return the next sequence number of polls and draws."""
+        self._sequence += 1
+        return self._sequence
+
+    @property
+    def sequence(self) -> int:
+        """Return the last sequence number that was given out."""
+        return self._sequence
+
+    def is_new(self, kind: str, sender: NodeIdentity, sequence: int) -> bool:
+        """Return whether a message is neither a duplicate nor overtaken; remembers it."""
+        if sequence <= self._heard.get((kind, sender), 0):
+            return False
+        self._heard[kind, sender] = sequence
+        return True
+
+    def better_placed(self, key: str, first: str, second: str) -> bool:
+        """Return whether the first of two candidates ranks higher for a key."""
+        return first != second and choose(key, [first, second]) == first
+
+    def subscribe(self, message_type: type, handler: Callable[[NodeIdentity, Any], Any]) -> None:
+        """Set the handler of a message type for peers and for the process itself."""
+        self._handlers[message_type] = handler
+        self.network.subscribe(message_type, handler)
+
+    async def ask(self, upstream_id: UpstreamId, message: Any, timeout_ms: float) -> Any:
+        """Send a request to a peer or to the process itself; None if no answer comes."""
+        try:
+            if upstream_id == self.local.upstream_id:
+                result = self._handlers[type(message)](self.local, message)
+                return await result if asyncio.iscoroutine(result) else result
+            return await self.network.request(upstream_id, message, timeout_ms)
+        except (PeerTimeout, PeerUnreachable):
+            return None
+
+    def spawn(self, work: Awaitable[None]) -> None:
+        """Run a task until it ends or the process stops."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Cancel all tasks."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _forget_plans(self) -> None:
+        settled = self.history.settled_version
+        if settled is not None and self.plans[-1:] and self.plans[-1].version >= settled:
+            self.plans = [plan for plan in self.plans if plan.version >= settled]
--- /dev/null
+++ b/gentianthread/coordination/quota_draws.py
@@ -0,0 +1,146 @@
+"""Send the draws of one drawer: regularly, and at once when tokens run out."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import defaultdict
+
+import attrs
+
+from ..ids import NodeIdentity, OrganisationId
+from ..protocol.messages_quota import Draw, DrawAnswer, DrawEntry, GrantEntry, Tier
+from ..state.escrow import user_expiry_ms
+from .quota_context import QuotaContext
+
+# A draw takes other organisations along whose last draw is older than this part of the period.
+COMPANION_AGE = 0.6
+# Keeps rounding of the clock from turning a wait into a busy loop.
+LEAST_WAIT_MS = 1.0
+
+
+class DrawSource(ABC):
+    """Hold the tokens that a `DrawLoop` draws."""
+
+    @abstractmethod
+    def organisations(self) -> list[OrganisationId]:
+        """Return the organisations that hold tokens or expect requests."""
+
+    @abstractmethod
+    def giver(self, organisation_id: OrganisationId) -> NodeIdentity | None:
+        """Return the holder to draw from, or None while there is none."""
+
+    @abstractmethod
+    def entry(self, organisation_id: OrganisationId) -> DrawEntry:
+        """Return what to state in a draw that is sent now."""
+
+    @abstractmethod
+    def receive(
+        self,
+        giver: NodeIdentity,
+        grant: GrantEntry,
+        expires_at_ms: float,
+    ) -> bool:
+        """Take granted tokens; returns whether they were too few."""
+
+
+@attrs.define
+class _Pace:
+    """Time the draws of one organisation."""
+
+    last_at_ms: float = float("-inf")
+    scarce: bool = False
+    in_flight: bool = False
+    urgent: bool = False
+
+
+class DrawLoop:
+    """Draw for one source, with at most one draw under way for each organisation.
+
+    The next draw states what is held and makes the holder forget the earlier one, so an answer
+    that is not used any more can only lose tokens.
+    """
+
+    def __init__(self, context: QuotaContext, tier: Tier, period_ms: float, source: DrawSource):
+        """Create a loop.
+
+        Args:
+            context: Shared parts of the process.
+            tier: Role of the givers.
+            period_ms: Time between regular draws.
+            source: What is drawn for.
+        """
+        self.context = context
+        self.tier = tier
+        self.period_ms = period_ms
+        self.source = source
+        self._paces: dict[OrganisationId, _Pace] = defaultdict(_Pace)
+        self._woken = asyncio.Event()
+
+    def wake(self, organisation_id: OrganisationId) -> None:
+        """Draw for an organisation as soon as the spacing allows."""
+        pace = self._paces[organisation_id]
+        if not pace.urgent:
+            pace.urgent = True
+            self._woken.set()
+
+    async def run(self) -> None:
+        """Send draws until the process stops."""
+        while True:
+            self._woken.clear()
+            wait_ms = max(LEAST_WAIT_MS, self._send_due())
+            try:
+                await asyncio.wait_for(self._woken.wait(), wait_ms / 1000)
+            except TimeoutError:
+                pass
+            await self.context.clock.sleep_ms(0)
+
+    def _send_due(self) -> float:
+        """Send every due draw and return the time until the next one, in ms."""
+        now_ms = self.context.clock.now_ms()
+        names = set(self.source.organisations())
+        names |= {name for name, pace in self._paces.items() if pace.urgent}
+        due: dict[NodeIdentity, list[OrganisationId]] = defaultdict(list)
+        companions: dict[NodeIdentity, list[OrganisationId]] = defaultdict(list)
+        wait_ms = self.period_ms
+        for name in sorted(names):
+            pace = self._paces[name]
+            giver = self.source.giver(name)
+            if pace.in_flight or giver is None:
+                continue
+            left_ms = pace.last_at_ms + self._interval_ms(pace) - now_ms
+            if left_ms <= 0.01:
+                due[giver].append(name)
+                continue
+            wait_ms = min(wait_ms, left_ms)
+            if now_ms - pace.last_at_ms >= COMPANION_AGE * self.period_ms:
+                companions[giver].append(name)
+        for giver, organisations in due.items():
+            self.context.spawn(self._draw(giver, organisations + companions[giver]))
+        return wait_ms
+
+    def _interval_ms(self, pace: _Pace) -> float:
+        times = self.context.times
+        if not pace.urgent:
+            return self.period_ms
+        return times.scarce_spacing_ms if pace.scarce else times.spacing_ms
+
+    async def _draw(self, giver: NodeIdentity, organisations: list[OrganisationId]) -> None:
+        context = self.context
+        sent_at_ms = context.clock.now_ms()
+        epoch = context.epoch
+        for name in organisations:
+            pace = self._paces[name]
+            pace.in_flight, pace.urgent, pace.last_at_ms = True, False, sent_at_ms
+        entries = tuple(self.source.entry(name) for name in organisations)
+        draw = Draw(self.tier, context.next_sequence(), entries)
+        answer = await context.ask(giver.upstream_id, draw, context.times.draw_timeout_ms)
+        for name in organisations:
+            self._paces[name].in_flight = False
+        if isinstance(answer, DrawAnswer) and epoch == context.epoch:
+            expires_at_ms = user_expiry_ms(sent_at_ms, answer.validity_ms)
+            grants = {grant.organisation_id: grant for grant in answer.entries}
+            for name in organisations:
+                if name in grants:
+                    scarce = self.source.receive(giver, grants[name], expires_at_ms)
+                    self._paces[name].scarce = scarce
+                    self._paces[name].urgent |= scarce
+        self._woken.set()
--- /dev/null
+++ b/gentianthread/coordination/quota_fleet_holder.py
@@ -0,0 +1,308 @@
+"""Hold the buckets of organisations for the whole reachable fleet."""
+
+import asyncio
+import math
+
+import attrs
+
+from ..events import DELEGATION_LAPSED, HOLDER_CHANGED, QUOTA_VERSION_SETTLED
+from ..ids import AvailabilityZoneId, NodeIdentity, OrganisationId, UpstreamId
+from ..logs import log
+from ..protocol.messages_quota import (
+    Done,
+    Draw,
+    DrawAnswer,
+    DrawEntry,
+    FleetAnswer,
+    FleetPoll,
+    GrantEntry,
+    Release,
+    Tier,
+    Withdraw,
+)
+from ..state.escrow import Pool, giver_expiry_ms, user_expiry_ms
+from ..state.members import MemberState
+from ..state.rendezvous import choose
+from .quota_context import QuotaContext
+from .quota_zone_holder import ZoneHolder
+
+
+@attrs.define
+class _Zone:
+    """Remember what a zone holder answered last.
+
+    Attributes:
+        holder: The holder, or None where it is unknown.
+        heard_at_ms: When its last answer came.
+        confirmed: Plan versions that the zone obeys.
+    """
+
+    holder: UpstreamId | None = None
+    heard_at_ms: float = float("-inf")
+    confirmed: tuple[int, ...] = ()
+
+
+class FleetHolder:
+    """Poll zone holders and run one pool for each organisation that this process leads.
+
+    The process that holds a zone is fleet holder of the organisations that rank the zone first
+    among the reachable ones.
+    """
+
+    def __init__(self, context: QuotaContext, zone_holder: ZoneHolder):
+        """Create a holder that leads no organisation.
+
+        Args:
+            context: Shared parts of the process.
+            zone_holder: The zone holder role of the process.
+        """
+        self.context = context
+        self.zone_holder = zone_holder
+        self.pools: dict[OrganisationId, Pool[NodeIdentity]] = {}
+        self.led: set[OrganisationId] = set()
+        self._zones: dict[AvailabilityZoneId, _Zone] = {}
+        self._released: dict[OrganisationId, int] = {}
+        self._withdrawn: dict[NodeIdentity, int] = {}
+        self._expired_sequence = 0
+        self._settles_at_ms: dict[int, float] = {}
+
+    # Role
+
+    async def run(self) -> None:
+        """Poll the zones for the organisations that this process leads."""
+        context = self.context
+        while True:
+            self._update_led()
+            if self.led:
+                context.spawn(self._poll_fleet(tuple(sorted(self.led))))
+                await context.clock.sleep_ms(context.times.poll_ms)
+            else:
+                await context.clock.sleep_ms(context.times.poll_ms / 4)
+
+    def _update_led(self) -> None:
+        context = self.context
+        if not self.zone_holder.active:
+            self.step_down(sorted(self.led))
+            return
+        reachable = [zone for zone in context.zones() if context.reachable(zone)]
+        organisations = context.plan.organisations if context.plan else {}
+        for name in sorted(set(organisations) - self.led):
+            best = choose(f"organisation {name}", reachable)
+            first = best == context.local.availability_zone
+            if first and not self.zone_holder.hears_fleet_holder(name):
+                self.led.add(name)
+                log(HOLDER_CHANGED, role=f"{name} fleet", upstream_id=context.local.upstream_id)
+        self.step_down(sorted(self.led - set(organisations)))
+
+    def step_down(self, organisations: list[OrganisationId]) -> None:
+        """Give up the pools of organisations and free their shares early."""
+        concerned = [name for name in organisations if name in self.led]
+        if not concerned:
+            return
+        sequence = self.context.sequence
+        delegators: set[UpstreamId] = set()
+        for name in concerned:
+            self.led.discard(name)
+            self._released[name] = sequence
+            if name in self.pools:
+                delegators |= {key.upstream_id for key in self.pools[name].shares.delegators()}
+                self.pools[name].drop_shares()
+        release = Release(Tier.FLEET, sequence, tuple(concerned))
+        for upstream_id in sorted(delegators):
+            self.context.spawn(self._release(upstream_id, release))
+
+    async def _release(self, upstream_id: UpstreamId, release: Release) -> None:
+        await self.context.ask(upstream_id, release, self.context.times.poll_timeout_ms)
+
+    def on_withdraw(self, sender: NodeIdentity, withdraw: Withdraw) -> Done:
+        """Stop using the shares of a zone holder."""
+        self._withdrawn[sender] = self.context.sequence
+        for pool in self.pools.values():
+            pool.drop_share(sender)
+        return Done()
+
+    def accept_plan(self) -> None:
+        """Apply changed rates and bursts at once."""
+        for name, pool in self.pools.items():
+            organisation = self.context.organisation(name)
+            rate, burst = (organisation.rate_per_s, organisation.burst) if organisation else (0, 0)
+            pool.set_plan(rate, burst)
+
+    def expire_all(self) -> int:
+        """Drop levels and delegations after a pause; returns their number."""
+        self._expired_sequence = self.context.sequence
+        dropped = sum(len(pool.shares) for pool in self.pools.values())
+        for pool in self.pools.values():
+            pool.drop_shares()
+        return dropped
+
+    # Polls
+
+    async def _poll_fleet(self, organisations: tuple[OrganisationId, ...]) -> None:
+        zones = [zone for zone in self.context.zones() if self.context.reachable(zone)]
+        await asyncio.gather(*[self._poll_zone(zone, organisations) for zone in zones])
+        for pool in self.pools.values():
+            for holder in pool.refresh():
+                log(DELEGATION_LAPSED, upstream_id=holder.upstream_id)
+            pool.ledger.forget_old(self.context.clock.now_ms())
+        self._settle()
+
+    async def _poll_zone(
+        self, zone: AvailabilityZoneId, organisations: tuple[OrganisationId, ...]
+    ) -> None:
+        context = self.context
+        target = self._zone_holder_of(zone)
+        # A process that is no holder names the one that it follows.
+        for _ in range(2):
+            if target is None:
+                return
+            poll = FleetPoll(
+                context.next_sequence(), organisations, context.history.settled_version
+            )
+            sent_at_ms = context.clock.now_ms()
+            answer = await context.ask(target, poll, context.times.poll_timeout_ms)
+            state = self._zones.setdefault(zone, _Zone())
+            if not isinstance(answer, FleetAnswer):
+                state.holder = None
+                return
+            context.settle(answer.settled_version)
+            if answer.holder is None:
+                identity = NodeIdentity(target, zone, answer.start_number)
+                self._take_answer(identity, poll, sent_at_ms, answer, state)
+                return
+            target = state.holder = answer.holder
+
+    def _zone_holder_of(self, zone: AvailabilityZoneId) -> UpstreamId | None:
+        if zone == self.context.local.availability_zone:
+            return self.context.local.upstream_id
+        reachable = self.context.reachable(zone)
+        known = self._zones.get(zone, _Zone()).holder
+        return known if known in reachable else choose(f"zone {zone}", reachable)
+
+    def _take_answer(
+        self,
+        zone_holder: NodeIdentity,
+        poll: FleetPoll,
+        sent_at_ms: float,
+        answer: FleetAnswer,
+        state: _Zone,
+    ) -> None:
+        context = self.context
+        if not context.note(zone_holder.upstream_id, zone_holder.start_number):
+            return
+        state.holder = zone_holder.upstream_id
+        state.heard_at_ms = context.clock.now_ms()
+        state.confirmed = answer.confirmed
+        dropped = max(self._withdrawn.get(zone_holder, 0), self._expired_sequence)
+        if poll.sequence <= dropped:
+            return
+        expires_at_ms = user_expiry_ms(sent_at_ms, answer.duration_ms)
+        for name in poll.organisations:
+            if name not in self.led or poll.sequence <= self._released.get(name, 0):
+                continue
+            if name in answer.delegating:
+                self._pool(name).set_share(zone_holder, answer.fraction, expires_at_ms)
+            else:
+                self._pool(name).drop_share(zone_holder)
+
+    def _pool(self, name: OrganisationId) -> Pool[NodeIdentity]:
+        if name not in self.pools:
+            organisation = self.context.organisation(name)
+            rate, burst = (organisation.rate_per_s, organisation.burst) if organisation else (0, 0)
+            self.pools[name] = Pool(self.context.clock, rate, burst)
+        return self.pools[name]
+
+    # Plan versions
+
+    def _settle(self) -> None:
+        """Find the plan versions that every fraction obeys and whose predecessors have ended."""
+        context = self.context
+        now_ms = context.clock.now_ms()
+        common = self._confirmed_everywhere(now_ms)
+        for version in sorted(common):
+            if context.history.settled_version is None:
+                # Nothing was in force before: every process still waits out its predecessor.
+                self._settles_at_ms[version] = now_ms
+            self._settles_at_ms.setdefault(version, now_ms + self._settling_ms())
+        settled = [version for version, at_ms in self._settles_at_ms.items() if at_ms <= now_ms]
+        if settled and max(settled) > (context.history.settled_version or -1):
+            log(QUOTA_VERSION_SETTLED, version=max(settled))
+            context.settle(max(settled))
+        for version in list(self._settles_at_ms):
+            if version <= (context.history.settled_version or -1):
+                del self._settles_at_ms[version]
+
+    def _settling_ms(self) -> float:
+        times = self.context.times
+        return giver_expiry_ms(giver_expiry_ms(0, times.delegation_ms), times.grant_ms)
+
+    def _confirmed_everywhere(self, now_ms: float) -> set[int]:
+        context = self.context
+        common: set[int] | None = None
+        for zone in context.zones():
+            state = self._zones.get(zone, _Zone())
+            if now_ms - state.heard_at_ms < context.times.delegation_ms:
+                confirmed = set(state.confirmed)
+                common = confirmed if common is None else common & confirmed
+            elif not self._counts_as_absent(zone):
+                return set()
+        return common or set()
+
+    def _counts_as_absent(self, zone: AvailabilityZoneId) -> bool:
+        """Return whether a silent zone cannot be using its fractions.
+
+        A zone that is merely unreachable goes on under the older version, so an increase waits for
+        it. Only where no version is known to be settled, after a start of the whole reachable side,
+        would that wait leave the side without any quota.
+        """
+        context = self.context
+        planned = context.planned(zone)
+        if all(context.is_gone(name) for name in planned):
+            return True
+        states = [context.members.get(name) for name in planned]
+        return context.history.settled_version is None and all(
+            member is None or member.state in (MemberState.FAILED, MemberState.UNREACHABLE)
+            for member in states
+        )
+
+    # Tokens for zone holders
+
+    def on_draw(self, sender: NodeIdentity, draw: Draw) -> DrawAnswer | None:
+        """Grant tokens to a zone holder."""
+        grants = []
+        for entry in draw.entries:
+            name = entry.organisation_id
+            if name not in self.led or name not in self.pools:
+                continue
+            pool = self.pools[name]
+            record = pool.ledger.admit(sender, draw.sequence)
+            if record is None:
+                return None
+            record.demand_per_s = float(max(0, entry.demand_per_s))
+            if not pool.settle(sender, draw.sequence, entry.held, entry.returned):
+                continue
+            if pool.overdrawn():
+                # What drawers hold beyond the shares must run out before the lapsed ones restart.
+                continue
+            grants.append(self._grant(sender, pool, entry))
+        return DrawAnswer(draw.sequence, self.context.times.grant_ms, tuple(grants))
+
+    def _grant(
+        self, sender: NodeIdentity, pool: Pool[NodeIdentity], entry: DrawEntry
+    ) -> GrantEntry:
+        target = self._target_of(sender, pool)
+        need = max(entry.wanted, entry.wanted + target - entry.held)
+        amount = pool.grant(sender, need, self.context.times.grant_ms)
+        return GrantEntry(entry.organisation_id, amount, target)
+
+    def _target_of(self, sender: NodeIdentity, pool: Pool[NodeIdentity]) -> int:
+        """Return how many tokens a zone should hold: many while the bucket is nearly full."""
+        times = self.context.times
+        demand = pool.ledger.records[sender].demand_per_s
+        total = pool.ledger.active_demand_per_s(self.context.clock.now_ms())
+        if demand <= 0 or pool.bucket.cap <= 0:
+            return 0
+        fill = pool.bucket.level / pool.bucket.cap
+        budget = times.prefetch_part * pool.bucket.cap * fill * fill
+        horizon = demand * times.prefetch_horizon_ms / 1000
+        return math.ceil(min(horizon, budget * demand / max(total, demand)) - 0.5)
--- /dev/null
+++ b/gentianthread/coordination/quota_stock.py
@@ -0,0 +1,187 @@
+"""Hold the tokens of a node and the requests that wait for them."""
+
+import asyncio
+import math
+from collections import deque
+
+from ..errors import RateExceeded
+from ..ids import NodeIdentity, OrganisationId
+from ..protocol.messages_quota import DrawEntry, GrantEntry
+from ..state.escrow import Holding
+from .quota_context import QuotaContext
+from .quota_draws import DrawLoop, DrawSource
+from .quota_member import QuotaMember
+
+# Time constants of the demand estimate: quick to follow a rise, slow to forget.
+DEMAND_RISE_MS = 500.0
+DEMAND_FALL_MS = 4_000.0
+# Smaller demands count as none.
+LEAST_DEMAND_PER_S = 0.05
+# A node asks early when it holds less than this part of its target.
+LOW_PART = 0.4
+
+
+class OrganisationStock:
+    """Hold the tokens, waiting requests and demand of one organisation at a node."""
+
+    def __init__(self, now_ms: float):
+        """Create an empty stock.
+
+        Args:
+            now_ms: The present time.
+        """
+        self.holdings: dict[NodeIdentity, Holding] = {}
+        self.waiting: deque[asyncio.Future] = deque()
+        self.target = 0
+        self.demand_per_s = 0.0
+        self._arrived = 0
+        self._measured_at_ms = now_ms
+
+    def amount(self, now_ms: float) -> int:
+        """Return the unspent tokens of all givers."""
+        for holding in self.holdings.values():
+            holding.expire(now_ms)
+        return sum(holding.amount for holding in self.holdings.values())
+
+    def spend(self, now_ms: float) -> bool:
+        """Spend one token, of the giver whose tokens expire first."""
+        live = [holding for holding in self.holdings.values() if holding.amount]
+        if len(live) > 1:
+            live.sort(key=lambda holding: holding.expires_at_ms)
+        return any(holding.spend(now_ms) for holding in live)
+
+    def count_arrival(self) -> None:
+        """Count one request for the demand estimate."""
+        self._arrived += 1
+
+    def measure(self, now_ms: float) -> None:
+        """Update the demand estimate."""
+        elapsed_ms = now_ms - self._measured_at_ms
+        if elapsed_ms <= 0:
+            return
+        rate_per_s = self._arrived / elapsed_ms * 1000
+        span_ms = DEMAND_RISE_MS if rate_per_s > self.demand_per_s else DEMAND_FALL_MS
+        weight = 1 - math.exp(-elapsed_ms / span_ms)
+        self.demand_per_s += weight * (rate_per_s - self.demand_per_s)
+        if self.demand_per_s < LEAST_DEMAND_PER_S:
+            self.demand_per_s = 0.0
+        self._arrived = 0
+        self._measured_at_ms = now_ms
+
+
+class NodeStock(DrawSource):
+    """Serve the requests of a node from the tokens that it draws."""
+
+    def __init__(self, context: QuotaContext, member: QuotaMember):
+        """Create an empty stock.
+
+        Args:
+            context: Shared parts of the process.
+            member: Tells the zone holder.
+        """
+        self.context = context
+        self.member = member
+        self.loop: DrawLoop | None = None
+        self._stocks: dict[OrganisationId, OrganisationStock] = {}
+
+    async def take(self, organisation_id: OrganisationId, max_wait_ms: float) -> None:
+        """Spend one token, waiting for it if need be.
+
+        Raises:
+            RateExceeded: No token came in time.
+        """
+        stock = self._stock(organisation_id)
+        stock.count_arrival()
+        if not stock.waiting and stock.spend(self.context.clock.now_ms()):
+            if stock.target and stock.amount(self.context.clock.now_ms()) < LOW_PART * stock.target:
+                self.loop.wake(organisation_id)
+            return
+        served = asyncio.get_running_loop().create_future()
+        stock.waiting.append(served)
+        self.loop.wake(organisation_id)
+        try:
+            await asyncio.wait_for(served, max_wait_ms / 1000)
+        except TimeoutError:
+            raise RateExceeded(self._retry_after_ms(organisation_id)) from None
+        finally:
+            if served in stock.waiting:
+                stock.waiting.remove(served)
+
+    def amount(self, organisation_id: OrganisationId) -> int:
+        """Return the unspent tokens of an organisation."""
+        return self._stock(organisation_id).amount(self.context.clock.now_ms())
+
+    def measure(self) -> None:
+        """Update demand estimates; called on every tick."""
+        now_ms = self.context.clock.now_ms()
+        for stock in self._stocks.values():
+            stock.measure(now_ms)
+            for giver, holding in list(stock.holdings.items()):
+                if giver != self.member.follows and now_ms >= holding.expires_at_ms:
+                    del stock.holdings[giver]
+
+    def drop(self) -> int:
+        """Lose all tokens and return how many there were."""
+        lost = 0
+        for stock in self._stocks.values():
+            lost += sum(holding.amount for holding in stock.holdings.values())
+            for holding in stock.holdings.values():
+                holding.amount = 0
+        return lost
+
+    def organisations(self) -> list[OrganisationId]:
+        """Return the organisations that hold tokens or expect requests."""
+        now_ms = self.context.clock.now_ms()
+        return [
+            name
+            for name, stock in self._stocks.items()
+            if stock.waiting or stock.demand_per_s > 0 or stock.amount(now_ms) > 0
+        ]
+
+    def giver(self, organisation_id: OrganisationId) -> NodeIdentity | None:
+        """Return the zone holder."""
+        return self.member.giver()
+
+    def entry(self, organisation_id: OrganisationId) -> DrawEntry:
+        """Return tokens that are above the target and state the rest."""
+        stock = self._stock(organisation_id)
+        giver = self.member.follows
+        holding = stock.holdings.setdefault(giver, Holding())
+        holding.expire(self.context.clock.now_ms())
+        holding.give_back(holding.amount - stock.target)
+        return DrawEntry(
+            organisation_id=organisation_id,
+            held=holding.amount,
+            wanted=sum(not served.done() for served in stock.waiting),
+            demand_per_s=math.ceil(stock.demand_per_s),
+            returned=holding.returned,
+        )
+
+    def receive(self, giver: NodeIdentity, grant: GrantEntry, expires_at_ms: float) -> bool:
+        """Take granted tokens and serve waiting requests."""
+        stock = self._stock(grant.organisation_id)
+        now_ms = self.context.clock.now_ms()
+        stock.target = grant.target
+        stock.holdings.setdefault(giver, Holding()).receive(grant.granted, expires_at_ms, now_ms)
+        while stock.waiting and stock.waiting[0].done():
+            stock.waiting.popleft()
+        while stock.waiting and stock.spend(now_ms):
+            served = stock.waiting.popleft()
+            served.set_result(None)
+            while stock.waiting and stock.waiting[0].done():
+                stock.waiting.popleft()
+        return bool(stock.waiting)
+
+    def _stock(self, organisation_id: OrganisationId) -> OrganisationStock:
+        stock = self._stocks.get(organisation_id)
+        if stock is None:
+            stock = OrganisationStock(self.context.clock.now_ms())
+            self._stocks[organisation_id] = stock
+        return stock
+
+    def _retry_after_ms(self, organisation_id: OrganisationId) -> float:
+        organisation = self.context.organisation(organisation_id)
+        if organisation is None or organisation.rate_per_s <= 0:
+            return 1000.0
+        waiting = len(self._stock(organisation_id).waiting)
+        return 1000.0 * (1 + waiting) / organisation.rate_per_s
--- /dev/null
+++ b/gentianthread/coordination/quota_zone_holder.py
@@ -0,0 +1,401 @@
+"""Collect the fractions of an availability zone and pass tokens on to its nodes."""
+
+import asyncio
+
+from ..events import DELEGATION_LAPSED, HOLDER_CHANGED
+from ..ids import NodeIdentity, OrganisationId, UpstreamId
+from ..logs import log
+from ..protocol.messages_quota import (
+    Done,
+    Draw,
+    DrawAnswer,
+    DrawEntry,
+    FleetAnswer,
+    FleetPoll,
+    GrantEntry,
+    Poll,
+    PollAnswer,
+    Release,
+    Tier,
+    Withdraw,
+)
+from ..state.escrow import Promise, Shares, user_expiry_ms
+from ..state.rendezvous import choose
+from .quota_cache import ZoneCache
+from .quota_context import QuotaContext
+from .quota_draws import DrawLoop, DrawSource
+from .quota_member import QuotaMember
+
+# Shares with a smaller part of their time left are left out of the zone's delegation, which would
+# end with them.
+LEAST_SHARE_PART = 0.4
+# The zone holder asks early when it holds less than this part of its target.
+LOW_PART = 0.4
+
+
+class ZoneHolder(DrawSource):
+    """Poll the members of the zone, delegate their sum and hold a cache for each organisation."""
+
+    def __init__(self, context: QuotaContext, member: QuotaMember):
+        """Create an inactive holder.
+
+        Args:
+            context: Shared parts of the process.
+            member: The member role of the process.
+        """
+        self.context = context
+        self.member = member
+        self.active = False
+        self.leaving = False
+        self.shares: Shares[UpstreamId] = Shares()
+        self.caches: dict[OrganisationId, ZoneCache] = {}
+        self.promises: dict[OrganisationId, Promise[NodeIdentity]] = {}
+        self.follows: dict[OrganisationId, NodeIdentity] = {}
+        self.loop: DrawLoop | None = None
+        self._polled_at_ms: dict[OrganisationId, float] = {}
+        self._obeyed: dict[UpstreamId, tuple[float, tuple[int, ...]]] = {}
+        self._released_sequence = 0
+        self._witness_at_ms = float("-inf")
+        self._supplied = asyncio.Event()
+
+    # Role
+
+    async def run(self) -> None:
+        """Poll the zone while this process is its holder."""
+        while True:
+            if not self.active and self._should_lead():
+                self.active = True
+                log(HOLDER_CHANGED, role="zone", upstream_id=self.context.local.upstream_id)
+            if self.active:
+                self.context.spawn(self._poll_zone())
+                await self.context.clock.sleep_ms(self.context.times.poll_ms)
+            else:
+                await self.context.clock.sleep_ms(self.context.times.poll_ms / 4)
+
+    def _should_lead(self) -> bool:
+        context = self.context
+        if self.leaving or context.superseded or context.plan is None:
+            return False
+        zone = context.local.availability_zone
+        best = choose(f"zone {zone}", context.reachable(zone))
+        return best == context.local.upstream_id and not self.member.hears_holder()
+
+    def deactivate(self) -> None:
+        """Stop being holder at once; what was granted and promised stays on record."""
+        if not self.active:
+            return
+        self.active = False
+        self._released_sequence = self.context.sequence
+        self.shares.clear()
+        for cache in self.caches.values():
+            cache.drop()
+            cache.follow(None)
+        self.follows.clear()
+        if self.member.follows == self.context.local:
+            self.member.follows = None
+
+    async def hand_over(self) -> None:
+        """Stop being holder and free the fractions for the next one as early as is safe."""
+        if not self.active:
+            return
+        promises = {
+            (promise.holder, name)
+            for name, promise in self.promises.items()
+            if promise.holder is not None
+        }
+        members = self.shares.delegators()
+        self.deactivate()
+        sequence = self._released_sequence
+        holders = sorted({holder for holder, _ in promises})
+        done = await asyncio.gather(*[self._withdraw(holder) for holder in holders])
+        if all(done):
+            release = Release(Tier.ZONE, sequence, ())
+            timeout_ms = self.context.times.poll_timeout_ms
+            await asyncio.gather(
+                *[self.context.ask(member, release, timeout_ms) for member in members]
+            )
+
+    async def _withdraw(self, holder: NodeIdentity) -> bool:
+        timeout_ms = self.context.times.poll_timeout_ms
+        answer = await self.context.ask(holder.upstream_id, Withdraw(), timeout_ms)
+        if not isinstance(answer, Done):
+            return False
+        times, now_ms = self.context.times, self.context.clock.now_ms()
+        for promise in self.promises.values():
+            promise.shorten(holder, promise.sequence, now_ms, times.grant_ms)
+        return True
+
+    def expire_all(self) -> tuple[int, int]:
+        """Drop tokens and delegations after a pause; returns their numbers."""
+        dropped = len(self.shares)
+        self.shares.clear()
+        self._released_sequence = self.context.sequence
+        self._witness_at_ms = float("-inf")
+        return sum(cache.drop() for cache in self.caches.values()), dropped
+
+    # Members
+
+    async def _poll_zone(self) -> None:
+        context = self.context
+        zone = context.local.availability_zone
+        reachable = set(context.reachable(zone))
+        polled = [name for name in context.planned(zone) if name in reachable]
+        await asyncio.gather(*[self._poll(name) for name in polled])
+        for upstream_id in self.shares.remove_lapsed(context.clock.now_ms()):
+            log(DELEGATION_LAPSED, upstream_id=upstream_id)
+
+    async def _poll(self, upstream_id: UpstreamId) -> None:
+        context = self.context
+        poll = Poll(context.next_sequence(), context.history.settled_version)
+        sent_at_ms = context.clock.now_ms()
+        answer = await context.ask(upstream_id, poll, context.times.poll_timeout_ms)
+        if not isinstance(answer, PollAnswer) or not self.active:
+            return
+        if poll.sequence <= self._released_sequence:
+            return
+        if not context.note(upstream_id, answer.start_number):
+            return
+        if answer.superseded:
+            context.mark_superseded()
+            self.deactivate()
+            return
+        self._take_answer(upstream_id, sent_at_ms, answer)
+
+    def _take_answer(self, upstream_id: UpstreamId, sent_at_ms: float, answer: PollAnswer) -> None:
+        context = self.context
+        context.settle(answer.settled_version)
+        if answer.started and upstream_id != context.local.upstream_id:
+            self._witness_at_ms = max(self._witness_at_ms, sent_at_ms)
+        self._obeyed[upstream_id] = (context.clock.now_ms(), answer.versions)
+        if answer.declined:
+            self.shares.drop(upstream_id)
+            return
+        expires_at_ms = user_expiry_ms(sent_at_ms, answer.duration_ms)
+        if upstream_id == context.local.upstream_id:
+            expires_at_ms = min(expires_at_ms, self._witnessed_until_ms())
+        self.shares.set(upstream_id, answer.fraction, expires_at_ms)
+
+    def _witnessed_until_ms(self) -> float:
+        """Return until when the own fraction can be used.
+
+        A replaced process that is still awake must notice: its fraction counts only while a peer of
+        the zone answers that does not know a newer process.
+        """
+        context = self.context
+        if len(context.planned(context.local.availability_zone)) <= 1:
+            return float("inf")
+        return user_expiry_ms(self._witness_at_ms, context.times.delegation_ms)
+
+    # Fleet holders
+
+    def on_fleet_poll(self, sender: NodeIdentity, poll: FleetPoll) -> FleetAnswer | None:
+        """Delegate the sum of the shares for the sender's organisations."""
+        context = self.context
+        if not context.is_new("fleet poll", sender, poll.sequence):
+            return None
+        newest = context.note(sender.upstream_id, sender.start_number)
+        context.settle(poll.settled_version)
+        if not self.active or not newest:
+            follows = self.member.follows
+            holder = follows.upstream_id if follows and not self.active else None
+            return self._fleet_answer((), (), 0.0, 0.0, holder)
+        now_ms = context.clock.now_ms()
+        self.shares.remove_lapsed(now_ms)
+        lasting = self.shares.lasting(now_ms + LEAST_SHARE_PART * context.times.delegation_ms)
+        fraction = sum(share.fraction for share in lasting)
+        duration_ms = min((share.expires_at_ms - now_ms for share in lasting), default=0.0)
+        following = tuple(name for name in poll.organisations if self._accepts(sender, name))
+        delegating = []
+        for name in following:
+            self._follow(sender, name, now_ms)
+            promise = self.promises.setdefault(name, Promise())
+            if lasting and promise.allows(sender, now_ms):
+                promise.extend(sender, poll.sequence, now_ms, duration_ms, context.times.grant_ms)
+                delegating.append(name)
+        return self._fleet_answer(tuple(delegating), following, fraction, duration_ms, None)
+
+    def _fleet_answer(self, delegating, following, fraction, duration_ms, holder) -> FleetAnswer:
+        context = self.context
+        return FleetAnswer(
+            delegating=delegating,
+            following=following,
+            fraction=fraction,
+            duration_ms=duration_ms,
+            confirmed=self._confirmed() if self.active else (),
+            settled_version=context.history.settled_version,
+            holder=holder,
+            start_number=context.local.start_number,
+        )
+
+    def _confirmed(self) -> tuple[int, ...]:
+        """Return the plan versions that all fractions of the zone obey."""
+        context = self.context
+        fresh_from_ms = context.clock.now_ms() - context.times.delegation_ms
+        common: set[int] | None = None
+        for name in context.planned(context.local.availability_zone):
+            heard_at_ms, versions = self._obeyed.get(name, (float("-inf"), ()))
+            if heard_at_ms < fresh_from_ms:
+                if context.is_gone(name) and name not in self.shares:
+                    continue
+                return ()
+            common = set(versions) if common is None else common & set(versions)
+        return tuple(sorted(common or ()))
+
+    def hears_fleet_holder(self, organisation_id: OrganisationId) -> bool:
+        """Return whether another process is fleet holder, as far as this one can tell."""
+        holder = self.follows.get(organisation_id)
+        polled_at_ms = self._polled_at_ms.get(organisation_id, float("-inf"))
+        silence_ms = self.context.clock.now_ms() - polled_at_ms
+        return (
+            holder not in (None, self.context.local)
+            and silence_ms < self.context.times.follow_ms
+            and self.context.is_reachable(holder)
+        )
+
+    def _accepts(self, sender: NodeIdentity, name: OrganisationId) -> bool:
+        follows = self.follows.get(name)
+        leads = follows == self.context.local
+        if sender == follows or not (leads or self.hears_fleet_holder(name)):
+            return True
+        if follows.upstream_id == sender.upstream_id:
+            return True
+        zone, other_zone = sender.availability_zone, follows.availability_zone
+        if zone == other_zone:
+            return self.context.better_placed(
+                f"zone {zone}", sender.upstream_id, follows.upstream_id
+            )
+        return self.context.better_placed(f"organisation {name}", zone, other_zone)
+
+    def _follow(self, sender: NodeIdentity, name: OrganisationId, now_ms: float) -> None:
+        self.follows[name] = sender
+        self._polled_at_ms[name] = now_ms
+        self.cache(name).follow(sender)
+
+    def on_fleet_release(self, sender: NodeIdentity, release: Release) -> Done:
+        """Let the shares go to another fleet holder soon."""
+        context = self.context
+        context.is_new("fleet poll", sender, release.sequence)
+        for name in release.organisations:
+            if name in self.promises:
+                self.promises[name].shorten(
+                    sender, release.sequence, context.clock.now_ms(), context.times.grant_ms
+                )
+            if self.follows.get(name) == sender:
+                self.follows.pop(name)
+        return Done()
+
+    # Tokens for nodes
+
+    def cache(self, name: OrganisationId) -> ZoneCache:
+        """Return the cache of an organisation."""
+        if name not in self.caches:
+            self.caches[name] = ZoneCache(self.context.clock, self.context.times)
+        return self.caches[name]
+
+    async def on_draw(self, sender: NodeIdentity, draw: Draw) -> DrawAnswer | None:
+        """Grant tokens to a node, holding its draw for a moment while nothing is in stock."""
+        admitted = []
+        for entry in draw.entries:
+            cache = self.cache(entry.organisation_id)
+            record = cache.ledger.admit(sender, draw.sequence)
+            if record is None:
+                return None
+            record.demand_per_s = float(max(0, entry.demand_per_s))
+            admitted.append((entry, cache))
+        if not self.active:
+            return None
+        await self._await_supply(sender, admitted)
+        if not self.active:
+            return None
+        grants = [
+            grant
+            for entry, cache in admitted
+            if (grant := self._grant(sender, draw.sequence, entry, cache)) is not None
+        ]
+        validity_ms = min((validity for _, validity in grants), default=0.0)
+        return DrawAnswer(draw.sequence, validity_ms, tuple(grant for grant, _ in grants))
+
+    async def _await_supply(
+        self, sender: NodeIdentity, admitted: list[tuple[DrawEntry, ZoneCache]]
+    ) -> None:
+        short = [
+            (entry, cache) for entry, cache in admitted if entry.wanted > self._ready(entry, cache)
+        ]
+        if not short:
+            return
+        for entry, cache in short:
+            cache.unmet[sender] = entry.wanted
+            self.loop.wake(entry.organisation_id)
+        deadline_ms = self.context.clock.now_ms() + self.context.times.hold_ms
+        while not any(entry.wanted <= self._ready(entry, cache) for entry, cache in short):
+            left_ms = deadline_ms - self.context.clock.now_ms()
+            if left_ms <= 0:
+                break
+            try:
+                await asyncio.wait_for(self._supplied.wait(), left_ms / 1000)
+            except TimeoutError:
+                break
+            if any(cache.stock.amount > 0 for _, cache in short):
+                break
+        for _, cache in short:
+            cache.unmet.pop(sender, None)
+
+    def _ready(self, entry: DrawEntry, cache: ZoneCache) -> int:
+        cache.stock.expire(self.context.clock.now_ms())
+        return cache.stock.amount + entry.held
+
+    def _grant(
+        self, sender: NodeIdentity, sequence: int, entry: DrawEntry, cache: ZoneCache
+    ) -> tuple[GrantEntry, float] | None:
+        if not cache.settle(sender, sequence, entry):
+            return None
+        validity_ms = cache.validity_ms()
+        target = cache.target_of(sender)
+        amount = cache.grant(sender, entry, target)
+        if cache.stock.amount < LOW_PART * cache.target:
+            self.loop.wake(entry.organisation_id)
+        return GrantEntry(entry.organisation_id, amount, target), validity_ms
+
+    # Tokens from fleet holders
+
+    def organisations(self) -> list[OrganisationId]:
+        """Return the organisations whose tokens the zone uses."""
+        now_ms = self.context.clock.now_ms()
+        return [
+            name
+            for name, cache in self.caches.items()
+            if cache.unmet or cache.held() > 0 or cache.ledger.active_demand_per_s(now_ms) > 0
+        ]
+
+    def giver(self, organisation_id: OrganisationId) -> NodeIdentity | None:
+        """Return the fleet holder of an organisation."""
+        cache = self.cache(organisation_id)
+        silence_ms = self.context.clock.now_ms() - self._polled_at_ms.get(
+            organisation_id, float("-inf")
+        )
+        silent = silence_ms >= self.context.times.delegation_ms
+        return cache.giver if self.active and cache.is_open() and not silent else None
+
+    def entry(self, organisation_id: OrganisationId) -> DrawEntry:
+        """State the stock and all that nodes can hold."""
+        cache = self.cache(organisation_id)
+        cache.return_excess()
+        now_ms = self.context.clock.now_ms()
+        return DrawEntry(
+            organisation_id=organisation_id,
+            held=cache.held(),
+            wanted=cache.wanted(),
+            demand_per_s=round(cache.ledger.active_demand_per_s(now_ms)),
+            returned=cache.stock.returned,
+        )
+
+    def receive(self, giver: NodeIdentity, grant: GrantEntry, expires_at_ms: float) -> bool:
+        """Take tokens from a fleet holder and serve the draws that wait."""
+        cache = self.cache(grant.organisation_id)
+        if cache.giver != giver or not self.active:
+            return False
+        cache.stock.receive(grant.granted, expires_at_ms, self.context.clock.now_ms())
+        cache.target = grant.target
+        self._supplied.set()
+        self._supplied.clear()
+        return cache.wanted() > 0
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -88,3 +88,12 @@
 # 600: quota
 HOLDER_CHANGED = _event(600, Level.INFO, "{role} holder is now {upstream_id}")
 DELEGATION_LAPSED = _event(601, Level.INFO, "delegation of {upstream_id} lapsed")
+QUOTA_SUPERSEDED = _event(
+    602, Level.WARNING, "a newer process serves {upstream_id}; this one uses no quota"
+)
+QUOTA_PERMISSIONS_DROPPED = _event(
+    603, Level.WARNING, "dropped {tokens} tokens and {shares} delegations after a pause"
+)
+QUOTA_VERSION_SETTLED = _event(
+    604, Level.INFO, "fractions of configuration version {version} are in force everywhere"
+)
