Assemble nodes with membership, configuration spread, quota, routing and admission

Cause: gentian-node ran with simple parts; none of the fleet-wide promises held in a real process. Change: coordination/assembly.py joins the parts, follows plans and members and adds the configuration to the state dump; process fleets of tests wait until they are served.

--- a/bench/support/processes.py
+++ b/bench/support/processes.py
@@ -5,10 +5,11 @@
 import sys
 from pathlib import Path
 
+import aiohttp
 import attrs
 
 from gentianthread.ids import UpstreamId
-from gentianthread.standins.fleet import make_plan
+from gentianthread.standins.fleet import key_of, make_plan
 from gentianthread.state.bundle import make_bundle, make_values
 from gentianthread.state.plan import Plan
 
@@ -103,6 +104,11 @@
         for ports in self.ports.values():
             for port in (ports.callers, ports.target):
                 await _wait_for(port)
+        # A fleet that starts has no tokens until its predecessors' delegations must have ended.
+        headers = {"Authorization": f"Bearer {key_of('alpha')}"}
+        async with aiohttp.ClientSession(headers=headers) as session:
+            for name, upstream in self.plan.upstreams.items():
+                await _wait_until_served(session, f"{self.url(name)}/{upstream.service_id}")
 
     async def _spawn(self, name: str, module: str, *arguments: str) -> None:
         self.processes[name] = await asyncio.create_subprocess_exec(
@@ -133,6 +139,15 @@
         return f"http://127.0.0.1:{self.ports[upstream_id].target}"
 
 
+async def _wait_until_served(session: aiohttp.ClientSession, url: str) -> None:
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while True:
+            async with session.get(url) as answer:
+                if answer.status == 200:
+                    return
+            await asyncio.sleep(0.05)
+
+
 async def _wait_for(port: int) -> None:
     async with asyncio.timeout(START_TIMEOUT_S):
         while True:
--- a/gentianthread/coordination/gateway.py
+++ b/gentianthread/coordination/gateway.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..errors import ConnectionLost, GentianError, Refused, TransportError
 from ..events import REQUEST_ABORTED, REQUEST_CANCELLED, REQUEST_REFUSED, TASK_FAILED
-from ..ids import OrganisationId, Priority, RefusalReason, RequestId, ServiceId
+from ..ids import ANONYMOUS, OrganisationId, Priority, RefusalReason, RequestId, ServiceId
 from ..logs import log
 from ..metrics import Metrics
 from ..protocol.headers import CONTENT_LENGTH, REQUEST_ID, ParsedHead, parse_head
@@ -155,14 +155,20 @@
                 if call.parent is None:
                     # Work that would be shed further on takes no unit of its organisation.
                     self.attempts.router.check_early(call.item)
-                    wait_ms = min(QUOTA_WAIT_LIMIT_MS, remaining_ms / 10)
-                    await self.quota.take(call.item.organisation_id, wait_ms)
+                    await self._take_unit(call, remaining_ms)
                 await self.attempts.answer(call, relay)
         except TimeoutError:
             if exchange.head_sent:
                 raise ConnectionLost("target", "deadline exceeded during the answer") from None
             raise Refused(RefusalReason.DEADLINE_EXCEEDED, not_run=not call.may_have_run) from None
 
+    async def _take_unit(self, call: Call, remaining_ms: float) -> None:
+        organisation_id = call.item.organisation_id
+        # Requests without a key are counted only where the plan gives them a rate.
+        if organisation_id == ANONYMOUS and ANONYMOUS not in call.plan.organisations:
+            return
+        await self.quota.take(organisation_id, min(QUOTA_WAIT_LIMIT_MS, remaining_ms / 10))
+
     async def _relay(
         self, call: Call, exchange: Exchange, answer: Answer, chunks: list[bytes]
     ) -> None:
--- a/gentianthread/coordination/process.py
+++ b/gentianthread/coordination/process.py
@@ -9,16 +9,15 @@
 
 from ..clock import SystemClock, wall_clock_ms
 from ..errors import BundleError, GentianError
-from ..ids import NodeIdentity, StartNumber, UpstreamId
+from ..ids import NodeIdentity, StartNumber
 from ..logs import handler
 from ..metrics import MemoryMetrics, Metrics, StatsdMetrics
 from ..settings import Settings
 from ..state.config_store import ConfigStore
 from ..state.executions import Executions
-from ..transport.connections import WebSocketTransport
+from .assembly import assemble
 from .dump import describe_node
-from .links import LinkPeerNetwork
-from .node import Node, NodeAddresses, NodeParts
+from .node import Node, NodeAddresses
 from .operations import read_bundle
 
 STATSD_FLUSH_MS = 1_000.0
@@ -68,36 +67,15 @@
                 raise BundleError(None, "content", self.store.last_refusal[1])
         start_number = StartNumber(wall_clock_ms())
         self.local = NodeIdentity(settings.upstream_id, settings.availability_zone, start_number)
-        secret = settings.fleet_secret.encode()
-        self.network = LinkPeerNetwork(
-            self.local,
-            secret,
-            self._address_of,
-            transport=WebSocketTransport(settings.source_address),
-            metrics=self.metrics,
-        )
-        self.node = Node(self.local, _addresses(settings), self._parts())
+        self.assembly = assemble(settings, self.local, self.store, self.clock, self.metrics)
+        self.network = self.assembly.network
+        executions = Executions(self.clock, settings.idempotency_window_ms, settings.record_limit)
+        self.node = Node(self.local, _addresses(settings), self.assembly.parts(executions))
+        self.node.watchdog.register(self.assembly.quota.expire_all)
+        self.node.describers.update(self.assembly.describers())
         self._asked = asyncio.Event()
         self._asked_again = asyncio.Event()
 
-    def _parts(self) -> NodeParts:
-        settings = self.settings
-        return NodeParts(
-            plan=lambda: self.store.current,
-            peers=self.network,
-            changes=self.store.changes,
-            executions=Executions(
-                self.clock, settings.idempotency_window_ms, settings.record_limit
-            ),
-            clock=self.clock,
-            metrics=self.metrics,
-        )
-
-    def _address_of(self, upstream_id: UpstreamId) -> tuple[str, int] | None:
-        plan = self.store.current
-        upstream = None if plan is None else plan.upstreams.get(upstream_id)
-        return None if upstream is None else (upstream.host, upstream.peer_port)
-
     async def run(self) -> ExitCode:
         """Run until SIGTERM or SIGINT and return the exit code."""
         loop = asyncio.get_running_loop()
@@ -107,6 +85,7 @@
         try:
             peers = self.settings.peers
             await self.network.start(peers.host, peers.port)
+            await self.assembly.start()
             await self.node.start()
         except (OSError, GentianError) as error:
             print(f"not started: {error}", file=sys.stderr)
@@ -133,6 +112,7 @@
         idle.cancel()
         forced.cancel()
         await self.node.stop()
+        await self.assembly.close()
         await self.network.close()
         return code
 
