--- a/bench/support/processes.py
+++ b/bench/support/processes.py
@@ -14,6 +14,7 @@
 from gentianthread.state.plan import Plan
 
 START_TIMEOUT_S = 10.0
+SERVED_IN_A_ROW = 10
 
 SETTINGS = """
 [node]
@@ -140,11 +141,12 @@
 
 
 async def _wait_until_served(session: aiohttp.ClientSession, url: str) -> None:
+    """Wait until a row of requests is served; the first tokens of a new fleet are few."""
+    served = 0
     async with asyncio.timeout(START_TIMEOUT_S):
-        while True:
+        while served < SERVED_IN_A_ROW:
             async with session.get(url) as answer:
-                if answer.status == 200:
-                    return
+                served = served + 1 if answer.status == 200 else 0
             await asyncio.sleep(0.05)
 
 
