Bound connections before their opening handshake ends

The WebSocket library accepts about 1 MB of HTTP headers from a stranger and any number of connections. A listener now drops an opening request over 4 KiB, and connections beyond 256 that are opening.

--- a/gentianthread/transport/connections.py
+++ b/gentianthread/transport/connections.py
@@ -5,6 +5,8 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Any
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -18,6 +20,9 @@
 # more than a handshake message needs.
 UNPROVEN_MESSAGE_LIMIT_BYTES = 4 * 1024
 
+# Connections of one listener that may be in their opening handshake at the same time.
+OPENING_LIMIT = 256
+
 # How long a WebSocket may take for its opening and its closing handshake.
 OPEN_TIMEOUT_MS = 1_000
 CLOSE_TIMEOUT_MS = 500
@@ -357,13 +362,55 @@
         self._socket.transport.abort()
 
 
-class _TimedServerConnection(ServerConnection):
-    """Remember when TCP connected, because the handshake's time limit counts from there."""
+class _Opening:
+    """Count the connections of a listener that have not finished their opening handshake."""
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Note the time."""
+    def __init__(self) -> None:
+        self.connections = 0
+
+
+class _BoundedServerConnection(ServerConnection):
+    """Bound what a connection may cost before its opening handshake ends.
+
+    The library accepts about 1 MB of HTTP headers, and any number of connections.
+    """
+
+    def __init__(self, opening: _Opening, *arguments: Any, **options: Any):
+        super().__init__(*arguments, **options)
+        self._opening = opening
+        self._is_opening = False
+        self._opening_bytes = 0
+        # The time limit of the handshake between the nodes counts from the TCP connection.
         self.opened_at_s = self.loop.time()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection, or drop it where too many are opening."""
         super().connection_made(transport)
+        if self._opening.connections >= OPENING_LIMIT:
+            self.transport.abort()
+            return
+        self._is_opening = True
+        self._opening.connections += 1
+
+    def data_received(self, data: bytes) -> None:
+        """Drop the connection where its opening request is too long."""
+        if self._is_opening:
+            self._opening_bytes += len(data)
+            if self._opening_bytes > UNPROVEN_MESSAGE_LIMIT_BYTES:
+                self.transport.abort()
+                return
+        super().data_received(data)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Count a connection that closed before it was open."""
+        self.opened()
+        super().connection_lost(error)
+
+    def opened(self) -> None:
+        """Note that the opening handshake ended."""
+        if self._is_opening:
+            self._is_opening = False
+            self._opening.connections -= 1
 
 
 class WebSocketListener(Listener):
@@ -413,7 +460,8 @@
     async def listen(self, host: str, port: int, accept: Accept) -> WebSocketListener:
         """Listen on a TCP port."""
 
-        async def handle(socket: _TimedServerConnection) -> None:
+        async def handle(socket: _BoundedServerConnection) -> None:
+            socket.opened()
             await accept(WebSocketConnection(socket, socket.opened_at_s))
 
         server = await serve(
@@ -421,7 +469,7 @@
             host,
             port,
             server_header=None,
-            create_connection=_TimedServerConnection,
+            create_connection=partial(_BoundedServerConnection, _Opening()),
             **self._options,
         )
         return WebSocketListener(server)
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -2,6 +2,7 @@
 
 from gentianthread.errors import ConnectionLost
 from gentianthread.transport.connections import (
+    OPENING_LIMIT,
     UNPROVEN_MESSAGE_LIMIT_BYTES,
     MemoryTransport,
     WebSocketTransport,
@@ -121,3 +122,42 @@
 class TestWebSocketConnection(ConnectionCases, SocketTestCase):
     def make_transport(self):
         return WebSocketTransport()
+
+    async def test_long_opening_request_is_dropped(self):
+        """Guards against strangers who make the node hold 1 MB of HTTP headers each."""
+        near, far = await self.open_pair()
+        reader, writer = await asyncio.open_connection(HOST, self.listener.port)
+        writer.write(b"GET / HTTP/1.1\r\n" + b"x: " + b"y" * 5_000 + b"\r\n")
+        with self.assertRaisesType((ConnectionError, asyncio.IncompleteReadError)):
+            await reader.readexactly(1)
+        writer.close()
+        await self.shut(near, far)
+
+    async def test_opening_connections_are_limited(self):
+        """Guards against strangers who hold connections without an opening request."""
+        near, far = await self.open_pair()
+        address = (HOST, self.listener.port)
+        held = [await asyncio.open_connection(*address) for _ in range(OPENING_LIMIT)]
+        with self.assertRaisesType(ConnectionLost):
+            await self.make_transport().connect(*address)
+        for _, writer in held:
+            writer.close()
+        await near.send(b"still served")
+        self.assertEqual(b"still served", await far.receive())
+        await self.shut(near, far)
+
+    async def test_open_connections_do_not_count_as_opening(self):
+        """Guards against a node that takes no more peers after 256 of them."""
+        done = asyncio.Event()
+
+        async def accept(connection):
+            await done.wait()
+
+        transport = self.make_transport()
+        listener = await transport.listen(HOST, 0, accept)
+        opened = [await transport.connect(HOST, listener.port) for _ in range(OPENING_LIMIT + 5)]
+        self.assertEqual([], [connection for connection in opened if connection.closed])
+        done.set()
+        await listener.close()
+        for connection in opened:
+            connection.abort()
