--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -63,6 +63,20 @@
         super().__init__(f"bundle version {version}: {part}: {problem}")
 
 
+class PublishedVersionError(ConfigurationError):
+    """Report a version number that is already taken where a bundle is to be written.
+
+    Attributes:
+        version: The wanted version.
+        known: The version that is there.
+    """
+
+    def __init__(self, version: int, known: int):
+        self.version = version
+        self.known = known
+        super().__init__(f"version {version} cannot be written: version {known} is there")
+
+
 class UnknownEntryError(ConfigurationError):
     """Report a name that no registry entry has.
 
@@ -151,6 +165,20 @@
         super().__init__(peer, f"silent for {silence_ms:.0f} ms")
 
 
+class DialError(TransportError):
+    """Report a connection that could not be opened; no byte has left.
+
+    Attributes:
+        peer: Name or address of the other end.
+        problem: What happened.
+    """
+
+    def __init__(self, peer: str, problem: str):
+        self.peer = peer
+        self.problem = problem
+        super().__init__(f"no connection to {peer}: {problem}")
+
+
 class PeerUnreachable(TransportError):
     """Report a peer that no connection reaches.
 
@@ -189,6 +217,13 @@
         super().__init__(f"stream aborted: {problem}")
 
 
+class KeyInBody(TransportError):
+    """Report a request body that contains the key of its caller; it was cut off before the key."""
+
+    def __init__(self) -> None:
+        super().__init__("the request body contains the caller's key")
+
+
 class PlatformUnavailable(TransportError):
     """Report a platform service that failed or did not answer.
 
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -61,12 +61,20 @@
 LINK_REFUSED = _event(202, Level.WARNING, "connection from {address} refused: {problem}")
 FRAME_DROPPED = _event(203, Level.DEBUG, "frame from {peer} dropped: {problem}")
 MEMBER_CHANGED = _event(204, Level.INFO, "member {upstream_id} is now {state}")
+MEMBER_SUPERSEDED = _event(
+    205, Level.ERROR, "a newer process of {upstream_id} runs, started at {start_number}"
+)
 
 # 300: configuration
 CONFIG_ACCEPTED = _event(300, Level.INFO, "configuration version {version} accepted from {source}")
 CONFIG_REFUSED = _event(301, Level.ERROR, "configuration from {source} refused: {error}")
 CONFIG_READ_FAILED = _event(302, Level.WARNING, "configuration service: {error}")
 KEY_WITHDRAWN = _event(303, Level.INFO, "key {key_id} withdrawn by version {version}")
+CONFIG_CONFLICT = _event(
+    304, Level.ERROR, "configuration version {version} of {source} has another digest"
+)
+NODE_READY = _event(305, Level.INFO, "configuration version {version} is the newest one found")
+LIST_READ_FAILED = _event(306, Level.WARNING, "instance list: {error}")
 
 # 400: requests
 REQUEST_REFUSED = _event(400, Level.DEBUG, "request {request_id} refused: {reason}")
@@ -84,7 +92,27 @@
 OVERLOAD_ENDED = _event(
     503, Level.INFO, "overload at {upstream_id} ended after {duration_ms:.0f} ms"
 )
+PROFILE_REVISED = _event(504, Level.INFO, "admission at {upstream_id} now follows {profile_id}")
+SHARE_EXCEEDED = _event(
+    505,
+    Level.WARNING,
+    "important work of {organisation_id} exceeds its share at {upstream_id}",
+)
+PROBE_FAILED = _event(506, Level.WARNING, "probe of {upstream_id} failed: {problem}")
+PROBE_RECOVERED = _event(507, Level.INFO, "probe of {upstream_id} succeeds again")
+SLOW_START = _event(
+    508, Level.INFO, "target of {upstream_id} starts slowly over {duration_ms:.0f} ms"
+)
 
 # 600: quota
 HOLDER_CHANGED = _event(600, Level.INFO, "{role} holder is now {upstream_id}")
 DELEGATION_LAPSED = _event(601, Level.INFO, "delegation of {upstream_id} lapsed")
+QUOTA_SUPERSEDED = _event(
+    602, Level.WARNING, "a newer process serves {upstream_id}; this one uses no quota"
+)
+QUOTA_PERMISSIONS_DROPPED = _event(
+    603, Level.WARNING, "dropped {tokens} tokens and {shares} delegations after a pause"
+)
+QUOTA_VERSION_SETTLED = _event(
+    604, Level.INFO, "fractions of configuration version {version} are in force everywhere"
+)
