Report to the router only what the target is answerable for

A caller that cut its upload or left during the answer counted as a lost attempt of the upstream, and a silent target counted as a cancelled one, so ejection would have hit healthy upstreams and missed silent ones. Broken request bodies and callers that left now count as cancelled, attempts that reach the deadline as timed out.

--- a/gentianthread/coordination/answers.py
+++ b/gentianthread/coordination/answers.py
@@ -3,13 +3,17 @@
 import asyncio
 from abc import ABC, abstractmethod
 
+from ..clock import Clock
 from ..errors import TransportError
-from ..ids import RefusalReason
+from ..ids import Outcome, RefusalReason
 from ..protocol.messages_requests import Load, RefusalHead, ResponseHead, ResponseSummary
 from ..protocol.streams import Stream
 from ..state.work import ShedLevel
 from ..transport.http_client import Body
 
+# Timers of the event loop may fire this much before the deadline on the clock.
+DEADLINE_SLACK_MS = 2.0
+
 NO_LOAD = Load(0.0, 0.0, 0, 0)
 
 
@@ -130,6 +134,9 @@
     """Read the body of a caller's request, and keep its start for another attempt.
 
     A body that grew beyond the limit cannot be sent again.
+
+    Attributes:
+        problem: Why the caller's body broke off, or None.
     """
 
     # Covers look-ups and orders; larger uploads are not worth their memory.
@@ -147,6 +154,7 @@
         self._kept_bytes = 0
         self._position = 0
         self._ended = False
+        self.problem: TransportError | None = None
 
     @property
     def replayable(self) -> bool:
@@ -165,7 +173,11 @@
             return data
         if self._ended:
             return None
-        data = await self.source.read()
+        try:
+            data = await self.source.read()
+        except TransportError as error:
+            self.problem = error
+            raise
         if data is None:
             self._ended = True
             return None
@@ -222,6 +234,17 @@
     )
 
 
+def early_end(clock: Clock, deadline_at_ms: float) -> Outcome:
+    """Return the outcome of an attempt that was ended from outside before its answer was complete.
+
+    Args:
+        clock: Clock of the deadline.
+        deadline_at_ms: When the caller stops waiting.
+    """
+    late = clock.now_ms() >= deadline_at_ms - DEADLINE_SLACK_MS
+    return Outcome.TIMEOUT if late else Outcome.CANCELLED
+
+
 async def drain_answer(answer: Answer, limit_bytes: int) -> list[bytes] | None:
     """Read an answer to its end.
 
--- a/gentianthread/coordination/attempts.py
+++ b/gentianthread/coordination/attempts.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ..clock import Clock
-from ..errors import NoUpstream, PeerUnreachable, Refused, StreamAborted, TransportError
+from ..errors import CallerGone, NoUpstream, PeerUnreachable, Refused, StreamAborted, TransportError
 from ..ids import NodeIdentity, Outcome, RefusalReason, RequestId, UpstreamId
 from ..metrics import Metrics
 from ..protocol.headers import CONTENT_LENGTH
@@ -18,6 +18,7 @@
     ReplayBody,
     StreamAnswer,
     drain_answer,
+    early_end,
     level_of,
     lost_answer,
     unreachable_answer,
@@ -50,7 +51,7 @@
     started_at_ms: float
     lent: int
     answer: Answer | None = None
-    outcome: Outcome = Outcome.CANCELLED
+    outcome: Outcome | None = None
 
 
 class Attempts:
@@ -121,14 +122,20 @@
     async def _run(self, call: Call, attempt: _Attempt, relay: Relay) -> list[bytes] | None:
         """Make one attempt; return None if its answer went to the caller, or else its body."""
         answer = attempt.answer = await self._send(call, attempt)
-        attempt.outcome = _outcome(answer.head)
+        call.check_body()
+        if call.body is not None and call.body.problem is not None:
+            raise call.body.problem
         if judge(answer.head) is Verdict.FINAL and isinstance(answer.head, ResponseHead):
             try:
                 await relay(answer, [])
+            except CallerGone:
+                raise
             except TransportError:
                 attempt.outcome = Outcome.LOST
                 raise
+            attempt.outcome = _outcome(answer.head)
             return None
+        attempt.outcome = _outcome(answer.head)
         chunks = await drain_answer(answer, FAILED_ANSWER_LIMIT_BYTES)
         if chunks is None:
             attempt.answer, attempt.outcome = lost_answer(), Outcome.LOST
@@ -145,7 +152,8 @@
         call.state.allowance.settle(attempt.lent, used)
         latency_ms = self.clock.now_ms() - attempt.started_at_ms
         item = call.item
-        self.router.finished(attempt.upstream_id, attempt.outcome, latency_ms, level, item)
+        outcome = attempt.outcome or early_end(self.clock, item.deadline_at_ms)
+        self.router.finished(attempt.upstream_id, outcome, latency_ms, level, item)
         reported = None if call.parent is None else self.router.reported(item)
         if reported is not None:
             self.executor.admission.note_inner(call.parent.item, item.service_id, reported)
--- a/gentianthread/coordination/executor.py
+++ b/gentianthread/coordination/executor.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from ..clock import Clock
-from ..errors import ConnectionLost, DialError, GentianError, Refused, StreamAborted
+from ..errors import CallerGone, ConnectionLost, DialError, GentianError, Refused, StreamAborted
 from ..ids import NodeIdentity, Outcome, RefusalReason
 from ..metrics import Metrics
 from ..protocol.headers import CONTENT_LENGTH, CONTEXT, DEADLINE_MS, REQUEST_ID, answer_headers
@@ -15,7 +15,7 @@
 from ..state.work import WorkItem
 from ..transport.http_client import Body, TargetAnswer, TargetClient
 from .admission import Admission, Permit
-from .answers import Answer, RefusedAnswer, StreamBody, load_of
+from .answers import Answer, RefusedAnswer, StreamBody, early_end, load_of
 
 RunFunction = Callable[[RequestHead, Body | None, float], Awaitable[Answer]]
 
@@ -75,7 +75,7 @@
     def abort(self, problem: str) -> None:
         """Cancel the request at the target."""
         if self._permit is not None:
-            self._end(Outcome.CANCELLED)
+            self._end(early_end(self._executor.clock, self._context.item.deadline_at_ms))
 
     def _end(self, outcome: Outcome) -> None:
         permit, self._permit = self._permit, None
@@ -184,6 +184,8 @@
             (REQUEST_ID, head.request_id),
         ]
         outcome = Outcome.CANCELLED
+        # A request body that breaks off is not the target's fault; its outcome stays CANCELLED.
+        refusal = Refused(RefusalReason.OUTCOME_UNKNOWN, not_run=False)
         try:
             answer = await self.target.exchange(
                 head.method, head.target_path, headers, body, fresh=not head.idempotent
@@ -191,14 +193,15 @@
         except DialError:
             outcome = Outcome.LOST
             refusal = Refused(RefusalReason.TARGET_UNREACHABLE, not_run=True)
+        except CallerGone:
+            pass
         except ConnectionLost:
             outcome = Outcome.LOST
-            refusal = Refused(RefusalReason.OUTCOME_UNKNOWN, not_run=False)
         except GentianError:
-            # The body ended before any connection was taken.
-            refusal = Refused(RefusalReason.OUTCOME_UNKNOWN, not_run=False)
+            pass
         except BaseException:
-            self.end(context, permit, Outcome.CANCELLED, self.clock.now_ms() - started_at_ms)
+            outcome = early_end(self.clock, item.deadline_at_ms)
+            self.end(context, permit, outcome, self.clock.now_ms() - started_at_ms)
             raise
         else:
             self.metrics.count("executor.executed")
--- a/gentianthread/coordination/gateway.py
+++ b/gentianthread/coordination/gateway.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from ..clock import Clock
-from ..errors import ConnectionLost, GentianError, Refused, TransportError
+from ..errors import CallerGone, ConnectionLost, GentianError, Refused, TransportError
 from ..events import REQUEST_ABORTED, REQUEST_CANCELLED, REQUEST_REFUSED, TASK_FAILED
 from ..ids import OrganisationId, Priority, RefusalReason, RequestId, ServiceId
 from ..logs import log
@@ -103,7 +103,7 @@
                 parent.inner_failed = True
             await self._refuse(exchange, refusal, call_id)
         except TransportError as error:
-            if parent is not None:
+            if parent is not None and not isinstance(error, CallerGone):
                 parent.inner_failed = True
             self.metrics.count("gateway.aborted")
             log(REQUEST_ABORTED, request_id=call_id, problem=str(error))
--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -165,6 +165,13 @@
         super().__init__(peer, f"silent for {silence_ms:.0f} ms")
 
 
+class CallerGone(ConnectionLost):
+    """Report a caller that closed its connection before its request or answer was complete."""
+
+    def __init__(self, problem: str):
+        super().__init__("caller", problem)
+
+
 class DialError(TransportError):
     """Report a connection that could not be opened; no byte has left.
 
--- a/gentianthread/transport/http_client.py
+++ b/gentianthread/transport/http_client.py
@@ -14,7 +14,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from ..clock import Clock
-from ..errors import ConnectionLost, DialError
+from ..errors import ConnectionLost, DialError, TransportError
 
 # Connections that open at once; more would hit a target that restarts all together.
 DIALS_AT_ONCE = 4
@@ -130,6 +130,7 @@
         Raises:
             DialError: No connection could be opened; no byte has left.
             ConnectionLost: The connection failed after bytes may have left.
+            TransportError: The request body broke off.
         """
 
     @abstractmethod
@@ -241,12 +242,16 @@
             protocol.transport.write(data)
             if body is not None:
                 pump = asyncio.ensure_future(_pump(protocol, body))
+                pump.add_done_callback(_body_problem)
             message, payload = await _read_head(protocol)
             has_body = _check_framing(method, message)
         except BaseException as error:
+            problem = None if pump is None else _body_problem(pump)
             if pump is not None:
                 pump.cancel()
             self._discard(connection)
+            if isinstance(error, Exception) and problem is not None:
+                raise problem from error
             if isinstance(error, Exception) and not isinstance(error, ConnectionLost):
                 raise ConnectionLost("target", f"{type(error).__name__}: {error}") from error
             raise
@@ -459,6 +464,13 @@
     except Exception:
         if protocol.transport is not None:
             protocol.transport.abort()
+        raise
+
+
+def _body_problem(pump: asyncio.Future) -> TransportError | None:
+    """Return why the request body broke off, if that ended its sending."""
+    problem = pump.exception() if pump.done() and not pump.cancelled() else None
+    return problem if isinstance(problem, TransportError) else None
 
 
 async def _read_head(protocol: ResponseHandler) -> tuple[Any, Any]:
--- a/gentianthread/transport/http_server.py
+++ b/gentianthread/transport/http_server.py
@@ -14,7 +14,7 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
-from ..errors import ConnectionLost
+from ..errors import CallerGone, ConnectionLost
 
 HeaderPairs = Iterable[tuple[str, str]]
 
@@ -65,7 +65,7 @@
         """Return the next bytes of the request body, or None after its end.
 
         Raises:
-            ConnectionLost: The body ended early.
+            CallerGone: The body ended early.
         """
 
     @abstractmethod
@@ -81,7 +81,7 @@
             close: Whether the connection closes after the answer.
 
         Raises:
-            ConnectionLost: The caller is gone.
+            CallerGone: The caller is gone.
         """
 
     @abstractmethod
@@ -89,7 +89,7 @@
         """Write body bytes, waiting while the caller reads slowly.
 
         Raises:
-            ConnectionLost: The caller is gone.
+            CallerGone: The caller is gone.
         """
 
     @abstractmethod
@@ -97,7 +97,7 @@
         """End the answer completely.
 
         Raises:
-            ConnectionLost: The caller is gone.
+            CallerGone: The caller is gone.
         """
 
     @abstractmethod
@@ -138,7 +138,7 @@
         try:
             data = await self._payload.readany()
         except Exception as error:  # aiohttp raises several types for a body that ends early.
-            raise ConnectionLost("caller", f"request body: {type(error).__name__}") from error
+            raise CallerGone(f"request body: {type(error).__name__}") from error
         return data or None
 
     async def _continue(self) -> None:
@@ -181,14 +181,14 @@
         try:
             await self._writer.write(data)
         except ConnectionError as error:
-            raise ConnectionLost("caller", "closed while the answer was sent") from error
+            raise CallerGone("closed while the answer was sent") from error
 
     async def finish(self) -> None:
         """End the answer."""
         try:
             await self._writer.write_eof()
         except ConnectionError as error:
-            raise ConnectionLost("caller", "closed while the answer was sent") from error
+            raise CallerGone("closed while the answer was sent") from error
 
     def abort(self) -> None:
         """Reset the caller's connection."""
--- /dev/null
+++ b/tests/coordination/test_outcomes.py
@@ -0,0 +1,71 @@
+import asyncio
+
+from gentianthread.coordination.routing import TurnRouter
+from gentianthread.ids import Outcome
+from gentianthread.standins.target import Behaviour
+
+from ..fleets import FleetTestCase, request_head
+
+
+class RecordingRouter(TurnRouter):
+    def __init__(self, plan):
+        super().__init__(plan)
+        self.outcomes = []
+
+    def finished(self, upstream_id, outcome, *rest):
+        self.outcomes.append(outcome)
+
+
+class TestOutcomes(FleetTestCase):
+    """What the router learns decides which upstreams it avoids."""
+
+    def recording(self):
+        self.routers = {}
+
+        def adjust(upstream_id, parts):
+            self.routers[upstream_id] = parts.router = RecordingRouter(parts.plan)
+
+        return adjust
+
+    async def test_outcomes_are_those_of_the_target(self):
+        """Guards against healthy upstreams that are avoided, and sick ones that are not."""
+        cases = (
+            (Behaviour(), {}, Outcome.SUCCESS),
+            (Behaviour(status=404), {}, Outcome.SUCCESS),
+            (Behaviour(status=500), {}, Outcome.FAILURE),
+            (Behaviour(cut_before=True), {}, Outcome.LOST),
+            (Behaviour(hang=True), {"Gentian-Deadline-Ms": "100"}, Outcome.TIMEOUT),
+        )
+        for links in (False, True):
+            self.links = links
+            async with self.fleet(adjust=self.recording()) as fleet:
+                for path in ("/catalogue", "/pricing"):
+                    for behaviour, headers, expected in cases:
+                        fleet.members[f"{path[1:]}-0"].target.behaviour = behaviour
+                        await self.call(fleet, "catalogue-0", path, method="POST", headers=headers)
+                        outcomes = self.routers["catalogue-0"].outcomes
+                        self.assertIs(expected, outcomes[-1], (links, path, behaviour))
+
+    async def test_callers_that_break_off_do_not_count_against_the_target(self):
+        """Guards against callers that get an upstream ejected by cutting their uploads."""
+        for links in (False, True):
+            self.links = links
+            async with self.fleet(adjust=self.recording()) as fleet:
+                outcomes = self.routers["catalogue-0"].outcomes
+                port = fleet.members["catalogue-0"].node.callers.port
+                for path in ("/catalogue", "/pricing"):
+                    for framing, body in (
+                        (b"Content-Length: 90", b"x"),
+                        (b"Content-Length: 90000", b"x" * 40_000),
+                        (b"Transfer-Encoding: chunked", b"8000\r\n" + b"x" * 0x8000 + b"\r\n"),
+                    ):
+                        expected = len(outcomes) + 1
+                        _, writer = await asyncio.open_connection("127.0.0.1", port)
+                        writer.write(request_head("POST", path, framing) + body)
+                        await writer.drain()
+                        await asyncio.sleep(0.02)
+                        writer.close()
+                        await self.until(lambda: len(outcomes) == expected)  # noqa: B023
+                        self.assertIs(Outcome.CANCELLED, outcomes[-1], (links, path, framing))
+                for member in fleet.members.values():
+                    self.assertEqual(0, member.node.admission.running)
