--- a/gentianthread/protocol/codec.py
+++ b/gentianthread/protocol/codec.py
@@ -25,6 +25,7 @@
 _codes_by_type: dict[type, int] = {}
 _decoders: dict[type, tuple[Converter, ...]] = {}
 _encoders: dict[type, Callable[[Any], list]] = {}
+_packers: dict[type, Callable[[Any], list]] = {}
 
 
 def message(code: int) -> Callable[[type[T]], type[T]]:
@@ -128,7 +129,10 @@
     if isinstance(value, dict):
         return {_pack(key): _pack(item) for key, item in value.items()}
     if attrs.has(type(value)):
-        return [_pack(getattr(value, field.name)) for field in attrs.fields(type(value))]
+        packer = _packers.get(type(value))
+        if packer is None:
+            packer = _packers[type(value)] = _packer_of_fields(type(value))
+        return packer(value)
     return value
 
 
