Run the whole node in gentian-node: membership, configuration, quota, routing, admission

The process used simple stand-ins for its parts. NodeServices assembles links, membership, the spread of configuration versions, the quota and the load-aware router and admission; without a platform service the bundle folder stands in for it. A node serves only once it has the newest version that it can find, and stops when a newer process takes its upstream over.

--- a/gentianthread/coordination/process.py
+++ b/gentianthread/coordination/process.py
@@ -9,17 +9,12 @@
 
 from ..clock import SystemClock, wall_clock_ms
 from ..errors import BundleError, GentianError
-from ..ids import NodeIdentity, StartNumber, UpstreamId
+from ..ids import NodeIdentity, StartNumber
 from ..logs import handler
 from ..metrics import MemoryMetrics, Metrics, StatsdMetrics
 from ..settings import Settings
-from ..state.config_store import ConfigStore
-from ..state.executions import Executions
-from ..transport.connections import WebSocketTransport
 from .dump import describe_node
-from .links import LinkPeerNetwork
-from .node import Node, NodeAddresses, NodeParts
-from .operations import read_bundle
+from .services import NodeServices
 
 STATSD_FLUSH_MS = 1_000.0
 
@@ -41,16 +36,14 @@
 
 
 class NodeProcess:
-    """Assemble a node from its settings and run it until a signal.
+    """Run a node until a signal.
 
     Attributes:
-        store: The accepted configuration.
-        network: Links to the other nodes.
-        node: The node.
+        services: The node and what it stands on.
     """
 
     def __init__(self, settings: Settings):
-        """Assemble the parts.
+        """Assemble the parts; must be called on the event loop.
 
         Args:
             settings: Checked settings.
@@ -61,43 +54,13 @@
         self.settings = settings
         self.clock = SystemClock()
         self.metrics = _make_metrics(settings)
-        self.store = ConfigStore(self.metrics)
-        if settings.bundle_folder is not None:
-            self.store.offer(read_bundle(settings.bundle_folder), str(settings.bundle_folder))
-            if self.store.last_refusal is not None:
-                raise BundleError(None, "content", self.store.last_refusal[1])
         start_number = StartNumber(wall_clock_ms())
-        self.local = NodeIdentity(settings.upstream_id, settings.availability_zone, start_number)
-        secret = settings.fleet_secret.encode()
-        self.network = LinkPeerNetwork(
-            self.local,
-            secret,
-            self._address_of,
-            transport=WebSocketTransport(settings.source_address),
-            metrics=self.metrics,
-        )
-        self.node = Node(self.local, _addresses(settings), self._parts())
+        local = NodeIdentity(settings.upstream_id, settings.availability_zone, start_number)
+        self.services = NodeServices(settings, local, self.clock, self.metrics)
+        self.node = self.services.node
         self._asked = asyncio.Event()
         self._asked_again = asyncio.Event()
 
-    def _parts(self) -> NodeParts:
-        settings = self.settings
-        return NodeParts(
-            plan=lambda: self.store.current,
-            peers=self.network,
-            changes=self.store.changes,
-            executions=Executions(
-                self.clock, settings.idempotency_window_ms, settings.record_limit
-            ),
-            clock=self.clock,
-            metrics=self.metrics,
-        )
-
-    def _address_of(self, upstream_id: UpstreamId) -> tuple[str, int] | None:
-        plan = self.store.current
-        upstream = None if plan is None else plan.upstreams.get(upstream_id)
-        return None if upstream is None else (upstream.host, upstream.peer_port)
-
     async def run(self) -> ExitCode:
         """Run until SIGTERM or SIGINT and return the exit code."""
         loop = asyncio.get_running_loop()
@@ -105,9 +68,7 @@
             loop.add_signal_handler(number, self._ask)
         loop.add_signal_handler(signal.SIGUSR1, self.print_dump)
         try:
-            peers = self.settings.peers
-            await self.network.start(peers.host, peers.port)
-            await self.node.start()
+            await self.services.start()
         except (OSError, GentianError) as error:
             print(f"not started: {error}", file=sys.stderr)
             return ExitCode.NOT_STARTED
@@ -115,25 +76,31 @@
         gc.collect()
         gc.freeze()
         flushing = asyncio.ensure_future(self._flush_metrics())
+        replaced = asyncio.ensure_future(self._stop_when_replaced())
         await self._asked.wait()
         code = await self._stop()
         flushing.cancel()
+        replaced.cancel()
         return code
 
+    async def _stop_when_replaced(self) -> None:
+        """Stop if a newer process serves the same upstream; two would both admit work to it."""
+        await self.services.members.superseded.wait()
+        self._asked.set()
+
     def _ask(self) -> None:
         (self._asked_again if self._asked.is_set() else self._asked).set()
 
     async def _stop(self) -> ExitCode:
         """Finish what runs; a second signal counts once the grace period is over."""
-        await self.node.drain.begin()
+        await self.services.begin_leaving()
         idle = asyncio.ensure_future(self.node.drain.wait_idle())
         forced = asyncio.ensure_future(self._wait_for_force())
         await asyncio.wait((idle, forced), return_when=asyncio.FIRST_COMPLETED)
         code = ExitCode.STOPPED if idle.done() else ExitCode.CUT_OFF
         idle.cancel()
         forced.cancel()
-        await self.node.stop()
-        await self.network.close()
+        await self.services.stop()
         return code
 
     async def _wait_for_force(self) -> None:
@@ -156,19 +123,6 @@
     return StatsdMetrics(settings.statsd.host, settings.statsd.port, settings.statsd_prefix)
 
 
-def _addresses(settings: Settings) -> NodeAddresses:
-    return NodeAddresses(
-        settings.callers.host,
-        settings.callers.port,
-        settings.inner.host,
-        settings.inner.port,
-        settings.operator.host,
-        settings.operator.port,
-        settings.target.host,
-        settings.target.port,
-    )
-
-
 def run_node(settings: Settings) -> ExitCode:
     """Run a node process and return its exit code.
 
