Warm the nodes up before the latency benchmark measures

New nodes collect quota for some seconds and refuse calls until then; the benchmark failed on the first refusal. It now starts once a turn of each kind is answered.

--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -26,6 +26,7 @@
 
 RATES_PER_S = (200, 400)
 TURN_S = 1.0
+WARM_UP_TURNS = 20
 KINDS = ("direct", "one_node", "two_nodes")
 
 
@@ -35,10 +36,27 @@
     async with session.get(url) as answer:
         body = await answer.read()
     if answer.status != 200 or len(body) != 100:
-        raise RuntimeError(f"{url}: status {answer.status}, {len(body)} bytes")
+        raise Refusal(f"{url}: status {answer.status}, {len(body)} bytes")
     histogram.record_value((time.perf_counter_ns() - started_ns) // 1000)
 
 
+class Refusal(Exception):
+    """Report an answer that is not the target's."""
+
+
+async def warm_up(session: aiohttp.ClientSession, urls: dict[str, str], rng: random.Random) -> None:
+    """Send calls until a whole turn of each kind is answered; new nodes collect quota first."""
+    for _ in range(WARM_UP_TURNS):
+        try:
+            for url in urls.values():
+                histogram = HdrHistogram(1, 10_000_000, 3)
+                await run_turn(session, url, RATES_PER_S[-1], rng, histogram)
+            return
+        except Refusal:
+            continue
+    raise RuntimeError("the nodes still refuse calls after the warm-up")
+
+
 async def run_turn(
     session: aiohttp.ClientSession,
     url: str,
@@ -54,7 +72,10 @@
     while (at_s := at_s + rng.expovariate(rate_per_s)) < end_s:
         await asyncio.sleep(at_s - loop.time())
         calls.append(asyncio.ensure_future(call(session, url, histogram)))
-    await asyncio.gather(*calls)
+    results = await asyncio.gather(*calls, return_exceptions=True)
+    for problem in results:
+        if isinstance(problem, BaseException):
+            raise problem
 
 
 async def measure(seed: int, rounds: int) -> dict[tuple[int, str], HdrHistogram]:
@@ -75,9 +96,7 @@
         try:
             connector = aiohttp.TCPConnector(limit=0)
             async with aiohttp.ClientSession(connector=connector, headers=headers) as session:
-                warm = HdrHistogram(1, 10_000_000, 3)
-                for kind in KINDS:
-                    await run_turn(session, urls[kind], RATES_PER_S[0], rng, warm)
+                await warm_up(session, urls, rng)
                 gc.collect()
                 gc.freeze()
                 for _ in range(rounds):
