--- a/gentianthread/coordination/process.py
+++ b/gentianthread/coordination/process.py
@@ -13,12 +13,8 @@
 from ..logs import handler
 from ..metrics import MemoryMetrics, Metrics, StatsdMetrics
 from ..settings import Settings
-from ..state.config_store import ConfigStore
-from ..state.executions import Executions
-from .assembly import assemble
 from .dump import describe_node
-from .node import Node, NodeAddresses
-from .operations import read_bundle
+from .services import NodeServices
 
 STATSD_FLUSH_MS = 1_000.0
 
@@ -40,16 +36,14 @@
 
 
 class NodeProcess:
-    """Assemble a node from its settings and run it until a signal.
+    """Run a node until a signal.
 
     Attributes:
-        store: The accepted configuration.
-        network: Links to the other nodes.
-        node: The node.
+        services: The node and what it stands on.
     """
 
     def __init__(self, settings: Settings):
-        """Assemble the parts.
+        """Assemble the parts; must be called on the event loop.
 
         Args:
             settings: Checked settings.
@@ -60,19 +54,10 @@
         self.settings = settings
         self.clock = SystemClock()
         self.metrics = _make_metrics(settings)
-        self.store = ConfigStore(self.metrics)
-        if settings.bundle_folder is not None:
-            self.store.offer(read_bundle(settings.bundle_folder), str(settings.bundle_folder))
-            if self.store.last_refusal is not None:
-                raise BundleError(None, "content", self.store.last_refusal[1])
         start_number = StartNumber(wall_clock_ms())
-        self.local = NodeIdentity(settings.upstream_id, settings.availability_zone, start_number)
-        self.assembly = assemble(settings, self.local, self.store, self.clock, self.metrics)
-        self.network = self.assembly.network
-        executions = Executions(self.clock, settings.idempotency_window_ms, settings.record_limit)
-        self.node = Node(self.local, _addresses(settings), self.assembly.parts(executions))
-        self.node.watchdog.register(self.assembly.quota.expire_all)
-        self.node.describers.update(self.assembly.describers())
+        local = NodeIdentity(settings.upstream_id, settings.availability_zone, start_number)
+        self.services = NodeServices(settings, local, self.clock, self.metrics)
+        self.node = self.services.node
         self._asked = asyncio.Event()
         self._asked_again = asyncio.Event()
 
@@ -83,10 +68,7 @@
             loop.add_signal_handler(number, self._ask)
         loop.add_signal_handler(signal.SIGUSR1, self.print_dump)
         try:
-            peers = self.settings.peers
-            await self.network.start(peers.host, peers.port)
-            await self.assembly.start()
-            await self.node.start()
+            await self.services.start()
         except (OSError, GentianError) as error:
             print(f"not started: {error}", file=sys.stderr)
             return ExitCode.NOT_STARTED
@@ -94,26 +76,31 @@
         gc.collect()
         gc.freeze()
         flushing = asyncio.ensure_future(self._flush_metrics())
+        replaced = asyncio.ensure_future(self._stop_when_replaced())
         await self._asked.wait()
         code = await self._stop()
         flushing.cancel()
+        replaced.cancel()
         return code
 
+    async def _stop_when_replaced(self) -> None:
+        """Stop if a newer process serves the same upstream; two would both admit work to it."""
+        await self.services.members.superseded.wait()
+        self._asked.set()
+
     def _ask(self) -> None:
         (self._asked_again if self._asked.is_set() else self._asked).set()
 
     async def _stop(self) -> ExitCode:
         """Finish what runs; a second signal counts once the grace period is over."""
-        await self.node.drain.begin()
+        await self.services.begin_leaving()
         idle = asyncio.ensure_future(self.node.drain.wait_idle())
         forced = asyncio.ensure_future(self._wait_for_force())
         await asyncio.wait((idle, forced), return_when=asyncio.FIRST_COMPLETED)
         code = ExitCode.STOPPED if idle.done() else ExitCode.CUT_OFF
         idle.cancel()
         forced.cancel()
-        await self.node.stop()
-        await self.assembly.close()
-        await self.network.close()
+        await self.services.stop()
         return code
 
     async def _wait_for_force(self) -> None:
@@ -136,19 +123,6 @@
     return StatsdMetrics(settings.statsd.host, settings.statsd.port, settings.statsd_prefix)
 
 
-def _addresses(settings: Settings) -> NodeAddresses:
-    return NodeAddresses(
-        settings.callers.host,
-        settings.callers.port,
-        settings.inner.host,
-        settings.inner.port,
-        settings.operator.host,
-        settings.operator.port,
-        settings.target.host,
-        settings.target.port,
-    )
-
-
 def run_node(settings: Settings) -> ExitCode:
     """Run a node process and return its exit code.
 
