Let requests carry the threshold that they passed

Cause: entry nodes apply older thresholds than the target, so the target underestimated the demand that it did not see, lowered its threshold and let the next burst in.

--- a/bench/overload_variants.py
+++ b/bench/overload_variants.py
@@ -175,6 +175,8 @@
         except Refused as refusal:
             self.count(f"early_{refusal.reason.value}")
             return Answer(ok=False, not_run=True)
+        if item.depth == 0:
+            item = attrs.evolve(item, passed_threshold=node.router.entry_threshold(item))
         budget.record_first_attempt()
         while True:
             try:
@@ -244,10 +246,15 @@
         if depth >= len(self.deployment.chain):
             return None
         service_id = ServiceId(self.deployment.chain[depth])
-        inner = attrs.evolve(item, service_id=service_id, depth=depth)
 
         async def call() -> bool:
             node = self.nodes[name]
+            inner = attrs.evolve(
+                item,
+                service_id=service_id,
+                depth=depth,
+                passed_threshold=node.admission.passed_threshold(item),
+            )
             answer = await self._call(name, inner, allowance)
             level = node.router.reported(inner)
             if level is not None:
--- a/gentianthread/coordination/admission.py
+++ b/gentianthread/coordination/admission.py
@@ -55,6 +55,10 @@
             level: Level of that service's upstreams; see `Router.reported`.
         """
 
+    def passed_threshold(self, item: WorkItem) -> float:
+        """Return the threshold that the inner calls of an admitted request have passed."""
+        return item.passed_threshold
+
     @abstractmethod
     def has_room(self) -> bool:
         """Return whether a request would start at once."""
--- a/gentianthread/coordination/load_router.py
+++ b/gentianthread/coordination/load_router.py
@@ -13,7 +13,7 @@
 from ..state.latency import LowLatency
 from ..state.members import Members, MemberState
 from ..state.plan import Plan, Upstream
-from ..state.shed_levels import ShedLevels, average, rank, sheds, threshold_for
+from ..state.shed_levels import ShedLevels, average, sheds, threshold_for
 from ..state.upstream_stats import Ejector, UpstreamStats
 from ..state.work import ShedLevel, WorkItem
 from .routing import Router
@@ -29,6 +29,8 @@
 # Part of its usual work that a member gets while one observer reports it silent.
 SUSPECT_WEIGHT = 0.3
 RETRY_AFTER_MS = 500.0
+# Levels change every 100 ms; the mean over a pool is not made anew for every request.
+REPORT_CACHE_MS = 10.0
 
 
 class LoadRouter(Router):
@@ -65,6 +67,7 @@
         self._ejected: set[UpstreamId] = set()
         self._choosers: dict[ServiceId, tuple[str, Chooser]] = {}
         self._levels = ShedLevels()
+        self._reported: dict[Hashable, tuple[float, ShedLevel | None]] = {}
         self._next_probe_ms: dict[Hashable, float] = {}
         self._chain_times: dict[Hashable, LowLatency] = {}
 
@@ -104,12 +107,17 @@
 
     def reported(self, item: WorkItem) -> ShedLevel | None:
         """Return the level of the pool, which sheds nothing while an upstream has room."""
-        now_ms = self._clock.now_ms()
-        levels = self._known_levels(item, now_ms)
-        if not levels:
-            return None
-        free = [level for level in levels if _is_free(level)]
-        return free[0] if free else average(levels)
+        now_ms, route = self._clock.now_ms(), _route(item)
+        cached = self._reported.get(route)
+        if cached is None or now_ms - cached[0] >= REPORT_CACHE_MS:
+            level = _level_of_pool(self._known_levels(item, now_ms))
+            cached = self._reported[route] = (now_ms, level)
+        return cached[1]
+
+    def entry_threshold(self, item: WorkItem) -> float:
+        """Return the threshold that `check_early` applies to a root request, or 0 for none."""
+        level = self.reported(item)
+        return 0.0 if level is None else threshold_for(level, item.organisation_id)
 
     def started(self, upstream_id: UpstreamId) -> None:
         """Count an attempt that begins."""
@@ -188,8 +196,7 @@
         return ejected
 
     def _refuses(self, upstream: Upstream, item: WorkItem, now_ms: float) -> bool:
-        level = self._levels.level((upstream.upstream_id, _route(item)), now_ms)
-        return level is not None and rank(item) < threshold_for(level, item.organisation_id)
+        return bool(self._levels.refuses((upstream.upstream_id, _route(item)), item, now_ms))
 
     def _is_saturated(self, upstream: Upstream, now_ms: float) -> bool:
         stats = self._stats_of(upstream.upstream_id, now_ms)
@@ -233,7 +240,7 @@
         return any(
             self._may_probe(up.upstream_id, now_ms)
             for up in self._pool(item.service_id)
-            if self._levels.level((up.upstream_id, _route(item)), now_ms) is None
+            if self._levels.refuses((up.upstream_id, _route(item)), item, now_ms) is None
         )
 
     def _may_probe(self, key: Hashable, now_ms: float) -> bool:
@@ -252,5 +259,12 @@
     return item.route_id or item.service_id
 
 
+def _level_of_pool(levels: list[ShedLevel]) -> ShedLevel | None:
+    if not levels:
+        return None
+    free = [level for level in levels if _is_free(level)]
+    return free[0] if free else average(levels)
+
+
 def _is_free(level: ShedLevel) -> bool:
     return level.threshold <= 0 and not level.by_organisation and level.running < level.limit
--- a/gentianthread/coordination/routing.py
+++ b/gentianthread/coordination/routing.py
@@ -55,6 +55,10 @@
             item: The work; without it nothing is learned about its route.
         """
 
+    def entry_threshold(self, item: WorkItem) -> float:
+        """Return the threshold that `check_early` applies to a root request, or 0 for none."""
+        return 0.0
+
     def reported(self, item: WorkItem) -> ShedLevel | None:
         """Return the level that the upstreams of an item's service reported, or None if unknown."""
         return None
--- a/gentianthread/coordination/target_admission.py
+++ b/gentianthread/coordination/target_admission.py
@@ -15,7 +15,7 @@
 from ..state.limiters import limiters
 from ..state.plan import Profile
 from ..state.shed_control import ShedControl, TargetState
-from ..state.shed_levels import ShedLevels, combine, raise_to_caller, rank, sheds
+from ..state.shed_levels import ShedLevels, combine, rank, sheds, threshold_for
 from ..state.work import ShedLevel, WorkItem
 from .admission import Admission, Permit
 
@@ -23,6 +23,8 @@
 COLD_PART = 0.1
 # Callers that come back sooner meet the same thresholds.
 RETRY_AFTER_MS = 500.0
+# Levels change every 100 ms; they are not combined anew for every answer.
+LEVEL_CACHE_MS = 10.0
 
 
 class _TargetPermit(Permit):
@@ -84,6 +86,7 @@
         self._service = LowLatency()
         self._inner: dict[Hashable, set[ServiceId]] = {}
         self._inner_levels = ShedLevels()
+        self._combined: dict[Hashable, tuple[float, ShedLevel]] = {}
         self._warm_from_ms = float("-inf")
         self._overloaded_since_ms: float | None = None
         self._over_share: set[OrganisationId] = set()
@@ -118,7 +121,19 @@
 
     def level_for(self, item: WorkItem) -> ShedLevel:
         """Return the level of this target combined with those further on."""
-        return combine(self.level(), self._levels_further_on(item, self.clock.now_ms()))
+        now_ms, route = self.clock.now_ms(), item.route_id or item.service_id
+        cached = self._combined.get(route)
+        if cached is None or now_ms - cached[0] >= LEVEL_CACHE_MS:
+            level = combine(self.level(), self._levels_further_on(item, now_ms))
+            cached = self._combined[route] = (now_ms, level)
+        return cached[1]
+
+    def passed_threshold(self, item: WorkItem) -> float:
+        """Return the threshold that the inner calls of an admitted request have passed."""
+        if item.depth > 0:
+            return item.passed_threshold
+        threshold = threshold_for(self.level_for(item), item.organisation_id)
+        return max(item.passed_threshold, threshold)
 
     def note_inner(self, item: WorkItem, service_id: ServiceId, level: ShedLevel) -> None:
         """Learn the level that inner calls of a request's route meet."""
@@ -187,10 +202,7 @@
         if rank(item) < self._control.enforced(item.organisation_id):
             self._refuse(RefusalReason.SHED)
         # Only root work: an inner call has used targets above, and entry nodes knew as much.
-        if item.depth == 0 and any(
-            sheds(raise_to_caller(level), item, self._random.random())
-            for level in self._levels_further_on(item, now_ms)
-        ):
+        if item.depth == 0 and sheds(self.level_for(item), item, self._random.random()):
             self._refuse(RefusalReason.SHED)
 
     def _levels_further_on(self, item: WorkItem, now_ms: float) -> list[ShedLevel]:
--- a/gentianthread/protocol/messages_requests.py
+++ b/gentianthread/protocol/messages_requests.py
@@ -48,6 +48,7 @@
         target_path: Path and query.
         headers: Headers for the target, without keys.
         has_body: Whether body chunks follow.
+        passed_threshold: Shed threshold that the root request passed; see `state.work.WorkItem`.
     """
 
     request_id: RequestId
@@ -65,6 +66,7 @@
     target_path: str
     headers: Headers
     has_body: bool
+    passed_threshold: float = 0.0
 
 
 @message(11)
--- a/gentianthread/state/shed_control.py
+++ b/gentianthread/state/shed_control.py
@@ -32,9 +32,11 @@
 class ShedControl:
     """Divide the capacity of a target between organisations whenever its queue is too long.
 
-    Demand is counted above the threshold only and scaled up by the part that the threshold cuts.
-    Since the cut follows a hash of the root request id, the estimate is the same whether the rest
-    was shed here, at the entry node, or not at all. Capacity is measured as completions per running
+    Demand is counted above the threshold only and scaled up by the part that the threshold cuts,
+    here or at the entry node. Since the cut follows a hash of the root request id, the estimate is
+    the same whether the rest was shed here, at the entry node, or not at all.
+
+    Capacity is measured as completions per running
     request and time; the queue corrects it, so that errors of either estimate do not last.
     """
 
@@ -80,11 +82,13 @@
 
     def arrived(self, item: WorkItem) -> None:
         """Count a request that asks for admission."""
-        name = item.organisation_id
+        name, step = item.organisation_id, bucket(item)
         threshold = self.thresholds.get(name, 0.0)
+        if item.passed_threshold > 0:
+            # The entry node may have applied an older threshold, or the mean of a pool.
+            threshold = max(threshold, item.passed_threshold + item.depth / DEPTH_STEPS)
         if rank(item) < threshold:
             return
-        step = bucket(item)
         cut = min(1.0, max(0.0, threshold * DEPTH_STEPS - step))
         seen = self._seen.setdefault(name, {})
         seen[step] = seen.get(step, 0.0) + 1 / max(0.01, 1 - cut)
--- a/gentianthread/state/shed_levels.py
+++ b/gentianthread/state/shed_levels.py
@@ -157,6 +157,13 @@
             del self._levels[oldest]
         self._levels[key] = _Remembered(level, measured_at_ms)
 
+    def refuses(self, key: Hashable, item: WorkItem, now_ms: float) -> bool | None:
+        """Return whether the remembered level refuses an item, or None where none is known."""
+        found = self._levels.get(key)
+        if found is None or now_ms - found.measured_at_ms >= HOLD_MS + FADE_MS:
+            return None
+        return rank(item) < threshold_for(found.level, item.organisation_id)
+
     def level(self, key: Hashable, now_ms: float) -> ShedLevel | None:
         """Return the remembered level with its present age, or None where none is young enough."""
         found = self._levels.get(key)
--- a/gentianthread/state/work.py
+++ b/gentianthread/state/work.py
@@ -19,6 +19,8 @@
         idempotent: Whether it may run twice.
         route_id: Route that the request matched at this hop; shed levels and chain times are kept
             by it, so that an overload behind one route does not shed the others.
+        passed_threshold: Threshold that the root request passed at its entry, in ranks of depth 0;
+            0 if none was known. It tells the nodes further on what part of the demand they see.
     """
 
     root_request_id: RequestId
@@ -29,6 +31,7 @@
     deadline_at_ms: float
     idempotent: bool
     route_id: RouteId | None = None
+    passed_threshold: float = 0.0
 
 
 @attrs.frozen
