Take the median level of a pool and shed inner work only in a crowded queue

Cause: a trace showed thresholds between two priority classes, levels that had faded at the entry because one upstream of a pool was rarely heard, and inner work shed although the queue was short. Change: weighted median over the young levels; hold 1,000 ms and fade 1,000 ms; the target's own threshold counts only while the queue is over its bound; demand averaged over 2 s.

--- a/gentianthread/coordination/load_router.py
+++ b/gentianthread/coordination/load_router.py
@@ -13,7 +13,7 @@
 from ..state.latency import LowLatency
 from ..state.members import Members, MemberState
 from ..state.plan import Plan, Upstream
-from ..state.shed_levels import ShedLevels, average, sheds, threshold_for
+from ..state.shed_levels import ShedLevels, level_of_pool, sheds, threshold_for
 from ..state.upstream_stats import Ejector, UpstreamStats
 from ..state.work import ShedLevel, WorkItem
 from .routing import Router
@@ -263,7 +263,7 @@
     if not levels:
         return None
     free = [level for level in levels if _is_free(level)]
-    return free[0] if free else average(levels)
+    return free[0] if free else level_of_pool(levels)
 
 
 def _is_free(level: ShedLevel) -> bool:
--- a/gentianthread/coordination/target_admission.py
+++ b/gentianthread/coordination/target_admission.py
@@ -199,7 +199,9 @@
     def _check(self, item: WorkItem, now_ms: float) -> None:
         if item.deadline_at_ms - now_ms <= self._service.value_ms(now_ms):
             self._refuse(RefusalReason.DEADLINE_EXCEEDED)
-        if rank(item) < self._control.enforced(item.organisation_id):
+        # A target with a short queue can use the work, and work from other hops has cost them.
+        crowded = len(self._backlog) > self._control.allowed_queue
+        if crowded and rank(item) < self._control.enforced(item.organisation_id):
             self._refuse(RefusalReason.SHED)
         # Only root work: an inner call has used targets above, and entry nodes knew as much.
         if item.depth == 0 and sheds(self.level_for(item), item, self._random.random()):
--- a/gentianthread/state/shed_control.py
+++ b/gentianthread/state/shed_control.py
@@ -42,7 +42,7 @@
 
     WINDOW_MS = 100.0
     # About the length of a client's back-off; shorter averages turn noise into refusals.
-    DEMAND_TIME_MS = 1_000.0
+    DEMAND_TIME_MS = 2_000.0
     CAPACITY_TIME_MS = 500.0
     # Demand of ranks that are cut completely cannot be measured; the last estimate fades slowly.
     UNSEEN_TIME_MS = 30_000.0
@@ -65,6 +65,7 @@
         """
         self.weights = weights
         self.overloaded = False
+        self.allowed_queue = 0.0
         self.thresholds: dict[OrganisationId, float] = {}
         self.demand: dict[OrganisationId, dict[int, float]] = {}
         self._enforced: dict[OrganisationId, float] = {}
@@ -140,7 +141,7 @@
         self._measure_demand(length_ms)
         capacity = self.capacity_per_ms(state.limit)
         # At least twice the root of the limit may wait: with less, chance leaves places idle.
-        allowed = max(queue_target_ms * capacity, 2 * sqrt(state.limit))
+        allowed = self.allowed_queue = max(queue_target_ms * capacity, 2 * sqrt(state.limit))
         if self._smallest_queue > allowed:
             self.overloaded = True
         if self.overloaded and capacity > 0:
--- a/gentianthread/state/shed_levels.py
+++ b/gentianthread/state/shed_levels.py
@@ -19,8 +19,8 @@
 # A level is applied in full until HOLD_MS after it was measured. It then fades: a growing part of
 # the work passes, and each answer brings a fresh level. After HOLD_MS + FADE_MS it counts as
 # unknown, so no stale level refuses for longer.
-HOLD_MS = 600.0
-FADE_MS = 1_400.0
+HOLD_MS = 1_000.0
+FADE_MS = 1_000.0
 
 
 def position(root_request_id: RequestId) -> float:
@@ -93,34 +93,49 @@
     )
 
 
-def average(levels: list[ShedLevel]) -> ShedLevel:
-    """Return the level of a pool of upstreams, each counted by its limit.
+def level_of_pool(levels: list[ShedLevel]) -> ShedLevel:
+    """Return the level of a pool of upstreams: the median, each counted by its limit.
 
-    The mean threshold is one that some upstream of the pool accepts. The smallest one would send
-    all work between it and the mean to a single upstream.
+    The mean of thresholds in two priority classes would lie between the classes and mean nothing.
+    The smallest one would send all work between it and the others to a single upstream. Levels
+    older than `HOLD_MS` count only where no younger one is known.
 
     Args:
         levels: Levels of the upstreams; at least one.
     """
-    weights = [max(1, level.limit) for level in levels]
-    total = sum(weights)
-    names = sorted({name for level in levels for name, _ in level.by_organisation})
-
-    def mean(values: Iterable[float]) -> float:
-        return sum(w * value for w, value in zip(weights, values, strict=True)) / total
-
+    fresh = [level for level in levels if level.age_ms <= HOLD_MS]
+    used = fresh or [min(levels, key=lambda level: level.age_ms)]
+    names = sorted({name for level in used for name, _ in level.by_organisation})
+    weights = [max(1, level.limit) for level in used]
+    medians = [
+        (name, _median([threshold_for(level, name) for level in used], weights)) for name in names
+    ]
     return ShedLevel(
-        threshold=mean(level.threshold for level in levels),
-        queue_delay_ms=mean(level.queue_delay_ms for level in levels),
-        running=sum(level.running for level in levels),
-        limit=sum(level.limit for level in levels),
-        by_organisation=tuple(
-            (name, mean(threshold_for(level, name) for level in levels)) for name in names
-        ),
-        age_ms=mean(level.age_ms for level in levels),
+        threshold=_median([level.threshold for level in used], weights),
+        queue_delay_ms=sum(level.queue_delay_ms for level in used) / len(used),
+        running=sum(level.running for level in used),
+        limit=sum(level.limit for level in used),
+        by_organisation=tuple((name, median) for name, median in medians if median > 0),
+        age_ms=sum(level.age_ms for level in used) / len(used),
     )
 
 
+def _median(values: list[float], weights: list[int]) -> float:
+    """Return the weighted median; the mean of both middle values inside one rank step."""
+    ordered = sorted(zip(values, weights, strict=True))
+    half = sum(weights) / 2
+    passed = 0.0
+    for index, (value, weight) in enumerate(ordered):
+        passed += weight
+        if passed > half or index == len(ordered) - 1:
+            return value
+        if passed == half:
+            above = ordered[index + 1][0]
+            same_step = int(value * DEPTH_STEPS) == int(above * DEPTH_STEPS)
+            return (value + above) / 2 if same_step else value
+    return 0.0
+
+
 def _sheds_anything(level: ShedLevel) -> bool:
     return level.threshold > 0 or bool(level.by_organisation)
 
