Follow changes of demand at once and noise slowly

Cause: averages over 2 to 3 s met a surge with thresholds that were too low and kept them after its end; a level of an upstream that was not heard since counted as room. Change: averaging time per organisation by a test against noise; supply corrected by the queue and by idle places; levels of a pool count near the youngest one only; root work that passed a threshold is not shed by the threshold of a target further on.

--- a/bench/overload_model.py
+++ b/bench/overload_model.py
@@ -135,7 +135,14 @@
             Tier("catalogue", 5, 50, 400, 10.0, _lookup("lookup")),
             Tier("orders", 4, 60, 470, 10.0, _lookup("lookup")),
             Tier("drawings", 4, 60, 470, 10.0, _lookup("lookup")),
-            Tier("pricing", 4, 15, 200, 200.0, _lookup("scarce", queue_target_ms=40.0)),
+            Tier(
+                "pricing",
+                4,
+                15,
+                200,
+                200.0,
+                _lookup("scarce", queue_target_ms=40.0, queue_limit=40),
+            ),
         )
     },
     chain=("orders", "catalogue", "drawings", "pricing"),
@@ -156,7 +163,14 @@
             Tier("hourlog", 4, 300, 1900, 3.0, _lookup("lookup")),
             Tier("orderdesk", 3, 400, 2500, 3.0, _lookup("lookup")),
             Tier("manualvault", 3, 400, 2500, 3.0, _lookup("lookup")),
-            Tier("dispatch", 3, 20, 150, 400.0, _lookup("scarce", queue_target_ms=40.0)),
+            Tier(
+                "dispatch",
+                3,
+                20,
+                150,
+                400.0,
+                _lookup("scarce", queue_target_ms=40.0, queue_limit=40),
+            ),
         )
     },
     chain=(*("orderdesk", "hourlog", "manualvault") * 5, "orderdesk", "hourlog", "dispatch"),
--- a/gentianthread/coordination/load_router.py
+++ b/gentianthread/coordination/load_router.py
@@ -13,7 +13,7 @@
 from ..state.latency import LowLatency
 from ..state.members import Members, MemberState
 from ..state.plan import Plan, Upstream
-from ..state.shed_levels import ShedLevels, level_of_pool, sheds, threshold_for
+from ..state.shed_levels import YOUNG_MS, ShedLevels, level_of_pool, sheds, threshold_for
 from ..state.upstream_stats import Ejector, UpstreamStats
 from ..state.work import ShedLevel, WorkItem
 from .routing import Router
@@ -267,4 +267,9 @@
 
 
 def _is_free(level: ShedLevel) -> bool:
-    return level.threshold <= 0 and not level.by_organisation and level.running < level.limit
+    return (
+        level.age_ms <= YOUNG_MS
+        and level.threshold <= 0
+        and not level.by_organisation
+        and level.running < level.limit
+    )
--- a/gentianthread/coordination/target_admission.py
+++ b/gentianthread/coordination/target_admission.py
@@ -15,7 +15,7 @@
 from ..state.limiters import limiters
 from ..state.plan import Profile
 from ..state.shed_control import ShedControl, TargetState
-from ..state.shed_levels import ShedLevels, combine, rank, sheds, threshold_for
+from ..state.shed_levels import ShedLevels, combine, passed_at, rank, sheds, threshold_for
 from ..state.work import ShedLevel, WorkItem
 from .admission import Admission, Permit
 
@@ -199,14 +199,24 @@
     def _check(self, item: WorkItem, now_ms: float) -> None:
         if item.deadline_at_ms - now_ms <= self._service.value_ms(now_ms):
             self._refuse(RefusalReason.DEADLINE_EXCEEDED)
-        # A target with a short queue can use the work, and work from other hops has cost them.
-        crowded = len(self._backlog) > self._control.allowed_queue
-        if crowded and rank(item) < self._control.enforced(item.organisation_id):
+        if self._is_shed_here(item):
             self._refuse(RefusalReason.SHED)
         # Only root work: an inner call has used targets above, and entry nodes knew as much.
         if item.depth == 0 and sheds(self.level_for(item), item, self._random.random()):
             self._refuse(RefusalReason.SHED)
 
+    def _is_shed_here(self, item: WorkItem) -> bool:
+        """Return whether the threshold of this target sheds an item.
+
+        Inner work has cost the targets above. It is admitted while the queue is short, or if it
+        passed a threshold at its entry, which had to be as strict as this one up to its age.
+        """
+        if len(self._backlog) <= self._control.allowed_queue:
+            return False
+        if item.depth > 0 and 0 < passed_at(item) <= rank(item):
+            return False
+        return rank(item) < self._control.enforced(item.organisation_id)
+
     def _levels_further_on(self, item: WorkItem, now_ms: float) -> list[ShedLevel]:
         route = item.route_id or item.service_id
         levels = [
--- a/gentianthread/state/fairness.py
+++ b/gentianthread/state/fairness.py
@@ -8,8 +8,9 @@
 
 K = TypeVar("K")
 
-# Keeps a small sample of every cut rank step, from which its demand can still be estimated.
-LARGEST_CUT = 0.98
+# Keeps a small sample of every cut rank step, from which its demand can still be estimated. With
+# retries a cut demand is many times the capacity, so that a larger sample would fill it.
+LARGEST_CUT = 0.995
 
 
 def weighted_max_min(
--- a/gentianthread/state/shed_control.py
+++ b/gentianthread/state/shed_control.py
@@ -7,8 +7,8 @@
 import attrs
 
 from ..ids import OrganisationId, Priority
-from .fairness import cut_for_share, weighted_max_min
-from .shed_levels import DEPTH_STEPS, bucket, rank
+from .fairness import LARGEST_CUT, cut_for_share, weighted_max_min
+from .shed_levels import DEPTH_STEPS, bucket, passed_at, rank
 from .work import WorkItem
 
 Weights = Callable[[OrganisationId], float]
@@ -44,15 +44,25 @@
     # About the length of a client's back-off; shorter averages turn noise into refusals.
     DEMAND_TIME_MS = 2_000.0
     CAPACITY_TIME_MS = 500.0
+    # Averages that show a change of demand or use soon.
+    CHANGE_TIME_MS = 400.0
+    # A change counts if it exceeds the standard deviation of the recent average this many times.
+    NOISE_FACTOR = 2.5
     # Demand of ranks that are cut completely cannot be measured; the last estimate fades slowly.
     UNSEEN_TIME_MS = 30_000.0
     # Work that entry nodes admitted under a recent threshold is not shed here for a newer one.
     # Covers the way of a level to the entry node and of a request back to this one.
     GRACE_WINDOWS = 5
-    # Correction of the capacity per unit of relative queue error.
+    # Correction of the capacity while the queue is empty.
     GAIN = 0.1
-    TRIM_GAIN = 0.01
+    # What waits above the bound is to be gone after this time: new work leaves room for it.
+    DRAIN_MS = 1_000.0
+    # Part of the capacity that new work keeps, because it may be more important than what waits.
+    LEAST_SUPPLY = 0.5
+    TRIM_GAIN = 0.0025
     TRIM_RANGE = (-0.3, 0.3)
+    # Smallest used part of the limit for which the demand is corrected at once.
+    LEAST_USE = 0.4
     # Windows in a row without any cut after which an overload counts as over.
     CALM_WINDOWS = 10
 
@@ -78,21 +88,22 @@
         self._observed_at_ms = now_ms
         self._rate = 0.0
         self._running = 0.0
+        self._use = 0.0
         self._trim = 0.0
         self._calm = 0
+        self._recent_demand: dict[OrganisationId, float] = {}
+        self._shares: dict[OrganisationId, float] = {}
 
     def arrived(self, item: WorkItem) -> None:
         """Count a request that asks for admission."""
         name, step = item.organisation_id, bucket(item)
-        threshold = self.thresholds.get(name, 0.0)
-        if item.passed_threshold > 0:
-            # The entry node may have applied an older threshold, or the mean of a pool.
-            threshold = max(threshold, item.passed_threshold + item.depth / DEPTH_STEPS)
+        # The entry node may have applied an older threshold, or that of a pool.
+        threshold = max(self.thresholds.get(name, 0.0), passed_at(item))
         if rank(item) < threshold:
             return
         cut = min(1.0, max(0.0, threshold * DEPTH_STEPS - step))
         seen = self._seen.setdefault(name, {})
-        seen[step] = seen.get(step, 0.0) + 1 / max(0.01, 1 - cut)
+        seen[step] = seen.get(step, 0.0) + 1 / max(1 - LARGEST_CUT, 1 - cut)
 
     def enforced(self, organisation_id: OrganisationId) -> float:
         """Return the threshold below which the target itself sheds."""
@@ -137,15 +148,16 @@
         return True
 
     def _close_window(self, state: TargetState, queue_target_ms: float, length_ms: float) -> None:
+        self._measure_use(length_ms, state.limit)
         self._measure_capacity(length_ms)
         self._measure_demand(length_ms)
         capacity = self.capacity_per_ms(state.limit)
         # At least twice the root of the limit may wait: with less, chance leaves places idle.
         allowed = self.allowed_queue = max(queue_target_ms * capacity, 2 * sqrt(state.limit))
-        if self._smallest_queue > allowed:
+        if self._smallest_queue > allowed and not self.overloaded:
             self.overloaded = True
         if self.overloaded and capacity > 0:
-            self._share_capacity(capacity, (allowed - self._smallest_queue) / allowed)
+            self._share_capacity(capacity, allowed)
         self._recent.append(self.thresholds)
         self._enforced = {
             name: min(recent.get(name, 0.0) for recent in self._recent) for name in self.thresholds
@@ -159,32 +171,56 @@
         self._completed = 0
         self._running_ms = 0.0
 
+    def _measure_use(self, length_ms: float, limit: float) -> None:
+        use = min(1.0, self._running_ms / length_ms / limit)
+        self._use += (1 - exp(-length_ms / self.CHANGE_TIME_MS)) * (use - self._use)
+
     def _measure_demand(self, length_ms: float) -> None:
-        gain = 1 - exp(-length_ms / self.DEMAND_TIME_MS)
-        unseen = exp(-length_ms / self.UNSEEN_TIME_MS)
-        for name in self._seen.keys() | self.demand.keys():
+        for name in sorted(self._seen.keys() | self.demand.keys()):
             demand = self.demand.setdefault(name, {})
             seen = self._seen.get(name, {})
+            gain = 1 - exp(-length_ms / self._demand_time_ms(name, length_ms))
             lowest = int(self.thresholds.get(name, 0.0) * DEPTH_STEPS)
-            for step in seen.keys() | demand.keys():
+            for step in sorted(seen.keys() | demand.keys()):
                 known = demand.get(step, 0.0)
                 if step >= lowest:
                     known += gain * (seen.get(step, 0.0) / length_ms - known)
                 else:
-                    known *= unseen
+                    known *= exp(-length_ms / self.UNSEEN_TIME_MS)
                 demand[step] = known
             self.demand[name] = {step: rate for step, rate in demand.items() if rate > 1e-6}
         self.demand = {name: demand for name, demand in self.demand.items() if demand}
+        self._recent_demand = {name: self._recent_demand[name] for name in self.demand}
         self._seen = {}
 
-    def _share_capacity(self, capacity: float, error: float) -> None:
-        error = max(-4.0, min(1.0, error))
+    def _demand_time_ms(self, name: OrganisationId, length_ms: float) -> float:
+        """Return the averaging time for an organisation: short while its demand changes."""
+        seen = sum(self._seen.get(name, {}).values()) / length_ms
+        recent = self._recent_demand.get(name, 0.0)
+        recent += (1 - exp(-length_ms / self.CHANGE_TIME_MS)) * (seen - recent)
+        self._recent_demand[name] = recent
+        lowest = int(self.thresholds.get(name, 0.0) * DEPTH_STEPS)
+        known = sum(rate for step, rate in self.demand[name].items() if step >= lowest)
+        # Requests behind the recent average: only those above the threshold were seen.
+        counted = 2 * self.CHANGE_TIME_MS * min(known, self._shares.get(name, known))
+        noise = 1 + self.NOISE_FACTOR / sqrt(counted + 1)
+        changed = recent > known * noise or recent * noise < known
+        return self.CHANGE_TIME_MS if changed else self.DEMAND_TIME_MS
+
+    def _share_capacity(self, capacity: float, allowed: float) -> None:
+        error = max(-1.0, (allowed - self._smallest_queue) / allowed)
         low, high = self.TRIM_RANGE
-        self._trim = max(low, min(high, self._trim + self.TRIM_GAIN * max(-1.0, error)))
-        supply = capacity * (1 + self._trim + self.GAIN * error)
+        self._trim = max(low, min(high, self._trim + self.TRIM_GAIN * error))
+        if error > 0:
+            correction = self.GAIN * error * capacity
+        else:
+            correction = (allowed - self._smallest_queue) / self.DRAIN_MS
+        # Idle places show that the demand was overestimated, for example because retries ended.
+        correction += capacity * (1 / max(self.LEAST_USE, self._use) - 1)
+        supply = max(self.LEAST_SUPPLY * capacity, capacity * (1 + self._trim) + correction)
         totals = {name: sum(demand.values()) for name, demand in self.demand.items()}
         weights = {name: self.weights(name) for name in totals}
-        shares = weighted_max_min(supply, totals, weights)
+        shares = self._shares = weighted_max_min(supply, totals, weights)
         cuts = {name: cut_for_share(shares[name], self.demand[name]) for name in totals}
         self.thresholds = {name: cut for name, cut in cuts.items() if cut > 0}
         self._calm = 0 if self.thresholds or error < 0 else self._calm + 1
@@ -192,3 +228,4 @@
             self.overloaded = False
             self._trim = 0.0
             self._calm = 0
+            self._shares = {}
--- a/gentianthread/state/shed_levels.py
+++ b/gentianthread/state/shed_levels.py
@@ -21,6 +21,8 @@
 # unknown, so no stale level refuses for longer.
 HOLD_MS = 1_000.0
 FADE_MS = 1_000.0
+# Levels of a pool within this time of the youngest one are taken together.
+YOUNG_MS = 200.0
 
 
 def position(root_request_id: RequestId) -> float:
@@ -46,6 +48,13 @@
     return level.threshold
 
 
+def passed_at(item: WorkItem) -> float:
+    """Return the threshold that the root request passed, in ranks of the item's depth, or 0."""
+    if item.passed_threshold <= 0:
+        return 0.0
+    return item.passed_threshold + item.depth / DEPTH_STEPS
+
+
 def sheds(level: ShedLevel, item: WorkItem, draw: float) -> bool:
     """Return whether a level sheds an item.
 
@@ -98,13 +107,13 @@
 
     The mean of thresholds in two priority classes would lie between the classes and mean nothing.
     The smallest one would send all work between it and the others to a single upstream. Levels
-    older than `HOLD_MS` count only where no younger one is known.
+    much older than the youngest one do not count: they say nothing about a change since then.
 
     Args:
         levels: Levels of the upstreams; at least one.
     """
-    fresh = [level for level in levels if level.age_ms <= HOLD_MS]
-    used = fresh or [min(levels, key=lambda level: level.age_ms)]
+    youngest_ms = min(level.age_ms for level in levels)
+    used = [level for level in levels if level.age_ms <= youngest_ms + YOUNG_MS]
     names = sorted({name for level in used for name, _ in level.by_organisation})
     weights = [max(1, level.limit) for level in used]
     medians = [
