--- a/gentianthread/state/shed_levels.py
+++ b/gentianthread/state/shed_levels.py
@@ -19,8 +19,10 @@
 # A level is applied in full until HOLD_MS after it was measured. It then fades: a growing part of
 # the work passes, and each answer brings a fresh level. After HOLD_MS + FADE_MS it counts as
 # unknown, so no stale level refuses for longer.
-HOLD_MS = 600.0
-FADE_MS = 1_400.0
+HOLD_MS = 1_000.0
+FADE_MS = 1_000.0
+# Levels of a pool within this time of the youngest one are taken together.
+YOUNG_MS = 200.0
 
 
 def position(root_request_id: RequestId) -> float:
@@ -46,6 +48,13 @@
     return level.threshold
 
 
+def passed_at(item: WorkItem) -> float:
+    """Return the threshold that the root request passed, in ranks of the item's depth, or 0."""
+    if item.passed_threshold <= 0:
+        return 0.0
+    return item.passed_threshold + item.depth / DEPTH_STEPS
+
+
 def sheds(level: ShedLevel, item: WorkItem, draw: float) -> bool:
     """Return whether a level sheds an item.
 
@@ -93,34 +102,49 @@
     )
 
 
-def average(levels: list[ShedLevel]) -> ShedLevel:
-    """Return the level of a pool of upstreams, each counted by its limit.
+def level_of_pool(levels: list[ShedLevel]) -> ShedLevel:
+    """Return the level of a pool of upstreams: the median, each counted by its limit.
 
-    The mean threshold is one that some upstream of the pool accepts. The smallest one would send
-    all work between it and the mean to a single upstream.
+    The mean of thresholds in two priority classes would lie between the classes and mean nothing.
+    The smallest one would send all work between it and the others to a single upstream. Levels
+    much older than the youngest one do not count: they say nothing about a change since then.
 
     Args:
         levels: Levels of the upstreams; at least one.
     """
-    weights = [max(1, level.limit) for level in levels]
-    total = sum(weights)
-    names = sorted({name for level in levels for name, _ in level.by_organisation})
-
-    def mean(values: Iterable[float]) -> float:
-        return sum(w * value for w, value in zip(weights, values, strict=True)) / total
-
+    youngest_ms = min(level.age_ms for level in levels)
+    used = [level for level in levels if level.age_ms <= youngest_ms + YOUNG_MS]
+    names = sorted({name for level in used for name, _ in level.by_organisation})
+    weights = [max(1, level.limit) for level in used]
+    medians = [
+        (name, _median([threshold_for(level, name) for level in used], weights)) for name in names
+    ]
     return ShedLevel(
-        threshold=mean(level.threshold for level in levels),
-        queue_delay_ms=mean(level.queue_delay_ms for level in levels),
-        running=sum(level.running for level in levels),
-        limit=sum(level.limit for level in levels),
-        by_organisation=tuple(
-            (name, mean(threshold_for(level, name) for level in levels)) for name in names
-        ),
-        age_ms=mean(level.age_ms for level in levels),
+        threshold=_median([level.threshold for level in used], weights),
+        queue_delay_ms=sum(level.queue_delay_ms for level in used) / len(used),
+        running=sum(level.running for level in used),
+        limit=sum(level.limit for level in used),
+        by_organisation=tuple((name, median) for name, median in medians if median > 0),
+        age_ms=sum(level.age_ms for level in used) / len(used),
     )
 
 
+def _median(values: list[float], weights: list[int]) -> float:
+    """Return the weighted median; the mean of both middle values inside one rank step."""
+    ordered = sorted(zip(values, weights, strict=True))
+    half = sum(weights) / 2
+    passed = 0.0
+    for index, (value, weight) in enumerate(ordered):
+        passed += weight
+        if passed > half or index == len(ordered) - 1:
+            return value
+        if passed == half:
+            above = ordered[index + 1][0]
+            same_step = int(value * DEPTH_STEPS) == int(above * DEPTH_STEPS)
+            return (value + above) / 2 if same_step else value
+    return 0.0
+
+
 def _sheds_anything(level: ShedLevel) -> bool:
     return level.threshold > 0 or bool(level.by_organisation)
 
@@ -157,6 +181,13 @@
             del self._levels[oldest]
         self._levels[key] = _Remembered(level, measured_at_ms)
 
+    def refuses(self, key: Hashable, item: WorkItem, now_ms: float) -> bool | None:
+        """Return whether the remembered level refuses an item, or None where none is known."""
+        found = self._levels.get(key)
+        if found is None or now_ms - found.measured_at_ms >= HOLD_MS + FADE_MS:
+            return None
+        return rank(item) < threshold_for(found.level, item.organisation_id)
+
     def level(self, key: Hashable, now_ms: float) -> ShedLevel | None:
         """Return the remembered level with its present age, or None where none is young enough."""
         found = self._levels.get(key)
