Bound how long refused callers delay a planned stop

Cause: wait_idle waited for 300 ms without any new request. Change: after 3 s only running requests delay the stop.

--- a/gentianthread/coordination/drain.py
+++ b/gentianthread/coordination/drain.py
@@ -30,6 +30,11 @@
 # idle connections then get a refusal and not a reset.
 QUIET_MS = 300.0
 
+# Callers that go on sending, although each answer refuses and closes, delay the stop no longer than
+# this; by then the fleet and the instance list show the node as leaving. Running requests have no
+# such limit.
+QUIET_LIMIT_MS = 3_000.0
+
 
 class Drain:
     """Refuse new work, let running work finish, and tell when the node is idle."""
@@ -86,13 +91,18 @@
 
     async def wait_idle(self) -> None:
         """Wait until nothing runs and nothing new came for a short time."""
-        quiet_since_ms = self.clock.now_ms()
+        started_ms = quiet_since_ms = self.clock.now_ms()
         served = self.gateway.served
         while self.clock.now_ms() - quiet_since_ms < QUIET_MS:
             await self.clock.sleep_ms(_POLL_MS)
-            if self.running > 0 or self.gateway.served != served:
-                served = self.gateway.served
-                quiet_since_ms = self.clock.now_ms()
+            now_ms = self.clock.now_ms()
+            if self.running > 0:
+                quiet_since_ms = now_ms
+            elif now_ms - started_ms >= QUIET_LIMIT_MS:
+                return
+            elif self.gateway.served != served:
+                quiet_since_ms = now_ms
+            served = self.gateway.served
 
 
 class TargetWatch:
--- a/tests/coordination/test_drain.py
+++ b/tests/coordination/test_drain.py
@@ -168,3 +168,34 @@
         gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
         self.assertTrue(min(gaps) >= 1_500 and max(gaps) <= 2_500)
         self.assertTrue(len({round(gap) for gap in gaps}) > len(gaps) / 2)
+
+
+class TestDrain(VirtualTimeTestCase):
+    def make(self):
+        gateway, executor = FakeSide(), FakeSide()
+        return gateway, executor, Drain(gateway, executor, LoopClock(), None)
+
+    async def keep_sending(self, gateway):
+        while True:
+            gateway.served += 1
+            await asyncio.sleep(0.05)
+
+    async def test_callers_that_go_on_sending_do_not_prevent_the_stop(self):
+        """Guards against a planned stop that never ends because refused callers come back."""
+        gateway, _, drain = self.make()
+        sending = asyncio.ensure_future(self.keep_sending(gateway))
+        async with asyncio.timeout(4):
+            await drain.wait_idle()
+        sending.cancel()
+
+    async def test_a_running_request_is_never_cut_off(self):
+        """Guards against a bound on the stop that ends running requests (P11)."""
+        gateway, executor, drain = self.make()
+        sending = asyncio.ensure_future(self.keep_sending(gateway))
+        executor.running = 1
+        stopping = asyncio.ensure_future(drain.wait_idle())
+        await asyncio.sleep(60)
+        self.assertFalse(stopping.done())
+        executor.running = 0
+        await asyncio.wait_for(stopping, 4)
+        sending.cancel()
