Add a fault test over real node processes

python -m bench.faults starts both deployments at reduced size, with relays for delay, loss, partitions and silence between nodes, and checks P1 to P12 from what callers and targets see.

--- /dev/null
+++ b/bench/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Test a small fleet of real node processes against faults."""
--- /dev/null
+++ b/bench/faults/report.py
@@ -0,0 +1,43 @@
+"""Print the verdict on one run."""
+
+from collections import Counter
+
+from .invariants import Evidence, checks
+
+SHOWN_VIOLATIONS = 5
+
+ORDER = tuple(f"P{number}" for number in range(1, 13))
+
+
+def judge(evidence: Evidence) -> tuple[list[str], int, list[str]]:
+    """Check all invariants.
+
+    Returns:
+        Lines of the report, the number of violations and the invariants that nothing exercised.
+    """
+    name = evidence.deployment.name
+    lines = [f"{name:10} {'checked':>8} {'violations':>10}  worst"]
+    values, unexercised, total = [], [], 0
+    for invariant in ORDER:
+        finding = checks.get(invariant)(evidence)
+        count = len(finding.violations)
+        total += count
+        if not finding.checked and not count:
+            unexercised.append(invariant)
+        shown = finding.worst if finding.checked else "not exercised"
+        lines.append(f"{invariant:10} {finding.checked:8} {count:10}  {shown}")
+        lines += [f"    {text}" for text in finding.violations[:SHOWN_VIOLATIONS]]
+        values.append(f"{name}.{invariant}.checked={finding.checked}")
+        values.append(f"{name}.{invariant}.violations={count}")
+    return [*lines, *values, *_totals(evidence)], total, unexercised
+
+
+def _totals(evidence: Evidence) -> list[str]:
+    log, name = evidence.log, evidence.deployment.name
+    results = Counter(one.result.value.replace(" ", "_") for one in log.attempts)
+    reasons = Counter(one.reason for one in log.attempts if one.reason)
+    lines = [f"{name}.attempts={len(log.attempts)}", f"{name}.arrivals={len(log.arrivals)}"]
+    lines += [f"{name}.result.{result}={number}" for result, number in sorted(results.items())]
+    lines += [f"{name}.reason.{reason}={number}" for reason, number in sorted(reasons.items())]
+    lines.append(f"{name}.harness_lag_ms={log.lag_s * 1000:.0f}")
+    return lines
--- a/bench/run.py
+++ b/bench/run.py
@@ -8,15 +8,16 @@
 FOLDER = Path(__file__).resolve().parent
 
 # Arguments of the short form that keeps the whole run under ten minutes.
-SHORT_ARGUMENTS: dict[str, list[str]] = {}
+SHORT_ARGUMENTS: dict[str, list[str]] = {"faults": ["--short"]}
 
 TIMEOUT_S = 180
 
 
 def benchmarks() -> list[str]:
-    """Return the names of all benchmarks."""
+    """Return the names of all benchmarks, modules and packages."""
     skipped = {"__init__", "run"}
-    return sorted(path.stem for path in FOLDER.glob("*.py") if path.stem not in skipped)
+    modules = {path.stem for path in FOLDER.glob("*.py") if path.stem not in skipped}
+    return sorted(modules | {path.parent.name for path in FOLDER.glob("*/__main__.py")})
 
 
 def run(name: str) -> int:
--- a/gentianthread/protocol/codec.py
+++ b/gentianthread/protocol/codec.py
@@ -131,7 +131,7 @@
     if attrs.has(type(value)):
         packer = _packers.get(type(value))
         if packer is None:
-            packer = _packers[type(value)] = _fields_packer(type(value))
+            packer = _packers[type(value)] = _packer_of_fields(type(value))
         return packer(value)
     return value
 
