Serve conforming organisations from the quota and measure it

A draw of a starved organisation held up the others, a partial grant counted as scarcity, spent tokens were reported late, a burst distorted the demand estimate, and the holder's own share lapsed between polls. Change: starved organisations draw alone, a zone holder keeps a draw until the fleet holder has answered for it, large spending is reported at once, bursts are capped in the demand estimate, the own share is polled after its witnesses; shorter leases and eager polls of a new holder.

--- a/gentianthread/coordination/escrow_quota.py
+++ b/gentianthread/coordination/escrow_quota.py
@@ -54,9 +54,15 @@
         self.zone_holder = ZoneHolder(self.context, self.member)
         self.fleet_holder = FleetHolder(self.context, self.zone_holder)
         times = self.context.times
-        self.stock.loop = DrawLoop(self.context, Tier.ZONE, times.draw_ms, self.stock)
+        self.stock.loop = DrawLoop(
+            self.context, Tier.ZONE, times.draw_ms, times.spacing_ms, self.stock
+        )
         self.zone_holder.loop = DrawLoop(
-            self.context, Tier.FLEET, times.zone_draw_ms, self.zone_holder
+            self.context,
+            Tier.FLEET,
+            times.zone_draw_ms,
+            times.zone_spacing_ms,
+            self.zone_holder,
         )
         self._ticked_at_ms = clock.now_ms()
         self._subscribe()
--- a/gentianthread/coordination/quota_cache.py
+++ b/gentianthread/coordination/quota_cache.py
@@ -34,6 +34,9 @@
         self.ledger: Ledger[NodeIdentity] = Ledger()
         self.target = 0
         self.unmet: dict[NodeIdentity, int] = {}
+        # Draws that stated waiting requests, and how many of them were answered.
+        self.asked = 0
+        self.answered = 0
         self._blocked_until_ms = 0.0
 
     def follow(self, giver: NodeIdentity | None) -> None:
--- a/gentianthread/coordination/quota_context.py
+++ b/gentianthread/coordination/quota_context.py
@@ -17,6 +17,10 @@
 from ..state.rendezvous import choose
 from .peer_network import PeerNetwork
 
+# Spent tokens that are reported at once: a part of the burst, but no trifles.
+REPORT_PART = 0.02
+LEAST_REPORT = 4.0
+
 
 @attrs.frozen
 class QuotaTimes:
@@ -29,7 +33,8 @@
         grant_ms: How long granted tokens last without renewal.
         draw_ms: Time between the regular draws of a node.
         zone_draw_ms: Time between the regular draws of a zone holder.
-        spacing_ms: Least time between two draws of one organisation.
+        spacing_ms: Least time between two draws of a node for one organisation.
+        zone_spacing_ms: The same for a zone holder.
         scarce_spacing_ms: The same while the last draw brought too little.
         draw_timeout_ms: How long a drawer waits for an answer.
         hold_ms: How long a zone holder holds a draw that it cannot serve.
@@ -38,24 +43,27 @@
         tick_ms: Time between the checks for pauses.
         pause_ms: Gap between ticks that counts as a pause.
         prefetch_part: Largest part of the burst that is held ahead over all nodes.
+        prefetch_floor: Tokens that a zone in use holds ahead at least unless the bucket is low.
         prefetch_horizon_ms: Demand that a drawer holds ahead at most.
     """
 
-    poll_ms: float = 1_000.0
-    poll_timeout_ms: float = 400.0
-    delegation_ms: float = 3_000.0
-    grant_ms: float = 1_000.0
+    poll_ms: float = 700.0
+    poll_timeout_ms: float = 300.0
+    delegation_ms: float = 2_100.0
+    grant_ms: float = 800.0
     draw_ms: float = 250.0
     zone_draw_ms: float = 250.0
-    spacing_ms: float = 40.0
-    scarce_spacing_ms: float = 100.0
+    spacing_ms: float = 5.0
+    zone_spacing_ms: float = 10.0
+    scarce_spacing_ms: float = 60.0
     draw_timeout_ms: float = 150.0
     hold_ms: float = 60.0
     hello_ms: float = 250.0
     hello_patience_ms: float = 3_000.0
     tick_ms: float = 100.0
     pause_ms: float = 500.0
-    prefetch_part: float = 0.08
+    prefetch_part: float = 0.15
+    prefetch_floor: int = 2
     prefetch_horizon_ms: float = 500.0
 
     @property
@@ -118,6 +126,15 @@
         """Return an organisation of the plan in force."""
         return self.plan.organisations.get(organisation_id) if self.plan else None
 
+    def report_amount(self, organisation_id: OrganisationId) -> float:
+        """Return how many spent tokens a drawer reports without waiting for its period.
+
+        Until then they occupy room in the bucket, which cannot refill while it looks full.
+        """
+        organisation = self.organisation(organisation_id)
+        burst = organisation.burst if organisation else 0.0
+        return max(LEAST_REPORT, REPORT_PART * burst)
+
     def zones(self) -> list[AvailabilityZoneId]:
         """Return the zones of all plans that may be in force somewhere."""
         return sorted(
--- a/gentianthread/coordination/quota_draws.py
+++ b/gentianthread/coordination/quota_draws.py
@@ -33,13 +33,12 @@
         """Return what to state in a draw that is sent now."""
 
     @abstractmethod
-    def receive(
-        self,
-        giver: NodeIdentity,
-        grant: GrantEntry,
-        expires_at_ms: float,
-    ) -> bool:
-        """Take granted tokens; returns whether they were too few."""
+    def receive(self, giver: NodeIdentity, grant: GrantEntry, expires_at_ms: float) -> None:
+        """Take granted tokens."""
+
+    @abstractmethod
+    def waits(self, organisation_id: OrganisationId) -> bool:
+        """Return whether requests wait for tokens."""
 
 
 @attrs.define
@@ -59,18 +58,27 @@
     that is not used any more can only lose tokens.
     """
 
-    def __init__(self, context: QuotaContext, tier: Tier, period_ms: float, source: DrawSource):
+    def __init__(
+        self,
+        context: QuotaContext,
+        tier: Tier,
+        period_ms: float,
+        spacing_ms: float,
+        source: DrawSource,
+    ):
         """Create a loop.
 
         Args:
             context: Shared parts of the process.
             tier: Role of the givers.
             period_ms: Time between regular draws.
+            spacing_ms: Least time between two draws.
             source: What is drawn for.
         """
         self.context = context
         self.tier = tier
         self.period_ms = period_ms
+        self.spacing_ms = spacing_ms
         self.source = source
         self._paces: dict[OrganisationId, _Pace] = defaultdict(_Pace)
         self._woken = asyncio.Event()
@@ -98,8 +106,9 @@
         now_ms = self.context.clock.now_ms()
         names = set(self.source.organisations())
         names |= {name for name, pace in self._paces.items() if pace.urgent}
-        due: dict[NodeIdentity, list[OrganisationId]] = defaultdict(list)
-        companions: dict[NodeIdentity, list[OrganisationId]] = defaultdict(list)
+        # A holder can keep a draw of a scarce organisation for a while, so these go alone.
+        due: dict[tuple[NodeIdentity, bool], list[OrganisationId]] = defaultdict(list)
+        companions: dict[tuple[NodeIdentity, bool], list[OrganisationId]] = defaultdict(list)
         wait_ms = self.period_ms
         for name in sorted(names):
             pace = self._paces[name]
@@ -108,20 +117,20 @@
                 continue
             left_ms = pace.last_at_ms + self._interval_ms(pace) - now_ms
             if left_ms <= 0.01:
-                due[giver].append(name)
+                due[giver, pace.scarce].append(name)
                 continue
             wait_ms = min(wait_ms, left_ms)
             if now_ms - pace.last_at_ms >= COMPANION_AGE * self.period_ms:
-                companions[giver].append(name)
-        for giver, organisations in due.items():
-            self.context.spawn(self._draw(giver, organisations + companions[giver]))
+                companions[giver, pace.scarce].append(name)
+        for key, organisations in due.items():
+            self.context.spawn(self._draw(key[0], organisations + companions[key]))
         return wait_ms
 
     def _interval_ms(self, pace: _Pace) -> float:
         times = self.context.times
         if not pace.urgent:
             return self.period_ms
-        return times.scarce_spacing_ms if pace.scarce else times.spacing_ms
+        return times.scarce_spacing_ms if pace.scarce else self.spacing_ms
 
     async def _draw(self, giver: NodeIdentity, organisations: list[OrganisationId]) -> None:
         context = self.context
@@ -138,9 +147,11 @@
         if isinstance(answer, DrawAnswer) and epoch == context.epoch:
             expires_at_ms = user_expiry_ms(sent_at_ms, answer.validity_ms)
             grants = {grant.organisation_id: grant for grant in answer.entries}
-            for name in organisations:
+            for entry in entries:
+                name = entry.organisation_id
                 if name in grants:
-                    scarce = self.source.receive(giver, grants[name], expires_at_ms)
-                    self._paces[name].scarce = scarce
-                    self._paces[name].urgent |= scarce
+                    self.source.receive(giver, grants[name], expires_at_ms)
+                    self._paces[name].scarce = grants[name].granted < entry.wanted
+        for name in organisations:
+            self._paces[name].urgent |= self.source.waits(name)
         self._woken.set()
--- a/gentianthread/coordination/quota_fleet_holder.py
+++ b/gentianthread/coordination/quota_fleet_holder.py
@@ -1,7 +1,6 @@
 """Hold the buckets of organisations for the whole reachable fleet."""
 
 import asyncio
-import math
 
 import attrs
 
@@ -24,7 +23,10 @@
 from ..state.members import MemberState
 from ..state.rendezvous import choose
 from .quota_context import QuotaContext
-from .quota_zone_holder import ZoneHolder
+from .quota_zone_holder import EAGER_POLLS, ZoneHolder
+
+# Below this fill of the bucket a zone without demand to speak of holds nothing ahead.
+FLOOR_FILL = 0.25
 
 
 @attrs.define
@@ -64,6 +66,7 @@
         self._released: dict[OrganisationId, int] = {}
         self._withdrawn: dict[NodeIdentity, int] = {}
         self._expired_sequence = 0
+        self._eager_until_ms = 0.0
         self._settles_at_ms: dict[int, float] = {}
 
     # Role
@@ -75,7 +78,9 @@
             self._update_led()
             if self.led:
                 context.spawn(self._poll_fleet(tuple(sorted(self.led))))
-                await context.clock.sleep_ms(context.times.poll_ms)
+                young = context.clock.now_ms() < self._eager_until_ms
+                poll_ms = context.times.poll_ms
+                await context.clock.sleep_ms(poll_ms / EAGER_POLLS if young else poll_ms)
             else:
                 await context.clock.sleep_ms(context.times.poll_ms / 4)
 
@@ -91,6 +96,10 @@
             first = best == context.local.availability_zone
             if first and not self.zone_holder.hears_fleet_holder(name):
                 self.led.add(name)
+                times = context.times
+                self._eager_until_ms = (
+                    context.clock.now_ms() + times.delegation_ms + 2 * times.grant_ms
+                )
                 log(HOLDER_CHANGED, role=f"{name} fleet", upstream_id=context.local.upstream_id)
         self.step_down(sorted(self.led - set(organisations)))
 
@@ -303,6 +312,8 @@
         if demand <= 0 or pool.bucket.cap <= 0:
             return 0
         fill = pool.bucket.level / pool.bucket.cap
-        budget = times.prefetch_part * pool.bucket.cap * fill * fill
+        budget = times.prefetch_part * pool.bucket.level
         horizon = demand * times.prefetch_horizon_ms / 1000
-        return math.ceil(min(horizon, budget * demand / max(total, demand)) - 0.5)
+        target = round(min(horizon, budget * demand / max(total, demand)))
+        floor = min(times.prefetch_floor, int(times.prefetch_part * pool.bucket.cap))
+        return max(target, floor) if fill > FLOOR_FILL else target
--- a/gentianthread/coordination/quota_member.py
+++ b/gentianthread/coordination/quota_member.py
@@ -37,17 +37,11 @@
         this process answers it, so every peer that can be reached must know.
         """
         context, times = self.context, self.context.times
-        waiting = self._peers()
-        deadline_ms = context.clock.now_ms() + times.hello_patience_ms
-        while context.plan is None or (waiting and context.clock.now_ms() < deadline_ms):
-            if context.plan is None:
-                deadline_ms = context.clock.now_ms() + times.hello_patience_ms
-            answers = await asyncio.gather(*[self._greet(peer) for peer in waiting])
-            waiting = [peer for peer, known in zip(waiting, answers, strict=True) if not known]
-            if waiting or context.plan is None:
-                await context.clock.sleep_ms(times.hello_ms)
-            if context.plan is None:
-                waiting = self._peers()
+        while context.plan is None:
+            await context.clock.sleep_ms(times.hello_ms)
+        if not await self._greet_all(self._peers()):
+            # Where a peer is missing, processes of other zones can be the witnesses.
+            await self._greet_all(self._distant())
         wait_ms = giver_expiry_ms(0, times.delegation_ms) + giver_expiry_ms(0, times.grant_ms)
         self._usable_from_ms = giver_expiry_ms(context.clock.now_ms(), wait_ms)
         self.started = True
@@ -137,6 +131,23 @@
         planned = context.planned(context.local.availability_zone)
         return [peer for peer in planned if peer != context.local.upstream_id]
 
+    def _distant(self) -> list[UpstreamId]:
+        context = self.context
+        local_zone = context.local.availability_zone
+        zones = [zone for zone in context.zones() if zone != local_zone]
+        return [name for zone in zones for name in context.planned(zone)]
+
+    async def _greet_all(self, waiting: list[UpstreamId]) -> bool:
+        """Greet peers until all know this process or the patience ends."""
+        context, times = self.context, self.context.times
+        deadline_ms = context.clock.now_ms() + times.hello_patience_ms
+        while waiting and context.clock.now_ms() < deadline_ms:
+            answers = await asyncio.gather(*[self._greet(peer) for peer in waiting])
+            waiting = [peer for peer, known in zip(waiting, answers, strict=True) if not known]
+            if waiting:
+                await context.clock.sleep_ms(times.hello_ms)
+        return not waiting
+
     async def _greet(self, peer: UpstreamId) -> bool:
         timeout_ms = self.context.times.hello_ms
         answer = await self.context.ask(peer, Hello(), timeout_ms)
--- a/gentianthread/coordination/quota_stock.py
+++ b/gentianthread/coordination/quota_stock.py
@@ -15,9 +15,12 @@
 # Time constants of the demand estimate: quick to follow a rise, slow to forget.
 DEMAND_RISE_MS = 500.0
 DEMAND_FALL_MS = 4_000.0
+# Faster arrivals within one tick are a burst, which says nothing about the demand after it.
+BURST_FACTOR = 2.0
+BURST_START_PER_S = 20.0
 # Smaller demands count as none.
 LEAST_DEMAND_PER_S = 0.05
-# A node asks early when it holds less than this part of its target.
+# A node asks early when it is down to this part of its target.
 LOW_PART = 0.4
 
 
@@ -59,7 +62,9 @@
         elapsed_ms = now_ms - self._measured_at_ms
         if elapsed_ms <= 0:
             return
-        rate_per_s = self._arrived / elapsed_ms * 1000
+        rate_per_s = min(
+            self._arrived / elapsed_ms * 1000, BURST_FACTOR * self.demand_per_s + BURST_START_PER_S
+        )
         span_ms = DEMAND_RISE_MS if rate_per_s > self.demand_per_s else DEMAND_FALL_MS
         weight = 1 - math.exp(-elapsed_ms / span_ms)
         self.demand_per_s += weight * (rate_per_s - self.demand_per_s)
@@ -93,7 +98,8 @@
         stock = self._stock(organisation_id)
         stock.count_arrival()
         if not stock.waiting and stock.spend(self.context.clock.now_ms()):
-            if stock.target and stock.amount(self.context.clock.now_ms()) < LOW_PART * stock.target:
+            amount = stock.amount(self.context.clock.now_ms())
+            if stock.target and amount <= LOW_PART * stock.target:
                 self.loop.wake(organisation_id)
             return
         served = asyncio.get_running_loop().create_future()
@@ -157,7 +163,7 @@
             returned=holding.returned,
         )
 
-    def receive(self, giver: NodeIdentity, grant: GrantEntry, expires_at_ms: float) -> bool:
+    def receive(self, giver: NodeIdentity, grant: GrantEntry, expires_at_ms: float) -> None:
         """Take granted tokens and serve waiting requests."""
         stock = self._stock(grant.organisation_id)
         now_ms = self.context.clock.now_ms()
@@ -165,12 +171,20 @@
         stock.holdings.setdefault(giver, Holding()).receive(grant.granted, expires_at_ms, now_ms)
         while stock.waiting and stock.waiting[0].done():
             stock.waiting.popleft()
+        served_count = 0
         while stock.waiting and stock.spend(now_ms):
+            served_count += 1
             served = stock.waiting.popleft()
             served.set_result(None)
             while stock.waiting and stock.waiting[0].done():
                 stock.waiting.popleft()
-        return bool(stock.waiting)
+
+        if served_count >= self.context.report_amount(grant.organisation_id):
+            self.loop.wake(grant.organisation_id)
+
+    def waits(self, organisation_id: OrganisationId) -> bool:
+        """Return whether requests wait for tokens."""
+        return any(not served.done() for served in self._stock(organisation_id).waiting)
 
     def _stock(self, organisation_id: OrganisationId) -> OrganisationStock:
         stock = self._stocks.get(organisation_id)
--- a/gentianthread/coordination/quota_zone_holder.py
+++ b/gentianthread/coordination/quota_zone_holder.py
@@ -13,6 +13,8 @@
     FleetAnswer,
     FleetPoll,
     GrantEntry,
+    Hello,
+    HelloAnswer,
     Poll,
     PollAnswer,
     Release,
@@ -29,8 +31,10 @@
 # Shares with a smaller part of their time left are left out of the zone's delegation, which would
 # end with them.
 LEAST_SHARE_PART = 0.4
-# The zone holder asks early when it holds less than this part of its target.
+# The zone holder asks early when its stock is down to this part of its target.
 LOW_PART = 0.4
+# A new holder polls this many times as often.
+EAGER_POLLS = 4
 
 
 class ZoneHolder(DrawSource):
@@ -55,6 +59,7 @@
         self._polled_at_ms: dict[OrganisationId, float] = {}
         self._obeyed: dict[UpstreamId, tuple[float, tuple[int, ...]]] = {}
         self._released_sequence = 0
+        self._eager_until_ms = 0.0
         self._witness_at_ms = float("-inf")
         self._supplied = asyncio.Event()
 
@@ -65,13 +70,23 @@
         while True:
             if not self.active and self._should_lead():
                 self.active = True
+                times = self.context.times
+                # Fractions come free one by one while promises to the last holder run out.
+                self._eager_until_ms = (
+                    self.context.clock.now_ms() + times.delegation_ms + times.grant_ms
+                )
                 log(HOLDER_CHANGED, role="zone", upstream_id=self.context.local.upstream_id)
             if self.active:
                 self.context.spawn(self._poll_zone())
-                await self.context.clock.sleep_ms(self.context.times.poll_ms)
+                await self.context.clock.sleep_ms(self._poll_interval_ms())
             else:
                 await self.context.clock.sleep_ms(self.context.times.poll_ms / 4)
 
+    def _poll_interval_ms(self) -> float:
+        times = self.context.times
+        young = self.context.clock.now_ms() < self._eager_until_ms
+        return times.poll_ms / EAGER_POLLS if young else times.poll_ms
+
     def _should_lead(self) -> bool:
         context = self.context
         if self.leaving or context.superseded or context.plan is None:
@@ -139,11 +154,39 @@
         context = self.context
         zone = context.local.availability_zone
         reachable = set(context.reachable(zone))
-        polled = [name for name in context.planned(zone) if name in reachable]
+        local_id = context.local.upstream_id
+        polled = [name for name in context.planned(zone) if name in reachable - {local_id}]
         await asyncio.gather(*[self._poll(name) for name in polled])
+        if not polled:
+            await self._ask_distant_witnesses()
+        # The answers of this round are the witnesses for the own fraction.
+        await self._poll(local_id)
         for upstream_id in self.shares.remove_lapsed(context.clock.now_ms()):
             log(DELEGATION_LAPSED, upstream_id=upstream_id)
 
+    async def _ask_distant_witnesses(self) -> None:
+        """Ask one process elsewhere, where the zone has no other process that is reachable."""
+        context = self.context
+        local_zone = context.local.availability_zone
+        distant = [
+            choose(f"zone {zone}", context.reachable(zone))
+            for zone in context.zones()
+            if zone != local_zone
+        ]
+        timeout_ms = context.times.poll_timeout_ms / 2
+        for upstream_id in distant:
+            if upstream_id is None:
+                continue
+            sent_at_ms = context.clock.now_ms()
+            answer = await context.ask(upstream_id, Hello(), timeout_ms)
+            if isinstance(answer, HelloAnswer):
+                if answer.superseded:
+                    context.mark_superseded()
+                    self.deactivate()
+                else:
+                    self._witness_at_ms = max(self._witness_at_ms, sent_at_ms)
+                return
+
     async def _poll(self, upstream_id: UpstreamId) -> None:
         context = self.context
         poll = Poll(context.next_sequence(), context.history.settled_version)
@@ -178,8 +221,8 @@
     def _witnessed_until_ms(self) -> float:
         """Return until when the own fraction can be used.
 
-        A replaced process that is still awake must notice: its fraction counts only while a peer of
-        the zone answers that does not know a newer process.
+        A replaced process that is still awake must notice: its fraction counts only while another
+        process answers that does not know a newer one.
         """
         context = self.context
         if len(context.planned(context.local.availability_zone)) <= 1:
@@ -323,11 +366,20 @@
         ]
         if not short:
             return
+        asked = [cache.asked for _, cache in short]
         for entry, cache in short:
             cache.unmet[sender] = entry.wanted
             self.loop.wake(entry.organisation_id)
+
+        def is_settled() -> bool:
+            # The fleet holder has answered a draw that stated these requests, or they can be met.
+            return all(
+                cache.answered > before or entry.wanted <= self._ready(entry, cache)
+                for (entry, cache), before in zip(short, asked, strict=True)
+            )
+
         deadline_ms = self.context.clock.now_ms() + self.context.times.hold_ms
-        while not any(entry.wanted <= self._ready(entry, cache) for entry, cache in short):
+        while not is_settled():
             left_ms = deadline_ms - self.context.clock.now_ms()
             if left_ms <= 0:
                 break
@@ -335,8 +387,6 @@
                 await asyncio.wait_for(self._supplied.wait(), left_ms / 1000)
             except TimeoutError:
                 break
-            if any(cache.stock.amount > 0 for _, cache in short):
-                break
         for _, cache in short:
             cache.unmet.pop(sender, None)
 
@@ -347,12 +397,16 @@
     def _grant(
         self, sender: NodeIdentity, sequence: int, entry: DrawEntry, cache: ZoneCache
     ) -> tuple[GrantEntry, float] | None:
-        if not cache.settle(sender, sequence, entry):
+        held = cache.held()
+        settled = cache.settle(sender, sequence, entry)
+        if held - cache.held() >= self.context.report_amount(entry.organisation_id):
+            self.loop.wake(entry.organisation_id)
+        if not settled:
             return None
         validity_ms = cache.validity_ms()
         target = cache.target_of(sender)
         amount = cache.grant(sender, entry, target)
-        if cache.stock.amount < LOW_PART * cache.target:
+        if cache.stock.amount <= LOW_PART * cache.target:
             self.loop.wake(entry.organisation_id)
         return GrantEntry(entry.organisation_id, amount, target), validity_ms
 
@@ -380,6 +434,7 @@
         """State the stock and all that nodes can hold."""
         cache = self.cache(organisation_id)
         cache.return_excess()
+        cache.asked += 1
         now_ms = self.context.clock.now_ms()
         return DrawEntry(
             organisation_id=organisation_id,
@@ -389,13 +444,17 @@
             returned=cache.stock.returned,
         )
 
-    def receive(self, giver: NodeIdentity, grant: GrantEntry, expires_at_ms: float) -> bool:
+    def receive(self, giver: NodeIdentity, grant: GrantEntry, expires_at_ms: float) -> None:
         """Take tokens from a fleet holder and serve the draws that wait."""
         cache = self.cache(grant.organisation_id)
         if cache.giver != giver or not self.active:
-            return False
+            return
         cache.stock.receive(grant.granted, expires_at_ms, self.context.clock.now_ms())
         cache.target = grant.target
+        cache.answered = cache.asked
         self._supplied.set()
         self._supplied.clear()
-        return cache.wanted() > 0
+
+    def waits(self, organisation_id: OrganisationId) -> bool:
+        """Return whether draws of nodes wait for tokens."""
+        return self.cache(organisation_id).wanted() > 0
--- a/tests/coordination/quota_fleet.py
+++ b/tests/coordination/quota_fleet.py
@@ -192,7 +192,12 @@
     """Run the processes of a plan over one memory fabric."""
 
     def __init__(
-        self, plan: Plan, seed: int = 0, times: QuotaTimes | None = None, drift: float = 0.0
+        self,
+        plan: Plan,
+        seed: int = 0,
+        times: QuotaTimes | None = None,
+        drift: float = 0.0,
+        fabric: MemoryFabric | None = None,
     ):
         """Create the processes without starting them.
 
@@ -201,11 +206,12 @@
             seed: Seed of the fabric.
             times: Times and amounts of the quota.
             drift: Largest error in the speed of the clocks.
+            fabric: Fabric to use in place of a fresh one.
         """
         self.drift = drift
         self.plan = plan
         self.times = times or QuotaTimes()
-        self.fabric = MemoryFabric(seed)
+        self.fabric = fabric or MemoryFabric(seed)
         self.newest: dict[UpstreamId, QuotaNode] = {}
         self.nodes: list[QuotaNode] = []
         self.admitted: dict[OrganisationId, list[float]] = defaultdict(list)
