Run test modules in parallel processes

Cause: the suite grew to 613 tests and 130 s, most of it waiting and virtual time in one process. Change: one process per module, up to five at once; the slowest modules are printed.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,13 +1,48 @@
-"""Run the test suite and print its verdict as `N passed, N failed`."""
+"""Run the tests, one process per test module, and print the verdict as `N passed, N failed`."""
 
+import argparse
+import io
+import multiprocessing
 import os
 import sys
+import time
 import unittest
+from concurrent.futures import ProcessPoolExecutor, as_completed
 from pathlib import Path
 
+import attrs
+
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
+# More workers than half of the cores would slow down the tests that start processes of their own.
+WORKERS = max(1, min(5, (os.cpu_count() or 2) // 2))
+
+SLOWEST_SHOWN = 5
+
+
+@attrs.frozen
+class ModuleReport:
+    """Hold the outcome of one test module.
+
+    Attributes:
+        name: Its name.
+        passed: Number of tests that passed.
+        failed: Ids of the tests that failed.
+        skipped: Number of tests that skipped themselves.
+        known_red: Ids of the tests that KNOWN-RED.txt lists; they were not run.
+        output: What the test runner printed.
+        duration_s: How long it took.
+    """
+
+    name: str
+    passed: int
+    failed: tuple[str, ...]
+    skipped: int
+    known_red: tuple[str, ...]
+    output: str
+    duration_s: float
+
 
 def known_red_ids(path: Path = KNOWN_RED) -> frozenset[str]:
     """Return the ids of the tests that KNOWN-RED.txt lists."""
@@ -16,6 +51,12 @@
     return frozenset(entry.split("|")[0].strip() for entry in entries)
 
 
+def test_modules() -> list[str]:
+    """Return the names of all test modules."""
+    paths = sorted((ROOT / "tests").rglob("test_*.py"))
+    return [".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths]
+
+
 def flatten(suite: unittest.TestSuite) -> list[unittest.TestCase]:
     """Return the test cases of a nested suite in order."""
     cases: list[unittest.TestCase] = []
@@ -24,27 +65,57 @@
     return cases
 
 
-def main() -> int:
-    """Run the named test modules, or all of them, and return the exit code."""
-    sys.path.insert(0, str(ROOT))
-    loader = unittest.TestLoader()
-    names = sys.argv[1:]
-    found = (
-        loader.loadTestsFromNames(names) if names else loader.discover("tests", top_level_dir=".")
-    )
+def run_module(name: str) -> ModuleReport:
+    """Run one test module, class or method and return its report."""
+    started_s = time.monotonic()
+    cases = flatten(unittest.TestLoader().loadTestsFromName(name))
     red = known_red_ids()
-    cases = flatten(found)
-    skipped = [case for case in cases if case.id() in red]
-    chosen = unittest.TestSuite(case for case in cases if case.id() not in red)
-    verbosity = 2 if os.environ.get("VERBOSE") else 1
-    result = unittest.TextTestRunner(verbosity=verbosity, buffer=False).run(chosen)
-    for case in skipped:
-        print(f"known red, not run: {case.id()}")
-    failed = len({test.id() for test, _ in [*result.failures, *result.errors]})
-    failed += len(result.unexpectedSuccesses)
-    passed = result.testsRun - failed - len(result.skipped)
+    suite = unittest.TestSuite(case for case in cases if case.id() not in red)
+    stream = io.StringIO()
+    result = unittest.TextTestRunner(stream=stream).run(suite)
+    failed = {test.id() for test, _ in [*result.failures, *result.errors]}
+    failed.update(test.id() for test in result.unexpectedSuccesses)
+    skipped = len(result.skipped)
+    return ModuleReport(
+        name,
+        result.testsRun - len(failed) - skipped,
+        tuple(sorted(failed)),
+        skipped,
+        tuple(case.id() for case in cases if case.id() in red),
+        stream.getvalue(),
+        time.monotonic() - started_s,
+    )
+
+
+def run_all(names: list[str], workers: int) -> list[ModuleReport]:
+    """Run test modules in processes of their own and print those that fail."""
+    context = multiprocessing.get_context("spawn")
+    reports = []
+    with ProcessPoolExecutor(workers, mp_context=context, max_tasks_per_child=1) as pool:
+        for ended in as_completed([pool.submit(run_module, name) for name in names]):
+            report = ended.result()
+            reports.append(report)
+            if report.failed:
+                print(f"=== {report.name}\n{report.output}", flush=True)
+    return reports
+
+
+def main() -> int:
+    """Run the named tests, or all of them, and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*", help="modules, classes or methods; all by default")
+    parser.add_argument("--workers", type=int, default=WORKERS)
+    arguments = parser.parse_args()
+    reports = run_all(arguments.names or test_modules(), arguments.workers)
+    for report in sorted(reports, key=lambda one: -one.duration_s)[:SLOWEST_SHOWN]:
+        print(f"{report.duration_s:6.1f} s {report.name}")
+    for report in reports:
+        for name in report.known_red:
+            print(f"known red, not run: {name}")
+    passed = sum(report.passed for report in reports)
+    failed = sum(len(report.failed) for report in reports)
     print(f"{passed} passed, {failed} failed")
-    return 1 if failed or result.testsRun == 0 else 0
+    return 1 if failed or not passed else 0
 
 
 if __name__ == "__main__":
