--- a/gentianthread/coordination/services.py
+++ b/gentianthread/coordination/services.py
@@ -1,5 +1,7 @@
 """Assemble a node with its view of the fleet, its configuration and its quota."""
 
+from typing import Any
+
 from ..clock import Clock
 from ..ids import NodeIdentity, OrganisationId, UpstreamId
 from ..metrics import Metrics
@@ -7,7 +9,9 @@
 from ..state.bundle import Bundle, decode_plan, make_values
 from ..state.config_store import ConfigStore
 from ..state.executions import Executions
+from ..state.members import Member
 from ..state.plan import Plan, Profile
+from ..transport.connections import WebSocketTransport
 from ..transport.platform_http import HttpPlatform
 from ..transport.platforms import (
     InstanceList,
@@ -43,7 +47,8 @@
     """
     if settings.platform is not None:
         host = f"[{settings.platform.host}]" if ":" in settings.platform.host else None
-        return HttpPlatform(f"http://{host or settings.platform.host}:{settings.platform.port}")
+        base_url = f"http://{host or settings.platform.host}:{settings.platform.port}"
+        return HttpPlatform(base_url, source_address=settings.source_address)
     state = PlatformState()
     if settings.bundle_folder is not None:
         bundle = read_bundle(settings.bundle_folder)
@@ -122,7 +127,13 @@
         self.store = ConfigStore(metrics)
         addresses = AddressBook(self.store)
         secret = settings.fleet_secret.encode()
-        self.network = LinkPeerNetwork(local, secret, addresses.find, metrics=metrics)
+        self.network = LinkPeerNetwork(
+            local,
+            secret,
+            addresses.find,
+            transport=WebSocketTransport(settings.source_address),
+            metrics=metrics,
+        )
         self.lists = InstanceListReader(self.platform, lambda: self.spread.watching, clock)
         self._listed = self.lists.lists.subscribe(addresses.observe)
         self.members = Membership(self.network, self.lists.lists, clock, metrics=metrics)
@@ -137,11 +148,14 @@
         )
         self.quota = EscrowQuota(self.network, self.members, clock)
         self.admission = TargetAdmission(
-            local.upstream_id, DEFAULT_PROFILE, 1, clock, self._weight, metrics
+            local.upstream_id, DEFAULT_PROFILE, 1, clock, self._weight, metrics, cold=True
         )
         self.node = Node(local, _addresses(settings), self._parts())
         self.node.watchdog.register(self.quota.expire_all)
+        self.node.describers["configuration"] = self._describe_configuration
+        self.node.describers["neighbours"] = lambda: list(self.members.neighbours())
         self._followed = self.store.changes.subscribe(self._follow)
+        self._followed_members = self.members.changes.subscribe(self._follow_member)
 
     def _parts(self) -> NodeParts:
         settings = self.settings
@@ -186,6 +200,24 @@
         if (profile, upstream.slots) != (self.admission.profile, self.admission.slots):
             self.admission.revise(profile, upstream.slots)
 
+    def _follow_member(self, member: Member) -> None:
+        """Refuse older processes of an upstream, and keep links to the present neighbours."""
+        if member.identity != self.local:
+            identity = member.identity
+            self.network.note_start_number(identity.upstream_id, identity.start_number)
+        self.network.keep(self.members.neighbours())
+
+    def _describe_configuration(self) -> dict[str, Any]:
+        source, reason = self.store.last_refusal or (None, None)
+        return {
+            "version": self.store.version,
+            "sha256": self.store.digest.hex(),
+            "ready": self.spread.ready.is_set(),
+            "watching": self.spread.watching,
+            "last_refusal": {"source": source, "reason": reason},
+            "withdrawn_ahead": sorted(self.store.withdrawn),
+        }
+
     async def _announce_leaving(self) -> None:
         await self.members.leave()
 
@@ -217,6 +249,7 @@
         await self.members.close()
         self._listed.dispose()
         self._followed.dispose()
+        self._followed_members.dispose()
         await self.network.close()
         await self.platform.close()
 
