Keep levels by service, route and depth

Cause: a router cached the level of a pool by route alone, so that a node that was entry and target took the level of an inner service for that of the first one; traces showed thresholds of depth 2 and none at the entry in turn. Change: one key of service, route and depth for levels and chain times; the control aims at a short queue; inner work waits while half the queue is free.

--- a/gentianthread/coordination/target_admission.py
+++ b/gentianthread/coordination/target_admission.py
@@ -15,7 +15,7 @@
 from ..state.limiters import limiters
 from ..state.plan import Profile
 from ..state.shed_control import ShedControl, TargetState
-from ..state.shed_levels import ShedLevels, combine, passed_at, rank, sheds, threshold_for
+from ..state.shed_levels import ShedLevels, combine, place, rank, sheds, threshold_for
 from ..state.work import ShedLevel, WorkItem
 from .admission import Admission, Permit
 
@@ -121,7 +121,7 @@
 
     def level_for(self, item: WorkItem) -> ShedLevel:
         """Return the level of this target combined with those further on."""
-        now_ms, route = self.clock.now_ms(), item.route_id or item.service_id
+        now_ms, route = self.clock.now_ms(), place(item)
         cached = self._combined.get(route)
         if cached is None or now_ms - cached[0] >= LEVEL_CACHE_MS:
             level = combine(self.level(), self._levels_further_on(item, now_ms))
@@ -137,7 +137,7 @@
 
     def note_inner(self, item: WorkItem, service_id: ServiceId, level: ShedLevel) -> None:
         """Learn the level that inner calls of a request's route meet."""
-        route = item.route_id or item.service_id
+        route = place(item)
         self._inner.setdefault(route, set()).add(service_id)
         self._inner_levels.record((route, service_id), level, self.clock.now_ms())
 
@@ -208,17 +208,17 @@
     def _is_shed_here(self, item: WorkItem) -> bool:
         """Return whether the threshold of this target sheds an item.
 
-        Inner work has cost the targets above. It is admitted while the queue is short, or if it
-        passed a threshold at its entry, which had to be as strict as this one up to its age.
+        Inner work has cost the targets above, and passed the thresholds that its root met. So it
+        waits as long as half the queue is free.
         """
-        if len(self._backlog) <= self._control.allowed_queue:
-            return False
-        if item.depth > 0 and 0 < passed_at(item) <= rank(item):
-            return False
-        return rank(item) < self._control.enforced(item.organisation_id)
+        bound = self._control.allowed_queue
+        if item.depth > 0:
+            bound = max(bound, self.profile.queue_limit / 2)
+        crowded = len(self._backlog) > bound
+        return crowded and rank(item) < self._control.enforced(item.organisation_id)
 
     def _levels_further_on(self, item: WorkItem, now_ms: float) -> list[ShedLevel]:
-        route = item.route_id or item.service_id
+        route = place(item)
         levels = [
             self._inner_levels.level((route, service_id), now_ms)
             for service_id in sorted(self._inner.get(route, ()))
--- a/gentianthread/state/shed_control.py
+++ b/gentianthread/state/shed_control.py
@@ -55,7 +55,9 @@
     GRACE_WINDOWS = 5
     # Correction of the capacity while the queue is empty.
     GAIN = 0.1
-    # What waits above the bound is to be gone after this time: new work leaves room for it.
+    # Part of the bound of the queue that the control aims at.
+    STANDING_PART = 0.25
+    # What waits above that is to be gone after this time: new work leaves room for it.
     DRAIN_MS = 1_000.0
     # Part of the capacity that new work keeps, because it may be more important than what waits.
     LEAST_SUPPLY = 0.5
@@ -208,13 +210,12 @@
         return self.CHANGE_TIME_MS if changed else self.DEMAND_TIME_MS
 
     def _share_capacity(self, capacity: float, allowed: float) -> None:
-        error = max(-1.0, (allowed - self._smallest_queue) / allowed)
+        # A queue that is never empty uses all places; a longer one starves the lowest classes.
+        excess = self._smallest_queue - self.STANDING_PART * allowed
+        error = max(-1.0, -excess / allowed)
         low, high = self.TRIM_RANGE
         self._trim = max(low, min(high, self._trim + self.TRIM_GAIN * error))
-        if error > 0:
-            correction = self.GAIN * error * capacity
-        else:
-            correction = (allowed - self._smallest_queue) / self.DRAIN_MS
+        correction = self.GAIN * error * capacity if error > 0 else -excess / self.DRAIN_MS
         # Idle places show that the demand was overestimated, for example because retries ended.
         correction += capacity * (1 / max(self.LEAST_USE, self._use) - 1)
         supply = max(self.LEAST_SUPPLY * capacity, capacity * (1 + self._trim) + correction)
--- a/gentianthread/state/shed_levels.py
+++ b/gentianthread/state/shed_levels.py
@@ -48,6 +48,15 @@
     return level.threshold
 
 
+def place(item: WorkItem) -> Hashable:
+    """Return the key by which levels and chain times are kept: service, route and depth.
+
+    Calls on one route have other calls behind them than those on another, and levels are in the
+    ranks of one depth.
+    """
+    return item.service_id, item.route_id, item.depth
+
+
 def passed_at(item: WorkItem) -> float:
     """Return the threshold that the root request passed, in ranks of the item's depth, or 0."""
     if item.passed_threshold <= 0:
--- a/tests/coordination/test_load_router.py
+++ b/tests/coordination/test_load_router.py
@@ -212,6 +212,14 @@
         self.assertIsNone(self.is_refused())
         self.assertEqual({"catalogue-3"}, set(self.chosen()))
 
+    async def test_levels_of_another_service_and_depth_do_not_count(self):
+        """Guards against a level in the ranks of another depth, or of an inner service."""
+        self.make()
+        self.shed_everywhere()
+        self.assertIsNotNone(self.router.reported(work_item()))
+        self.assertIsNone(self.router.reported(work_item(service="orders")))
+        self.assertIsNone(self.router.reported(work_item(depth=2)))
+
     async def test_unheard_upstream_is_tried(self):
         """Guards against refusals for a pool of which only a part has answered."""
         self.make()
