Use windows of 50 ms and let inner work wait while it can end in time

Cause: most waste came from the first 2 s of a surge, when inner work was shed although it could still have been served. Change: shorter windows; inner work is shed only if the queue takes over half of its remaining time.

--- a/bench/overload_model.py
+++ b/bench/overload_model.py
@@ -141,7 +141,7 @@
                 15,
                 200,
                 200.0,
-                _lookup("scarce", queue_target_ms=40.0, queue_limit=40),
+                _lookup("scarce", queue_target_ms=40.0),
             ),
         )
     },
@@ -169,7 +169,7 @@
                 20,
                 150,
                 400.0,
-                _lookup("scarce", queue_target_ms=40.0, queue_limit=40),
+                _lookup("scarce", queue_target_ms=40.0),
             ),
         )
     },
--- a/gentianthread/coordination/target_admission.py
+++ b/gentianthread/coordination/target_admission.py
@@ -199,23 +199,24 @@
     def _check(self, item: WorkItem, now_ms: float) -> None:
         if item.deadline_at_ms - now_ms <= self._service.value_ms(now_ms):
             self._refuse(RefusalReason.DEADLINE_EXCEEDED)
-        if self._is_shed_here(item):
+        if self._is_shed_here(item, now_ms):
             self._refuse(RefusalReason.SHED)
         # Only root work: an inner call has used targets above, and entry nodes knew as much.
         if item.depth == 0 and sheds(self.level_for(item), item, self._random.random()):
             self._refuse(RefusalReason.SHED)
 
-    def _is_shed_here(self, item: WorkItem) -> bool:
+    def _is_shed_here(self, item: WorkItem, now_ms: float) -> bool:
         """Return whether the threshold of this target sheds an item.
 
         Inner work has cost the targets above, and passed the thresholds that its root met. So it
-        waits as long as half the queue is free.
+        waits if the queue takes no more than half of the time that it has left.
         """
-        bound = self._control.allowed_queue
-        if item.depth > 0:
-            bound = max(bound, self.profile.queue_limit / 2)
-        crowded = len(self._backlog) > bound
-        return crowded and rank(item) < self._control.enforced(item.organisation_id)
+        if len(self._backlog) <= self._control.allowed_queue:
+            return False
+        if rank(item) >= self._control.enforced(item.organisation_id):
+            return False
+        delay_ms = self._control.queue_delay_ms(self._state(now_ms))
+        return item.depth == 0 or delay_ms > (item.deadline_at_ms - now_ms) / 2
 
     def _levels_further_on(self, item: WorkItem, now_ms: float) -> list[ShedLevel]:
         route = place(item)
--- a/gentianthread/state/shed_control.py
+++ b/gentianthread/state/shed_control.py
@@ -40,19 +40,19 @@
     request and time; the queue corrects it, so that errors of either estimate do not last.
     """
 
-    WINDOW_MS = 100.0
+    WINDOW_MS = 50.0
     # About the length of a client's back-off; shorter averages turn noise into refusals.
     DEMAND_TIME_MS = 2_000.0
     CAPACITY_TIME_MS = 500.0
     # Averages that show a change of demand or use soon.
-    CHANGE_TIME_MS = 400.0
+    CHANGE_TIME_MS = 300.0
     # A change counts if it exceeds the standard deviation of the recent average this many times.
     NOISE_FACTOR = 2.5
     # Demand of ranks that are cut completely cannot be measured; the last estimate fades slowly.
     UNSEEN_TIME_MS = 30_000.0
     # Work that entry nodes admitted under a recent threshold is not shed here for a newer one.
     # Covers the way of a level to the entry node and of a request back to this one.
-    GRACE_WINDOWS = 5
+    GRACE_WINDOWS = 10
     # Correction of the capacity while the queue is empty.
     GAIN = 0.1
     # Part of the bound of the queue that the control aims at.
@@ -61,12 +61,12 @@
     DRAIN_MS = 1_000.0
     # Part of the capacity that new work keeps, because it may be more important than what waits.
     LEAST_SUPPLY = 0.5
-    TRIM_GAIN = 0.0025
+    TRIM_GAIN = 0.00125
     TRIM_RANGE = (-0.3, 0.3)
     # Smallest used part of the limit for which the demand is corrected at once.
     LEAST_USE = 0.4
     # Windows in a row without any cut after which an overload counts as over.
-    CALM_WINDOWS = 10
+    CALM_WINDOWS = 20
 
     def __init__(self, weights: Weights, now_ms: float):
         """Create a control without any demand.
