Keep more tokens at zone holders while the bucket allows it

Cause: zones with little traffic held 2 tokens and waited for another zone on the third request. Change: a zone in use holds up to 5% of the burst ahead, at most 4 tokens, above 30% fill; zone holders keep 70% of what they hold ahead, ask early and draw every 150 ms.

--- a/gentianthread/coordination/quota_cache.py
+++ b/gentianthread/coordination/quota_cache.py
@@ -9,7 +9,7 @@
 from .quota_context import QuotaTimes
 
 # Part of the tokens held ahead that stays at the zone holder for nodes that run out.
-ZONE_RESERVE = 0.5
+ZONE_RESERVE = 0.7
 # Tokens with a smaller part of their validity left are not passed on.
 LEAST_VALIDITY_PART = 0.1
 
--- a/gentianthread/coordination/quota_context.py
+++ b/gentianthread/coordination/quota_context.py
@@ -52,7 +52,7 @@
     delegation_ms: float = 2_100.0
     grant_ms: float = 800.0
     draw_ms: float = 250.0
-    zone_draw_ms: float = 250.0
+    zone_draw_ms: float = 150.0
     spacing_ms: float = 5.0
     zone_spacing_ms: float = 10.0
     scarce_spacing_ms: float = 60.0
@@ -62,8 +62,8 @@
     hello_patience_ms: float = 3_000.0
     tick_ms: float = 100.0
     pause_ms: float = 500.0
-    prefetch_part: float = 0.15
-    prefetch_floor: int = 2
+    prefetch_part: float = 0.2
+    prefetch_floor: int = 4
     prefetch_horizon_ms: float = 500.0
 
     @property
--- a/gentianthread/coordination/quota_fleet_holder.py
+++ b/gentianthread/coordination/quota_fleet_holder.py
@@ -26,7 +26,9 @@
 from .quota_zone_holder import EAGER_POLLS, ZoneHolder
 
 # Below this fill of the bucket a zone without demand to speak of holds nothing ahead.
-FLOOR_FILL = 0.25
+FLOOR_FILL = 0.3
+# What such a zone holds ahead is at most this part of the burst.
+FLOOR_PART = 0.05
 
 
 @attrs.define
@@ -315,5 +317,5 @@
         budget = times.prefetch_part * pool.bucket.level
         horizon = demand * times.prefetch_horizon_ms / 1000
         target = round(min(horizon, budget * demand / max(total, demand)))
-        floor = min(times.prefetch_floor, int(times.prefetch_part * pool.bucket.cap))
+        floor = min(times.prefetch_floor, round(FLOOR_PART * pool.bucket.cap))
         return max(target, floor) if fill > FLOOR_FILL else target
--- a/gentianthread/coordination/quota_zone_holder.py
+++ b/gentianthread/coordination/quota_zone_holder.py
@@ -32,7 +32,7 @@
 # end with them.
 LEAST_SHARE_PART = 0.4
 # The zone holder asks early when its stock is down to this part of its target.
-LOW_PART = 0.4
+LOW_PART = 0.7
 # A new holder polls this many times as often.
 EAGER_POLLS = 4
 
