Let a drained target come back and start slowly

Cause: a draining target made its node announce that it leaves; the watch then read its own announced state as the platform's, so the node never took work again, and nothing told the peers of a return.

--- a/gentianthread/coordination/drain.py
+++ b/gentianthread/coordination/drain.py
@@ -5,11 +5,11 @@
 
 from ..clock import Clock
 from ..errors import TransportError
-from ..events import NODE_LEAVING
+from ..events import NODE_LEAVING, PROBE_FAILED, PROBE_RECOVERED
 from ..ids import RefusalReason, UpstreamId
 from ..logs import log
 from ..metrics import Metrics
-from ..state.members import Members, MemberState
+from ..state.members import Members
 from ..state.plan import Plan
 from ..transport.http_client import TargetClient
 from .executor import Executor
@@ -24,6 +24,10 @@
 PROBE_INTERVAL_MS = 2_000.0
 PROBE_TIMEOUT_MS = 400.0
 
+# A single probe fails under load; a target that fails this many has stopped, and is cold when it
+# answers again.
+FAILURES_TO_BREAK = 3
+
 _POLL_MS = 20.0
 
 # After its last request a leaving node stays open this long. Requests that were on their way on
@@ -45,6 +49,7 @@
         executor: Executor,
         clock: Clock,
         announce: Callable[[], Awaitable[None]] | None = None,
+        announce_return: Callable[[], Awaitable[None]] | None = None,
     ):
         """Create a drain that has not begun.
 
@@ -53,11 +58,13 @@
             executor: Refuses new work for the target.
             clock: Clock of waiting times.
             announce: Tells the peers that the node is leaving.
+            announce_return: Tells the peers that the node takes work again.
         """
         self.gateway = gateway
         self.executor = executor
         self.clock = clock
         self._announce = announce
+        self._announce_return = announce_return
         self._announced = False
 
     @property
@@ -71,11 +78,14 @@
             self.executor.leaving = RefusalReason.LEAVING
             await self._tell_peers()
 
-    def resume_target(self) -> None:
+    async def resume_target(self) -> None:
         """Take work for the own target again, unless the node itself leaves."""
-        if not self.gateway.leaving:
-            self.executor.leaving = None
-            self._announced = False
+        if self.gateway.leaving or self.executor.leaving is None:
+            return
+        self.executor.leaving = None
+        self._announced = False
+        if self._announce_return is not None:
+            await self._announce_return()
 
     async def begin(self) -> None:
         """Refuse all new requests."""
@@ -117,6 +127,7 @@
         drain: Drain,
         clock: Clock,
         metrics: Metrics,
+        on_recovered: Callable[[], None] = lambda: None,
         rng: random.Random | None = None,
     ):
         """Create a watch; `run` starts it.
@@ -129,6 +140,7 @@
             drain: Stops the work of the target.
             clock: Clock of the intervals.
             metrics: Counts probes.
+            on_recovered: Called when a target that failed several probes answers again.
             rng: Source of jitter.
         """
         self._own = own
@@ -138,6 +150,8 @@
         self._drain = drain
         self._clock = clock
         self._metrics = metrics
+        self._on_recovered = on_recovered
+        self._failures = 0
         self._random = rng or random.Random()
 
     async def run(self) -> None:
@@ -152,7 +166,7 @@
         if self._listed_as_leaving() or await self._target_drains():
             await self._drain.stop_target()
         else:
-            self._drain.resume_target()
+            await self._drain.resume_target()
 
     def _interval_ms(self) -> float:
         plan = self._plan()
@@ -166,15 +180,29 @@
         upstream = None if plan is None else plan.upstreams.get(self._own)
         if upstream is not None and upstream.draining:
             return True
-        member = None if self._members is None else self._members.get(self._own)
-        return member is not None and member.state is MemberState.LEAVING
+        # The own member state would not do: it is leaving because this watch announced it.
+        return self._members is not None and self._members.listed_as_leaving
+
+    def _note_failure(self, error: TransportError) -> None:
+        self._metrics.count("target.probes_failed")
+        self._failures += 1
+        if self._failures == FAILURES_TO_BREAK:
+            log(PROBE_FAILED, upstream_id=self._own, problem=str(error))
+
+    def _note_success(self) -> None:
+        broken = self._failures >= FAILURES_TO_BREAK
+        self._failures = 0
+        if broken:
+            log(PROBE_RECOVERED, upstream_id=self._own)
+            self._on_recovered()
 
     async def _target_drains(self) -> bool:
         """Return whether the target says that it drains; a failed probe says nothing."""
         self._metrics.count("target.probes")
         try:
             answer = await self._target.probe(PROBE_PATH, PROBE_TIMEOUT_MS)
-        except TransportError:
-            self._metrics.count("target.probes_failed")
+        except TransportError as error:
+            self._note_failure(error)
             return False
+        self._note_success()
         return answer.strip() == DRAINING
--- a/gentianthread/coordination/membership.py
+++ b/gentianthread/coordination/membership.py
@@ -152,6 +152,17 @@
         self._state_own(leaving=True)
         await self._flush()
 
+    async def rejoin(self) -> None:
+        """Announce that this node takes work again, unless the platform has it as leaving."""
+        if not self._leaving_by_list:
+            self._state_own(leaving=False)
+            await self._flush()
+
+    @property
+    def listed_as_leaving(self) -> bool:
+        """Return whether the platform has the own instance as leaving."""
+        return self._leaving_by_list
+
     async def close(self) -> None:
         """End all tasks."""
         self._subscription.dispose()
--- a/gentianthread/coordination/node.py
+++ b/gentianthread/coordination/node.py
@@ -73,6 +73,8 @@
         target: Reaches the own target.
         executions: Records of idempotency keys.
         announce_leaving: Tells the peers that the node is leaving.
+        announce_return: Tells the peers that the node takes work again.
+        target_recovered: Called when a target that had stopped answers again.
         clock: Clock of the node.
         metrics: Metrics of the node.
     """
@@ -87,6 +89,8 @@
     target: TargetClient | None = None
     executions: Executions | None = None
     announce_leaving: Callable[[], Awaitable[None]] | None = None
+    announce_return: Callable[[], Awaitable[None]] | None = None
+    target_recovered: Callable[[], None] = lambda: None
     clock: Clock = attrs.field(factory=SystemClock)
     metrics: Metrics = attrs.field(factory=MemoryMetrics)
 
@@ -122,7 +126,13 @@
         self._subscription: Any = None
         self._assemble_target_side(parts)
         self._assemble_caller_side(parts)
-        self.drain = Drain(self.gateway, self.executor, self.clock, parts.announce_leaving)
+        self.drain = Drain(
+            self.gateway,
+            self.executor,
+            self.clock,
+            parts.announce_leaving,
+            parts.announce_return,
+        )
         self.target_watch = TargetWatch(
             local.upstream_id,
             parts.plan,
@@ -131,6 +141,7 @@
             self.drain,
             parts.clock,
             parts.metrics,
+            parts.target_recovered,
         )
 
     def _assemble_target_side(self, parts: NodeParts) -> None:
--- a/gentianthread/coordination/services.py
+++ b/gentianthread/coordination/services.py
@@ -176,6 +176,8 @@
             members=self.members,
             executions=executions,
             announce_leaving=self._announce_leaving,
+            announce_return=self.members.rejoin,
+            target_recovered=self.admission.start_slowly,
             clock=self.clock,
             metrics=self.metrics,
         )
--- a/gentianthread/state/members.py
+++ b/gentianthread/state/members.py
@@ -46,6 +46,11 @@
     def neighbours(self) -> tuple[UpstreamId, ...]:
         """Return the overlay neighbours that this node keeps links to."""
 
+    @property
+    def listed_as_leaving(self) -> bool:
+        """Return whether the platform has the own instance as leaving."""
+        return False
+
     def takes_work(self, upstream_id: UpstreamId) -> bool:
         """Return whether new work may go to an upstream."""
         member = self.get(upstream_id)
@@ -78,6 +83,12 @@
         """
         self._members = {member.identity.upstream_id: member for member in members}
         self._neighbours = neighbours
+        self.own_leaving = False
+
+    @property
+    def listed_as_leaving(self) -> bool:
+        """Return what was set."""
+        return self.own_leaving
 
     def set(self, member: Member) -> None:
         """Replace what is known about one upstream."""
--- a/tests/coordination/test_drain.py
+++ b/tests/coordination/test_drain.py
@@ -6,14 +6,23 @@
 from gentianthread.clock import LoopClock
 from gentianthread.coordination.drain import Drain, TargetWatch
 from gentianthread.errors import ConnectionLost
-from gentianthread.ids import RefusalReason, UpstreamId
+from gentianthread.ids import (
+    AvailabilityZoneId,
+    NodeIdentity,
+    RefusalReason,
+    StartNumber,
+    UpstreamId,
+)
 from gentianthread.metrics import MemoryMetrics
 from gentianthread.standins.target import Behaviour
+from gentianthread.state.members import Member, MemberState, StaticMembers
 
 from ..base import VirtualTimeTestCase
 from ..fleets import FleetTestCase
 from ..plans import small_plan
 
+OWN = UpstreamId("catalogue-0")
+
 
 class TestGracefulStop(FleetTestCase):
     async def test_stop_under_load_cuts_nothing(self):
@@ -116,26 +125,61 @@
 
 
 class TestTargetWatch(VirtualTimeTestCase):
-    def make(self):
+    def make(self, members=None):
         executor, gateway, target = FakeSide(), FakeSide(), FakeTarget()
         told = []
+        self.returned, self.recovered = [], []
 
         async def announce():
             told.append(asyncio.get_running_loop().time() * 1000)
+            if members is not None:
+                members.set(Member(members.get(OWN).identity, MemberState.LEAVING))
+
+        async def announce_return():
+            self.returned.append(True)
 
-        drain = Drain(gateway, executor, LoopClock(), announce)
+        drain = Drain(gateway, executor, LoopClock(), announce, announce_return)
         plan = small_plan()
         watch = TargetWatch(
-            UpstreamId("catalogue-0"),
+            OWN,
             lambda: plan,
-            None,
+            members,
             target,
             drain,
             LoopClock(),
             MemoryMetrics(),
+            lambda: self.recovered.append(True),
         )
         return executor, target, watch, told
 
+    async def test_target_that_drained_takes_work_again(self):
+        """Guards against a node that stays out of service because it announced itself leaving."""
+        identity = NodeIdentity(OWN, AvailabilityZoneId("larisa-a"), StartNumber(1))
+        members = StaticMembers([Member(identity, MemberState.LIVE)])
+        executor, target, watch, told = self.make(members)
+        for number in (1, 2):
+            target.answers = b"draining"
+            await watch.check()
+            self.assertIs(RefusalReason.LEAVING, executor.leaving)
+            target.answers = b"ready"
+            await watch.check()
+            self.assertIsNone(executor.leaving)
+            self.assertEqual((number, number), (len(told), len(self.returned)))
+        members.own_leaving = True
+        await watch.check()
+        self.assertIs(RefusalReason.LEAVING, executor.leaving)
+
+    async def test_recovered_target_is_reported_once(self):
+        """Guards against a cold target at full load, and against slow starts for one lost probe."""
+        _, target, watch, _ = self.make()
+        for failures, reported in ((1, 0), (2, 0), (5, 1), (1, 1)):
+            target.answers = None
+            for _ in range(failures):
+                await watch.check()
+            target.answers = b"ready"
+            await watch.check()
+            self.assertEqual(reported, len(self.recovered))
+
     async def test_draining_target_is_noticed_in_time(self):
         """Guards against new work for a draining target after 3 s (P10)."""
         executor, target, watch, told = self.make()
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -121,6 +121,15 @@
         self.assertEqual({LEAVING}, fleet.states_of("a2"))
         self.assertFalse(fleet.members["b0"].takes_work("a2"))
 
+    @with_fleet()
+    async def test_node_that_takes_work_again(self, fleet):
+        """Guards against a drained node that the fleet never sends work to again."""
+        await fleet.members["a2"].leave()
+        await fleet.clock.sleep_ms(1_000)
+        await fleet.members["a2"].rejoin()
+        await fleet.clock.sleep_ms(1_000)
+        self.assertEqual({LIVE}, fleet.states_of("a2"))
+
     @with_fleet()
     async def test_leaving_announcement_that_links_lose(self, fleet):
         """Guards against a leaving node that keeps getting work because a message was lost."""
