Publish the idempotency window with the profile

Cause: the window was a setting of each process (60 s by default), so two homes could disagree about it, operators could not revise it by publishing, and a person who repeats an order after two minutes was outside of it. Change: profiles have idempotency_window, 10 minutes by default; records and tickets keep the window that was in force when they were made, so that a revision neither forgets nor revives a key.

--- a/gentianthread/coordination/idempotency.py
+++ b/gentianthread/coordination/idempotency.py
@@ -49,14 +49,15 @@
     Attributes:
         home: Upstream whose node issued it.
         start_number: Process that issued it.
-        issued_at_ms: Time of issue on that process' clock.
+        expires_at_ms: End of its window on that process' clock. It is fixed at the issue, so that a
+            longer window that comes into force later revives no key whose record is gone.
         payload: The text that the MAC protects.
         mac: The MAC.
     """
 
     home: UpstreamId
     start_number: int
-    issued_at_ms: float
+    expires_at_ms: float
     payload: bytes
     mac: bytes
 
@@ -72,9 +73,9 @@
     try:
         payload_text, mac_text = key[len(TICKET_PREFIX) :].split(".")
         payload = base64.urlsafe_b64decode(payload_text)
-        home, start_number, issued_at_ms, _ = payload.decode().split("\0")
+        home, start_number, expires_at_ms, _ = payload.decode().split("\0")
         mac = base64.urlsafe_b64decode(mac_text)
-        return Ticket(UpstreamId(home), int(start_number), float(issued_at_ms), payload, mac)
+        return Ticket(UpstreamId(home), int(start_number), float(expires_at_ms), payload, mac)
     except (ValueError, UnicodeDecodeError):
         raise Refused(RefusalReason.HEADER_INVALID, not_run=True) from None
 
@@ -119,7 +120,8 @@
         """
         self._local = local
         self._clock = clock
-        self._window_ms = window_ms
+        # The longest window that was in force in this process.
+        self.window_ms = window_ms
         self._started_at_ms = clock.now_ms()
         # Per service: (time from which the set no longer held, the set).
         self._former: dict[ServiceId, deque[tuple[float, tuple[UpstreamId, ...]]]] = {}
@@ -140,10 +142,10 @@
     ) -> bool:
         """Return whether this node has been home of a key for a whole window."""
         now_ms = self._clock.now_ms()
-        if now_ms - self._started_at_ms < self._window_ms:
+        if now_ms - self._started_at_ms < self.window_ms:
             return False
         former = self._former.get(service_id, deque())
-        while former and now_ms - former[0][0] >= self._window_ms:
+        while former and now_ms - former[0][0] >= self.window_ms:
             former.popleft()
         text = f"{organisation_id}\0{service_id}\0{key}"
         sets = [names for _, names in former]
@@ -181,11 +183,21 @@
         self._secret = secrets.token_bytes(_SECRET_BYTES)
         peers.subscribe(TicketRequest, self._answer_ticket_request)
 
+    def observe(self, plan: Plan) -> None:
+        """Follow the homes and the window of a plan that came into force."""
+        self.history.observe(plan)
+        upstream = plan.upstreams.get(self.local.upstream_id)
+        if upstream is not None:
+            window_ms = plan.profile_of(upstream.service_id).idempotency_window_ms
+            self.executions.window_ms = window_ms
+            self.history.window_ms = max(self.history.window_ms, window_ms)
+
     def issue(self, organisation_id: OrganisationId, service_id: ServiceId) -> str:
         """Return a new ticket of this home."""
         nonce = secrets.token_urlsafe(_NONCE_BYTES)
         fields = (self.local.upstream_id, str(self.local.start_number))
-        payload = "\0".join((*fields, f"{self.clock.now_ms():.0f}", nonce)).encode()
+        expires_at_ms = self.clock.now_ms() + self.executions.window_ms
+        payload = "\0".join((*fields, f"{expires_at_ms:.0f}", nonce)).encode()
         mac = self._mac(payload, organisation_id, service_id)
         encoded = base64.urlsafe_b64encode(payload).decode()
         return f"{TICKET_PREFIX}{encoded}.{base64.urlsafe_b64encode(mac).decode()}"
@@ -283,7 +295,7 @@
         mac = self._mac(ticket.payload, key.organisation_id, key.service_id)
         if not hmac.compare_digest(mac, ticket.mac):
             raise Refused(RefusalReason.HEADER_INVALID, not_run=True)
-        if self.clock.now_ms() - ticket.issued_at_ms >= self.executions.window_ms:
+        if self.clock.now_ms() >= ticket.expires_at_ms:
             raise unknown
 
     def _repeat(self, record: ExecutionRecord, fingerprint: str) -> Answer:
--- a/gentianthread/coordination/node.py
+++ b/gentianthread/coordination/node.py
@@ -219,9 +219,9 @@
     def _follow_plan(self) -> None:
         plan = self.plan()
         if plan is not None:
-            self.idempotency.history.observe(plan)
+            self.idempotency.observe(plan)
         if self._changes is not None:
-            self._subscription = self._changes.subscribe(self.idempotency.history.observe)
+            self._subscription = self._changes.subscribe(self.idempotency.observe)
 
     def _spawn(self, name: str, work: Any) -> None:
         task = asyncio.ensure_future(work)
--- a/gentianthread/coordination/services.py
+++ b/gentianthread/coordination/services.py
@@ -159,7 +159,7 @@
 
     def _parts(self) -> NodeParts:
         settings = self.settings
-        executions = Executions(self.clock, settings.idempotency_window_ms, settings.record_limit)
+        executions = Executions(self.clock, record_limit=settings.record_limit)
         return NodeParts(
             plan=self._plan,
             peers=self.network,
--- a/gentianthread/settings.py
+++ b/gentianthread/settings.py
@@ -48,7 +48,6 @@
         log_level: Lowest level that is written.
         statsd: Address of the statsd server, or None.
         statsd_prefix: Put before every metric name.
-        idempotency_window_ms: How long a key stays bound to its execution.
         record_limit: Largest number of execution records.
         grace_ms: How long a stopping node ignores a second SIGTERM.
     """
@@ -68,7 +67,6 @@
     log_level: str
     statsd: Address | None
     statsd_prefix: str
-    idempotency_window_ms: float
     record_limit: int
     grace_ms: float
 
@@ -182,10 +180,7 @@
         log_level=log.get("level", one_of(["debug", "info", "warning", "error"]), "info"),
         statsd=statsd.get("address", address(), None),
         statsd_prefix=statsd.get("prefix", text(), "gentianthread"),
-        idempotency_window_ms=limits.get(
-            "idempotency_window", duration(1_000, 3_600_000), 60_000.0
-        ),
-        record_limit=limits.get("execution_records", whole(1, 1_000_000), 20_000),
+        record_limit=limits.get("execution_records", whole(1, 1_000_000), 60_000),
         grace_ms=limits.get("grace", duration(0, 3_600_000), 30_000.0),
     )
 
--- a/gentianthread/state/executions.py
+++ b/gentianthread/state/executions.py
@@ -8,12 +8,12 @@
 from ..clock import Clock
 from ..ids import OrganisationId, ServiceId
 
-# How long a key stays bound to its execution. Callers repeat a lost call within their own time
-# limits, which are far below a minute.
-WINDOW_MS = 60_000.0
+# How long a key stays bound to its execution until a plan says otherwise. People repeat an order
+# minutes after its answer was lost.
+WINDOW_MS = 600_000.0
 
-# At 50 keyed requests per second a window holds 3,000 records.
-RECORD_LIMIT = 20_000
+# At 50 keyed requests per second a window of ten minutes holds 30,000 records.
+RECORD_LIMIT = 60_000
 
 # A longer answer is not kept; a repeat then learns only that the request has run.
 BODY_LIMIT_BYTES = 16 * 1024
@@ -46,7 +46,7 @@
 
     Attributes:
         fingerprint: Method and path of the first request.
-        claimed_at_ms: When the first request came.
+        expires_at_ms: End of the window that was in force when the first request came.
         state: Whether it runs, is done or ended in an unknown way.
         status: HTTP status of the answer, once done.
         headers: Header fields of the answer, once done.
@@ -54,7 +54,7 @@
     """
 
     fingerprint: str
-    claimed_at_ms: float
+    expires_at_ms: float
     state: ExecutionState = ExecutionState.RUNNING
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
@@ -80,7 +80,7 @@
 
         Args:
             clock: Clock of the window.
-            window_ms: How long a record is kept.
+            window_ms: How long a record is kept; set it when a plan revises it.
             record_limit: Largest number of records.
             total_limit_bytes: Largest size of all kept answers.
         """
@@ -108,7 +108,7 @@
         self._evict()
         if len(self._records) >= self.record_limit:
             return None
-        record = ExecutionRecord(fingerprint, self.clock.now_ms())
+        record = ExecutionRecord(fingerprint, self.clock.now_ms() + self.window_ms)
         self._records[key] = record
         return record
 
@@ -141,14 +141,14 @@
         record.state = ExecutionState.UNKNOWN
 
     def _evict(self) -> None:
-        oldest_ms = self.clock.now_ms() - self.window_ms
+        now_ms = self.clock.now_ms()
         while self._records:
             key, record = next(iter(self._records.items()))
-            if record.claimed_at_ms > oldest_ms:
+            if record.expires_at_ms > now_ms:
                 return
             if record.state is ExecutionState.RUNNING:
                 # It outlives its window until it ends; looked at again after another window.
-                record.claimed_at_ms = self.clock.now_ms()
+                record.expires_at_ms = now_ms + self.window_ms
                 self._records.move_to_end(key)
                 continue
             self.release(key)
--- a/gentianthread/state/plan.py
+++ b/gentianthread/state/plan.py
@@ -37,6 +37,7 @@
         deadline_ms: Default deadline of routes that set none.
         slow_start_ms: How long a cold target takes to its full limit.
         probe_interval_ms: Mean time between health probes of the target.
+        idempotency_window_ms: How long an idempotency key stays bound to its execution.
     """
 
     profile_id: ProfileId
@@ -54,6 +55,7 @@
     deadline_ms: float = 2_000.0
     slow_start_ms: float = 5_000.0
     probe_interval_ms: float = 2_000.0
+    idempotency_window_ms: float = 600_000.0
 
 
 @attrs.frozen
--- a/gentianthread/state/plan_rules.py
+++ b/gentianthread/state/plan_rules.py
@@ -217,6 +217,7 @@
     "deadline": _duration("deadline_ms", 1, 3_600_000),
     "slow_start": _duration("slow_start_ms", 0, 600_000),
     "probe_interval": _duration("probe_interval_ms", 100, 600_000),
+    "idempotency_window": _duration("idempotency_window_ms", 1_000, 3_600_000),
 }
 
 _ROUTE_FIELDS = {
--- a/tests/coordination/test_idempotency.py
+++ b/tests/coordination/test_idempotency.py
@@ -166,6 +166,26 @@
                 self.assertEqual(200, (await self.keyed(fleet, "order-1", "one", entry=entry))[0])
             self.assertEqual((0, 1), (fleet.executions("early"), fleet.executions("one")))
 
+    async def test_longer_window_revives_no_ticket(self):
+        """Guards against a ticket that runs again because a revised profile made it valid again."""
+        clock = ShiftedClock()
+
+        def adjust(upstream_id, parts):
+            parts.clock = clock
+
+        async with self.fleet(self.services(), adjust=adjust) as fleet:
+            tables = [fleet.members[name].node.idempotency.executions for name in HOMES]
+            for table in tables:
+                table.window_ms = 1_000.0
+            key = await self.ticket(fleet)
+            self.assertEqual(200, (await self.keyed(fleet, key, "one"))[0])
+            clock.shift_ms += 1_500.0
+            for table in tables:
+                table.window_ms = WINDOW_MS
+            status, headers, _ = await self.keyed(fleet, key, "one")
+            self.assertEqual((502, "unknown"), (status, headers["Gentian-Outcome"]))
+            self.assertEqual(1, fleet.executions("one"))
+
     async def test_leaving_home_issues_no_ticket(self):
         """Guards against tickets whose home ends before they are used."""
         async with self.fleet(self.services()) as fleet:
--- a/tests/state/test_executions.py
+++ b/tests/state/test_executions.py
@@ -33,6 +33,15 @@
         self.assertIsNone(table.find(key("a")))
         self.assertEqual(0, table.kept_bytes)
 
+    def test_shorter_window_leaves_older_records(self):
+        """Guards against a revised window that forgets keys inside the window they were used in."""
+        clock = ManualClock()
+        table = Executions(clock, window_ms=1000)
+        table.complete(table.claim(key("a"), "POST /"), 200, (), b"x")
+        table.window_ms = 10.0
+        clock.advance_ms(900)
+        self.assertIsNotNone(table.find(key("a")))
+
     def test_running_record_outlives_its_window(self):
         """Guards against a second execution beside a slow first one."""
         clock = ManualClock()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -25,7 +25,7 @@
 fleet_secret = 0123456789abcdef0123456789abcdef
 
 [limits]
-idempotency_window = 2 min
+grace = 2 min
 """
 
 
@@ -47,7 +47,7 @@
         """Guards against values in the wrong unit."""
         settings = self.read(GOOD)
         self.assertEqual(Address("::1", 8082), settings.operator)
-        self.assertEqual((120_000.0, 30_000.0), (settings.idempotency_window_ms, settings.grace_ms))
+        self.assertEqual((120_000.0, 60_000), (settings.grace_ms, settings.record_limit))
         self.assertEqual("127.0.3.9", settings.source_address)
         self.assertNotIn(settings.fleet_secret, repr(settings))
 
@@ -55,27 +55,27 @@
         """Guards against settings that are ignored or misread, and against a shown secret."""
         cases = (
             (
-                "idempotency_window = 2 min",
-                "idempotency_window = 2",
+                "grace = 2 min",
+                "grace = 2",
                 "limits",
-                "idempotency_window",
+                "grace",
                 "2",
             ),
             (
-                "idempotency_window = 2 min",
-                "idempotency_window = 2 h",
+                "grace = 2 min",
+                "grace = 2 h",
                 "limits",
-                "idempotency_window",
+                "grace",
                 "2 h",
             ),
             (
-                "idempotency_window = 2 min",
-                "idempotency_window = 5 ms",
+                "grace = 2 min",
+                "grace = 5 days",
                 "limits",
-                "idempotency_window",
-                "5 ms",
+                "grace",
+                "5 days",
             ),
-            ("idempotency_window = 2 min", "window = 2 min", "limits", "window", "2 min"),
+            ("grace = 2 min", "window = 2 min", "limits", "window", "2 min"),
             ("[limits]", "[limit]", "limit", "", "limit"),
             (
                 "callers = 127.0.0.1:8080",
