--- a/bench/faults/deployments.py
+++ b/bench/faults/deployments.py
@@ -16,6 +16,9 @@
 TARGET_PORT = 8000
 PLATFORM_PORT = 8100
 
+# Short, so that homes that were restarted accept keys of callers again within a run.
+IDEMPOTENCY_WINDOW = "10 s"
+
 ALLOWANCES = {"lookup": 3, "exactly-once": 3, "download": 1, "scarce": 1}
 
 GREEDY = "greedy"
@@ -186,8 +189,13 @@
         """Return the declarations as one INI text."""
         parts = [f"[availability-zone {zone}]" for zone in self.deployment.zones]
         parts += list(_links(self.deployment))
+        for profile in sorted({service.profile for service in self.deployment.services}):
+            parts.append(
+                f"[profile short-{profile}]\nbased_on = {profile}\n"
+                f"idempotency_window = {IDEMPOTENCY_WINDOW}"
+            )
         for service in self.deployment.services:
-            parts.append(f"[service {service.name}]\nprofile = {service.profile}")
+            parts.append(f"[service {service.name}]\nprofile = short-{service.profile}")
         parts += [_upstream(place, self.draining) for place in self.places.values()]
         parts += [_route(*route) for route in _routes(self.deployment)]
         for name, (rate, burst) in self.deployment.organisations.items():
--- a/bench/faults/fleet.py
+++ b/bench/faults/fleet.py
@@ -41,8 +41,6 @@
 # A process that was asked to stop is killed after this time, which counts as a failed stop.
 STOP_LIMIT_S = 25.0
 
-IDEMPOTENCY_WINDOW = "10 s"
-
 
 @attrs.define
 class NodeHandle:
@@ -284,6 +282,5 @@
 level = info
 
 [limits]
-idempotency_window = {IDEMPOTENCY_WINDOW}
 grace = 20 s
 """
