Add gentian-standin target and slots of the stand-in target

A fleet of processes needed a private script for its targets, and a stand-in target could not be overloaded. gentian-standin target serves as the target of a node with slots, service time, inner calls and draining; benchmarks and process tests use it.

--- a/bench/support/processes.py
+++ b/bench/support/processes.py
@@ -98,9 +98,9 @@
             settings = self.folder / f"{name}.ini"
             fields = {**attrs.asdict(ports), "upstream": name, "bundle": self.folder}
             settings.write_text(SETTINGS.format(**fields))
-            await self._spawn(
-                f"target {name}", "bench.support.target", str(ports.target), str(ports.inner)
-            )
+            target = ("target", "--port", str(ports.target))
+            node = ("--node", f"http://127.0.0.1:{ports.inner}")
+            await self._spawn(f"target {name}", "gentianthread.commands.standin", *target, *node)
             await self._spawn(name, "gentianthread.commands.node", str(settings))
         for ports in self.ports.values():
             for port in (ports.callers, ports.target):
--- a/gentianthread/standins/target.py
+++ b/gentianthread/standins/target.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import hashlib
+import signal
+import sys
 from collections import Counter
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
@@ -96,13 +98,16 @@
         self,
         behaviour: Behaviour | None = None,
         choose: Callable[[Seen], Behaviour | None] = lambda seen: None,
+        slots: int = 0,
     ):
         """Create a target that is not open yet.
 
         Args:
             behaviour: How requests are answered.
             choose: Returns another behaviour for single requests, or None.
+            slots: Requests that run at once, the others wait; 0 means any number.
         """
+        self._slots = asyncio.Semaphore(slots or sys.maxsize)
         self.behaviour = behaviour or Behaviour()
         self.choose = choose
         self.seen: list[Seen] = []
@@ -144,7 +149,8 @@
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
-            await self._execute(exchange, seen, query)
+            async with self._slots:
+                await self._execute(exchange, seen, query)
             seen.ended = True
         except asyncio.CancelledError:
             seen.cancelled = True
@@ -222,6 +228,29 @@
             return 599
 
 
+async def serve_target(target: StandinTarget, host: str, port: int) -> None:
+    """Serve until SIGTERM or SIGINT; SIGUSR1 switches draining on and off.
+
+    Args:
+        target: The target, with its node's address set.
+        host: IP address to listen on.
+        port: Port to listen on; 0 takes a free one, which is printed.
+    """
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+
+    def switch_draining() -> None:
+        target.draining = not target.draining
+
+    loop.add_signal_handler(signal.SIGUSR1, switch_draining)
+    await target.open(host, port)
+    print(f"target at http://{host}:{target.port}", flush=True)
+    await ended.wait()
+    await target.close()
+
+
 def pattern(name: str, size: int) -> bytes:
     """Return bytes that depend on a name, so that a crossed answer is noticed."""
     seed = hashlib.sha256(name.encode()).digest()
