Drain the queue over 3 s and average longer where few requests are seen

Cause: the queue correction was as fast as the delay of the loop (about 1 s), so that a target with few requests per second swung between no supply and too much; shares divided by averages of few requests gave small organisations more than their share. Change: drain time 3 s; new work keeps room for important demand only; longer averages and an unbiased divisor for rare requests; upstreams are judged on failures and every 16th answer.

--- a/gentianthread/coordination/load_router.py
+++ b/gentianthread/coordination/load_router.py
@@ -14,7 +14,7 @@
 from ..state.members import Members, MemberState
 from ..state.plan import Plan, Upstream
 from ..state.shed_levels import YOUNG_MS, ShedLevels, level_of_pool, place, sheds, threshold_for
-from ..state.upstream_stats import Ejector, UpstreamStats
+from ..state.upstream_stats import FAILURES, Ejector, UpstreamStats
 from ..state.work import ShedLevel, WorkItem
 from .routing import Router
 
@@ -29,7 +29,9 @@
 # Part of its usual work that a member gets while one observer reports it silent.
 SUSPECT_WEIGHT = 0.3
 RETRY_AFTER_MS = 500.0
-# Levels change every 100 ms; the mean over a pool is not made anew for every request.
+# A failure is judged at once, the latency of successes every so many answers.
+JUDGE_EVERY = 16
+# Levels change every 50 ms; that of a pool is not made anew for every request.
 REPORT_CACHE_MS = 10.0
 
 
@@ -143,7 +145,8 @@
             return
         if item is not None:
             self._learn_route(upstream, item, outcome, latency_ms, level, now_ms)
-        self._judge(upstream, stats, now_ms)
+        if outcome in FAILURES or stats.samples % JUDGE_EVERY == 0:
+            self._judge(upstream, stats, now_ms)
 
     def _learn_route(
         self,
--- a/gentianthread/coordination/target_admission.py
+++ b/gentianthread/coordination/target_admission.py
@@ -23,7 +23,7 @@
 COLD_PART = 0.1
 # Callers that come back sooner meet the same thresholds.
 RETRY_AFTER_MS = 500.0
-# Levels change every 100 ms; they are not combined anew for every answer.
+# Levels change every 50 ms; they are not combined anew for every answer.
 LEVEL_CACHE_MS = 10.0
 
 
--- a/gentianthread/state/shed_control.py
+++ b/gentianthread/state/shed_control.py
@@ -46,6 +46,9 @@
     CAPACITY_TIME_MS = 500.0
     # Averages that show a change of demand or use soon.
     CHANGE_TIME_MS = 300.0
+    # Averages grow longer, up to this factor, until they hold so many requests.
+    WANTED_SAMPLES = 20.0
+    LONGEST = 3.0
     # A change counts if it exceeds the standard deviation of the recent average this many times.
     NOISE_FACTOR = 2.5
     # Demand of ranks that are cut completely cannot be measured; the last estimate fades slowly.
@@ -58,9 +61,11 @@
     # Part of the bound of the queue that the control aims at.
     STANDING_PART = 0.25
     # What waits above that is to be gone after this time: new work leaves room for it.
-    DRAIN_MS = 1_000.0
-    # Part of the capacity that new work keeps, because it may be more important than what waits.
-    LEAST_SUPPLY = 0.5
+    DRAIN_MS = 3_000.0
+    # Parts of the capacity that new work keeps while the queue drains, because it may be more
+    # important than what waits; between them by the important demand with some room.
+    LEAST_SUPPLY = (0.1, 0.5)
+    IMPORTANT_ROOM = 1.3
     TRIM_GAIN = 0.00125
     TRIM_RANGE = (-0.3, 0.3)
     # Smallest used part of the limit for which the demand is corrected at once.
@@ -167,7 +172,9 @@
         self._smallest_queue = state.queued
 
     def _measure_capacity(self, length_ms: float) -> None:
-        gain = 1 - exp(-length_ms / self.CAPACITY_TIME_MS)
+        wanted = self.WANTED_SAMPLES / max(1.0, self._rate * self.CAPACITY_TIME_MS)
+        time_ms = self.CAPACITY_TIME_MS * min(self.LONGEST, max(1.0, wanted))
+        gain = 1 - exp(-length_ms / time_ms)
         self._rate += gain * (self._completed / length_ms - self._rate)
         self._running += gain * (self._running_ms / length_ms - self._running)
         self._completed = 0
@@ -203,11 +210,41 @@
         self._recent_demand[name] = recent
         lowest = int(self.thresholds.get(name, 0.0) * DEPTH_STEPS)
         known = sum(rate for step, rate in self.demand[name].items() if step >= lowest)
-        # Requests behind the recent average: only those above the threshold were seen.
-        counted = 2 * self.CHANGE_TIME_MS * min(known, self._shares.get(name, known))
-        noise = 1 + self.NOISE_FACTOR / sqrt(counted + 1)
-        changed = recent > known * noise or recent * noise < known
-        return self.CHANGE_TIME_MS if changed else self.DEMAND_TIME_MS
+        noise = 1 + self.NOISE_FACTOR / sqrt(self._samples(name, self.CHANGE_TIME_MS) + 1)
+        if recent > known * noise or recent * noise < known:
+            return self.CHANGE_TIME_MS
+        return self._steady_time_ms(name)
+
+    def _steady_time_ms(self, name: OrganisationId) -> float:
+        """Return an averaging time that is longer where few requests are seen."""
+        wanted = self.WANTED_SAMPLES / max(1, self._samples(name, self.DEMAND_TIME_MS))
+        return self.DEMAND_TIME_MS * min(self.LONGEST, max(1.0, wanted))
+
+    def _samples(self, name: OrganisationId, time_ms: float) -> float:
+        """Return the number of requests behind an average: those above the threshold only."""
+        known = sum(self.demand.get(name, {}).values())
+        return 2 * time_ms * min(known, self._shares.get(name, known))
+
+    def _unbiased(self, name: OrganisationId) -> dict[int, float]:
+        """Return the demand for use as a divisor.
+
+        A share divided by an average of n samples is too large by 1/n in the mean, which would give
+        the smallest organisations more than their share.
+        """
+        samples = self._samples(name, self._steady_time_ms(name))
+        factor = 1 + 1 / max(2.0, samples)
+        return {step: rate * factor for step, rate in self.demand[name].items()}
+
+    def _least_supply(self, capacity: float) -> float:
+        """Return what new work keeps although the queue is long: room for the important work."""
+        important = sum(
+            rate
+            for demand in self.demand.values()
+            for step, rate in demand.items()
+            if step >= Priority.IMPORTANT * DEPTH_STEPS
+        )
+        low, high = self.LEAST_SUPPLY
+        return capacity * min(high, max(low, self.IMPORTANT_ROOM * important / capacity))
 
     def _share_capacity(self, capacity: float, allowed: float) -> None:
         # A queue that is never empty uses all places; a longer one starves the lowest classes.
@@ -218,11 +255,15 @@
         correction = self.GAIN * error * capacity if error > 0 else -excess / self.DRAIN_MS
         # Idle places show that the demand was overestimated, for example because retries ended.
         correction += capacity * (1 / max(self.LEAST_USE, self._use) - 1)
-        supply = max(self.LEAST_SUPPLY * capacity, capacity * (1 + self._trim) + correction)
+        supply = max(self._least_supply(capacity), capacity * (1 + self._trim) + correction)
         totals = {name: sum(demand.values()) for name, demand in self.demand.items()}
         weights = {name: self.weights(name) for name in totals}
         shares = self._shares = weighted_max_min(supply, totals, weights)
-        cuts = {name: cut_for_share(shares[name], self.demand[name]) for name in totals}
+        cuts = {
+            name: cut_for_share(shares[name], self._unbiased(name))
+            for name in totals
+            if shares[name] < totals[name]
+        }
         self.thresholds = {name: cut for name, cut in cuts.items() if cut > 0}
         self._calm = 0 if self.thresholds or error < 0 else self._calm + 1
         if self._calm >= self.CALM_WINDOWS:
