--- a/gentianthread/coordination/target_admission.py
+++ b/gentianthread/coordination/target_admission.py
@@ -242,7 +242,7 @@
         waiter.timer = loop.call_later((drop_at_ms - now_ms) / 1000, self._expire, waiter)
         self._backlog.push(waiter)
         if len(self._backlog) > self.profile.queue_limit:
-            evicted = self._backlog.evict(overloaded=self._is_hopeless(now_ms))
+            evicted = self._backlog.evict(overloaded=self._control.overloaded)
             self._settle(evicted, RefusalReason.QUEUE_FULL)
         # A limit that grew since the last release may leave places free beside a queue.
         self._dispatch(now_ms)
@@ -268,21 +268,9 @@
             refusal = Refused(reason, not_run=True, retry_after_ms=RETRY_AFTER_MS)
             waiter.place.set_exception(refusal)
 
-    def _is_hopeless(self, now_ms: float) -> bool:
-        """Return whether the oldest requests would be served too late.
-
-        Newest first costs all that waits. It pays only if oldest first would serve each request
-        just after its deadline; a short queue at the beginning of a surge is served in time.
-        """
-        delay_ms = self._control.queue_delay_ms(self._state(now_ms))
-        return self._control.overloaded and delay_ms > self.profile.deadline_ms / 2
-
     def _dispatch(self, now_ms: float) -> None:
-        if not len(self._backlog):
-            return
-        newest_first = self._is_hopeless(now_ms)
         while len(self._backlog) and self.running < self._limit(now_ms):
-            waiter = self._backlog.pop(overloaded=newest_first)
+            waiter = self._backlog.pop(overloaded=self._control.overloaded)
             if waiter.drop_at_ms <= now_ms:
                 self._settle(waiter, RefusalReason.DEADLINE_EXCEEDED)
             elif not waiter.place.done():
