Hand buckets over before a planned stop

Cause: a planned replacement of a fleet holder lost the whole level and a delegation period; a new zone holder became fleet holder before the present one had found it. Change: a leaving fleet holder gives level, delegations and drawer records to another zone holder, and zone holders let it go on with what they promised; new processes and new zone holders wait until a present holder can have found them; a zone holder that left names its successor.

--- a/gentianthread/coordination/escrow_quota.py
+++ b/gentianthread/coordination/escrow_quota.py
@@ -10,8 +10,10 @@
     DrawAnswer,
     FleetPoll,
     Hello,
+    Offer,
     Poll,
     Release,
+    TakeOver,
     Tier,
     Withdraw,
 )
@@ -80,10 +82,12 @@
             self.context.spawn(self._report_failure(name, work))
 
     async def leave(self) -> None:
-        """Hand the holder roles over before a planned stop."""
+        """Hand the holder roles over before a planned stop; this process never holds again."""
         self.zone_holder.leaving = True
-        self.fleet_holder.step_down(sorted(self.fleet_holder.led))
+        self.fleet_holder.leaving = True
+        # The own zone's fractions leave the buckets before these are handed on.
         await self.zone_holder.hand_over()
+        await self.fleet_holder.offer()
 
     async def stop(self) -> None:
         """End the tasks."""
@@ -118,6 +122,8 @@
         subscribe(FleetPoll, self._guard(self._on_fleet_poll))
         subscribe(Draw, self._guard(self._on_draw))
         subscribe(Release, self._guard(self._on_release))
+        subscribe(Offer, self._guard(self.fleet_holder.on_offer))
+        subscribe(TakeOver, self._guard(self.fleet_holder.on_take_over))
         subscribe(Withdraw, self._guard(self.fleet_holder.on_withdraw))
 
     def _guard(self, handler):
--- a/gentianthread/coordination/quota_cache.py
+++ b/gentianthread/coordination/quota_cache.py
@@ -53,6 +53,11 @@
         self.stock.expires_at_ms = now_ms
         self.target = 0
 
+    def rename_giver(self, giver: NodeIdentity, successor: NodeIdentity) -> None:
+        """Keep the tokens of a giver that handed its records on."""
+        if self.giver == giver:
+            self.giver = successor
+
     def is_open(self) -> bool:
         """Return whether tokens of the present giver can be drawn and passed on."""
         return self.giver is not None and self.clock.now_ms() >= self._blocked_until_ms
--- a/gentianthread/coordination/quota_context.py
+++ b/gentianthread/coordination/quota_context.py
@@ -163,6 +163,14 @@
             names.add(self.local.upstream_id)
         return sorted(names)
 
+    def candidates(self, zone: AvailabilityZoneId) -> list[UpstreamId]:
+        """Return the reachable upstreams of a zone that do not leave."""
+        return [
+            name
+            for name in self.reachable(zone)
+            if name == self.local.upstream_id or self.members.takes_work(name)
+        ]
+
     def is_reachable(self, identity: NodeIdentity) -> bool:
         """Return whether the membership view reaches a process."""
         if identity == self.local:
--- a/gentianthread/coordination/quota_fleet_holder.py
+++ b/gentianthread/coordination/quota_fleet_holder.py
@@ -12,10 +12,16 @@
     Draw,
     DrawAnswer,
     DrawEntry,
+    Estate,
+    EstateRecord,
+    Estates,
+    EstateShare,
     FleetAnswer,
     FleetPoll,
     GrantEntry,
+    Offer,
     Release,
+    TakeOver,
     Tier,
     Withdraw,
 )
@@ -69,6 +75,8 @@
         self._withdrawn: dict[NodeIdentity, int] = {}
         self._expired_sequence = 0
         self._eager_until_ms = 0.0
+        self._predecessors: dict[OrganisationId, tuple[NodeIdentity, float]] = {}
+        self.leaving = False
         self._settles_at_ms: dict[int, float] = {}
 
     # Role
@@ -88,6 +96,8 @@
 
     def _update_led(self) -> None:
         context = self.context
+        if self.leaving:
+            return
         if not self.zone_holder.active:
             self.step_down(sorted(self.led))
             return
@@ -96,15 +106,107 @@
         for name in sorted(set(organisations) - self.led):
             best = choose(f"organisation {name}", reachable)
             first = best == context.local.availability_zone
-            if first and not self.zone_holder.hears_fleet_holder(name):
-                self.led.add(name)
-                times = context.times
-                self._eager_until_ms = (
-                    context.clock.now_ms() + times.delegation_ms + 2 * times.grant_ms
-                )
-                log(HOLDER_CHANGED, role=f"{name} fleet", upstream_id=context.local.upstream_id)
+            if first and self.zone_holder.may_lead(name):
+                self._lead(name)
         self.step_down(sorted(self.led - set(organisations)))
 
+    async def offer(self) -> None:
+        """Hand buckets with all their tokens to other zone holders before a planned stop."""
+        self.leaving = True
+        offers: dict[UpstreamId, list[OrganisationId]] = {}
+        for name in sorted(self.led):
+            successor = self._successor(name)
+            if successor is not None:
+                offers.setdefault(successor, []).append(name)
+        timeout_ms = self.context.times.poll_timeout_ms
+        await asyncio.gather(
+            *[
+                self.context.ask(successor, Offer(tuple(names)), timeout_ms)
+                for successor, names in offers.items()
+            ]
+        )
+        self.step_down(sorted(self.led))
+
+    def _successor(self, name: OrganisationId) -> UpstreamId | None:
+        context = self.context
+        zones = [
+            zone
+            for zone, state in self._zones.items()
+            if zone != context.local.availability_zone
+            and state.holder in context.candidates(zone)
+            and context.clock.now_ms() - state.heard_at_ms < context.times.follow_ms
+        ]
+        best = choose(f"organisation {name}", zones)
+        return self._zones[best].holder if best else None
+
+    async def on_offer(self, sender: NodeIdentity, offer: Offer) -> Done | None:
+        """Take the offered buckets over."""
+        context = self.context
+        names = tuple(name for name in offer.organisations if name not in self.led)
+        if not self.zone_holder.active or self.leaving:
+            return None
+        sent_at_ms, epoch = context.clock.now_ms(), context.epoch
+        timeout_ms = context.times.poll_timeout_ms / 2
+        answer = await context.ask(sender.upstream_id, TakeOver(names), timeout_ms)
+        if not isinstance(answer, Estates) or epoch != context.epoch:
+            return None
+        for estate in answer.estates:
+            if estate.organisation_id not in self.led and self.zone_holder.active:
+                self._adopt(sender, estate, sent_at_ms)
+        context.spawn(self._poll_fleet(tuple(sorted(self.led))))
+        return Done()
+
+    def on_take_over(self, sender: NodeIdentity, request: TakeOver) -> Estates:
+        """Give buckets away; nothing of them can be used here from now on."""
+        estates = []
+        for name in request.organisations:
+            if not self.leaving or name not in self.led or name not in self.pools:
+                continue
+            pool = self.pools[name]
+            pool.refresh()
+            estates.append(make_estate(name, pool))
+            self.led.discard(name)
+            self._released[name] = self.context.sequence
+            pool.drop_shares()
+        return Estates(tuple(estates))
+
+    def _adopt(self, sender: NodeIdentity, estate: Estate, sent_at_ms: float) -> None:
+        name, now_ms = estate.organisation_id, self.context.clock.now_ms()
+        pool = self._pool(name)
+        pool.drop_shares()
+        # Shares count from before the predecessor gave them up, records from after it.
+        for share in estate.shares:
+            expires_at_ms = user_expiry_ms(sent_at_ms, share.remaining_ms)
+            pool.shares.set(share.delegator, share.fraction, expires_at_ms)
+        for record in estate.records:
+            pool.ledger.adopt(
+                record.drawer,
+                record.sequence,
+                record.amount,
+                record.returned,
+                record.demand_per_s,
+                giver_expiry_ms(now_ms, record.remaining_ms),
+            )
+        pool.adopt_level(estate.level)
+        self._lead(name)
+        times = self.context.times
+        self._predecessors[name] = (sender, now_ms + times.delegation_ms + times.grant_ms)
+
+    def _lead(self, name: OrganisationId) -> None:
+        context = self.context
+        times = context.times
+        self.led.add(name)
+        self._eager_until_ms = context.clock.now_ms() + times.delegation_ms + 2 * times.grant_ms
+        log(HOLDER_CHANGED, role=f"{name} fleet", upstream_id=context.local.upstream_id)
+
+    def _recent_predecessors(self) -> tuple[tuple[OrganisationId, NodeIdentity], ...]:
+        now_ms = self.context.clock.now_ms()
+        return tuple(
+            (name, identity)
+            for name, (identity, until_ms) in sorted(self._predecessors.items())
+            if name in self.led and now_ms < until_ms
+        )
+
     def step_down(self, organisations: list[OrganisationId]) -> None:
         """Give up the pools of organisations and free their shares early."""
         concerned = [name for name in organisations if name in self.led]
@@ -114,6 +216,7 @@
         delegators: set[UpstreamId] = set()
         for name in concerned:
             self.led.discard(name)
+            self._predecessors.pop(name, None)
             self._released[name] = sequence
             if name in self.pools:
                 delegators |= {key.upstream_id for key in self.pools[name].shares.delegators()}
@@ -125,8 +228,11 @@
     async def _release(self, upstream_id: UpstreamId, release: Release) -> None:
         await self.context.ask(upstream_id, release, self.context.times.poll_timeout_ms)
 
-    def on_withdraw(self, sender: NodeIdentity, withdraw: Withdraw) -> Done:
+    def on_withdraw(self, sender: NodeIdentity, withdraw: Withdraw) -> Done | None:
         """Stop using the shares of a zone holder."""
+        if self.leaving and sender != self.context.local:
+            # A successor may use the shares already, so this process cannot confirm.
+            return None
         self._withdrawn[sender] = self.context.sequence
         for pool in self.pools.values():
             pool.drop_share(sender)
@@ -163,19 +269,24 @@
     ) -> None:
         context = self.context
         target = self._zone_holder_of(zone)
-        # A process that is no holder names the one that it follows.
-        for _ in range(2):
+        # A process that is no holder names the one that it follows; a silent one has a successor.
+        for _ in range(3):
             if target is None:
                 return
             poll = FleetPoll(
-                context.next_sequence(), organisations, context.history.settled_version
+                context.next_sequence(),
+                organisations,
+                context.history.settled_version,
+                self._recent_predecessors(),
             )
             sent_at_ms = context.clock.now_ms()
             answer = await context.ask(target, poll, context.times.poll_timeout_ms)
             state = self._zones.setdefault(zone, _Zone())
             if not isinstance(answer, FleetAnswer):
                 state.holder = None
-                return
+                others = set(context.candidates(zone)) - {target, context.local.upstream_id}
+                target = choose(f"zone {zone}", others)
+                continue
             context.settle(answer.settled_version)
             if answer.holder is None:
                 identity = NodeIdentity(target, zone, answer.start_number)
@@ -319,3 +430,25 @@
         target = round(min(horizon, budget * demand / max(total, demand)))
         floor = min(times.prefetch_floor, round(FLOOR_PART * pool.bucket.cap))
         return max(target, floor) if fill > FLOOR_FILL else target
+
+
+def make_estate(name: OrganisationId, pool: Pool[NodeIdentity]) -> Estate:
+    """Return what a successor needs to go on with a pool."""
+    now_ms = pool.clock.now_ms()
+    shares = tuple(
+        EstateShare(delegator, share.fraction, share.expires_at_ms - now_ms)
+        for delegator, share in pool.shares.items()
+    )
+    records = tuple(
+        EstateRecord(
+            drawer,
+            record.sequence,
+            record.amount,
+            record.returned,
+            record.demand_per_s,
+            record.expires_at_ms - now_ms,
+        )
+        for drawer, record in pool.ledger.records.items()
+        if record.expires_at_ms > now_ms
+    )
+    return Estate(name, pool.bucket.level, shares, records)
--- a/gentianthread/coordination/quota_zone_holder.py
+++ b/gentianthread/coordination/quota_zone_holder.py
@@ -60,6 +60,8 @@
         self._obeyed: dict[UpstreamId, tuple[float, tuple[int, ...]]] = {}
         self._released_sequence = 0
         self._eager_until_ms = 0.0
+        self._created_at_ms = context.clock.now_ms()
+        self._active_from_ms = 0.0
         self._witness_at_ms = float("-inf")
         self._supplied = asyncio.Event()
 
@@ -70,6 +72,7 @@
         while True:
             if not self.active and self._should_lead():
                 self.active = True
+                self._active_from_ms = self.context.clock.now_ms()
                 times = self.context.times
                 # Fractions come free one by one while promises to the last holder run out.
                 self._eager_until_ms = (
@@ -91,8 +94,11 @@
         context = self.context
         if self.leaving or context.superseded or context.plan is None:
             return False
+        if context.clock.now_ms() < self._created_at_ms + context.times.follow_ms:
+            # The present holder has to find a new process first.
+            return False
         zone = context.local.availability_zone
-        best = choose(f"zone {zone}", context.reachable(zone))
+        best = choose(f"zone {zone}", context.candidates(zone))
         return best == context.local.upstream_id and not self.member.hears_holder()
 
     def deactivate(self) -> None:
@@ -239,24 +245,39 @@
         newest = context.note(sender.upstream_id, sender.start_number)
         context.settle(poll.settled_version)
         if not self.active or not newest:
-            follows = self.member.follows
-            holder = follows.upstream_id if follows and not self.active else None
+            holder = None if self.active else self._probable_holder()
+            if holder is None and not self.active:
+                return None
             return self._fleet_answer((), (), 0.0, 0.0, holder)
         now_ms = context.clock.now_ms()
         self.shares.remove_lapsed(now_ms)
         lasting = self.shares.lasting(now_ms + LEAST_SHARE_PART * context.times.delegation_ms)
         fraction = sum(share.fraction for share in lasting)
         duration_ms = min((share.expires_at_ms - now_ms for share in lasting), default=0.0)
-        following = tuple(name for name in poll.organisations if self._accepts(sender, name))
+        following = tuple(
+            name for name in poll.organisations if self._accepts(sender, name, poll.predecessors)
+        )
         delegating = []
         for name in following:
-            self._follow(sender, name, now_ms)
             promise = self.promises.setdefault(name, Promise())
+            for organisation_id, predecessor in poll.predecessors:
+                if organisation_id == name:
+                    promise.hand_on(predecessor, sender)
+                    self.cache(name).rename_giver(predecessor, sender)
+            self._follow(sender, name, now_ms)
             if lasting and promise.allows(sender, now_ms):
                 promise.extend(sender, poll.sequence, now_ms, duration_ms, context.times.grant_ms)
                 delegating.append(name)
         return self._fleet_answer(tuple(delegating), following, fraction, duration_ms, None)
 
+    def _probable_holder(self) -> UpstreamId | None:
+        context, follows = self.context, self.member.follows
+        if follows not in (None, context.local):
+            return follows.upstream_id
+        zone = context.local.availability_zone
+        others = set(context.candidates(zone)) - {context.local.upstream_id}
+        return choose(f"zone {zone}", others)
+
     def _fleet_answer(self, delegating, following, fraction, duration_ms, holder) -> FleetAnswer:
         context = self.context
         return FleetAnswer(
@@ -284,6 +305,15 @@
             common = set(versions) if common is None else common & set(versions)
         return tuple(sorted(common or ()))
 
+    def may_lead(self, organisation_id: OrganisationId) -> bool:
+        """Return whether this process can become fleet holder of an organisation.
+
+        A new zone holder waits until a present fleet holder has had time to find it.
+        """
+        found_from_ms = self._active_from_ms + self.context.times.follow_ms
+        waited = self.context.clock.now_ms() >= found_from_ms
+        return waited and not self.hears_fleet_holder(organisation_id)
+
     def hears_fleet_holder(self, organisation_id: OrganisationId) -> bool:
         """Return whether another process is fleet holder, as far as this one can tell."""
         holder = self.follows.get(organisation_id)
@@ -295,8 +325,15 @@
             and self.context.is_reachable(holder)
         )
 
-    def _accepts(self, sender: NodeIdentity, name: OrganisationId) -> bool:
+    def _accepts(
+        self,
+        sender: NodeIdentity,
+        name: OrganisationId,
+        predecessors: tuple[tuple[OrganisationId, NodeIdentity], ...],
+    ) -> bool:
         follows = self.follows.get(name)
+        if any(known == (name, follows) for known in predecessors):
+            return True
         leads = follows == self.context.local
         if sender == follows or not (leads or self.hears_fleet_holder(name)):
             return True
--- a/gentianthread/protocol/messages_quota.py
+++ b/gentianthread/protocol/messages_quota.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ..ids import OrganisationId, StartNumber, UpstreamId
+from ..ids import NodeIdentity, OrganisationId, StartNumber, UpstreamId
 from .codec import message
 
 
@@ -88,11 +88,13 @@
         sequence: As in `Poll`.
         organisations: Organisations whose fleet holder the poller is.
         settled_version: As in `Poll`.
+        predecessors: Holders whose estates the poller took over lately, with the organisation.
     """
 
     sequence: int
     organisations: tuple[OrganisationId, ...]
     settled_version: int | None
+    predecessors: tuple[tuple[OrganisationId, NodeIdentity], ...]
 
 
 @message(75)
@@ -213,3 +215,92 @@
 @attrs.frozen
 class Done:
     """Confirm that a request took effect."""
+
+
+@message(81)
+@attrs.frozen
+class Offer:
+    """Ask another zone holder to take over the buckets of a fleet holder that leaves.
+
+    Attributes:
+        organisations: The organisations offered.
+    """
+
+    organisations: tuple[OrganisationId, ...]
+
+
+@message(82)
+@attrs.frozen
+class TakeOver:
+    """Ask for the estates that were offered; the sender becomes their holder.
+
+    Attributes:
+        organisations: The organisations.
+    """
+
+    organisations: tuple[OrganisationId, ...]
+
+
+@attrs.frozen
+class EstateShare:
+    """Hand a delegation on.
+
+    Attributes:
+        delegator: The zone holder that delegated it.
+        fraction: The fraction.
+        remaining_ms: Time until it lapses.
+    """
+
+    delegator: NodeIdentity
+    fraction: float
+    remaining_ms: float
+
+
+@attrs.frozen
+class EstateRecord:
+    """Hand the record of a drawer on.
+
+    Attributes:
+        drawer: The drawer.
+        sequence: Largest sequence number seen.
+        amount: Tokens that it can hold.
+        returned: Tokens that it returned since its start.
+        demand_per_s: Requests per second that it reports.
+        remaining_ms: Time until its tokens are certainly worthless.
+    """
+
+    drawer: NodeIdentity
+    sequence: int
+    amount: int
+    returned: int
+    demand_per_s: float
+    remaining_ms: float
+
+
+@attrs.frozen
+class Estate:
+    """Hand one bucket on with its delegations and records.
+
+    Attributes:
+        organisation_id: The organisation.
+        level: Tokens in the bucket.
+        shares: Its live delegations.
+        records: Its live records.
+    """
+
+    organisation_id: OrganisationId
+    level: float
+    shares: tuple[EstateShare, ...]
+    records: tuple[EstateRecord, ...]
+
+
+@message(83)
+@attrs.frozen
+class Estates:
+    """Answer a `TakeOver`; the sender keeps nothing of what it hands on.
+
+    Attributes:
+        estates: One for each organisation that the sender still held.
+    """
+
+    estates: tuple[Estate, ...]
--- a/gentianthread/state/escrow.py
+++ b/gentianthread/state/escrow.py
@@ -66,6 +66,11 @@
         self.sequence = sequence
         self.free_at_ms = max(self.free_at_ms, giver_expiry_ms(lapsed_at_ms, tail_ms))
 
+    def hand_on(self, holder: K, successor: K) -> None:
+        """Accept that a holder handed its delegation on, with all records of its grants."""
+        if self.holder == holder:
+            self.holder = successor
+
     def shorten(self, holder: K, sequence: int, now_ms: float, tail_ms: float) -> None:
         """Accept that the holder uses no answer to its polls up to a sequence number.
 
@@ -122,6 +127,10 @@
         """Return the sum of the fractions."""
         return sum(share.fraction for share in self._shares.values())
 
+    def items(self) -> list[tuple[K, Share]]:
+        """Return the delegators with their delegations."""
+        return list(self._shares.items())
+
     def lasting(self, until_ms: float) -> list[Share]:
         """Return the delegations that last beyond a time and carry a fraction."""
         return [
@@ -241,6 +250,23 @@
         record.amount += amount
         record.expires_at_ms = max(record.expires_at_ms, giver_expiry_ms(now_ms, validity_ms))
 
+    def adopt(
+        self,
+        drawer: K,
+        sequence: int,
+        amount: int,
+        returned: int,
+        demand_per_s: float,
+        expires_at_ms: float,
+    ) -> None:
+        """Add the record that another giver had of a drawer."""
+        record = self.records.setdefault(drawer, DrawerRecord())
+        record.sequence = max(record.sequence, sequence)
+        record.amount += amount
+        record.returned = max(record.returned, returned)
+        record.demand_per_s = demand_per_s
+        record.expires_at_ms = max(record.expires_at_ms, expires_at_ms)
+
     def forget_old(self, now_ms: float) -> None:
         """Remove records of drawers that are long gone."""
         for drawer, record in list(self.records.items()):
@@ -310,6 +336,11 @@
         self.shares.clear()
         self._resize(self.clock.now_ms())
 
+    def adopt_level(self, level: float) -> None:
+        """Take over the tokens of another bucket, after its delegations and records."""
+        self._resize(self.clock.now_ms())
+        self.bucket.put_back(level, self._reserved)
+
     def overdrawn(self) -> bool:
         """Return whether drawers hold more than the remaining shares cover."""
         return self._reserved > self.bucket.cap + 1e-6
