--- a/gentianthread/standins/target.py
+++ b/gentianthread/standins/target.py
@@ -245,3 +245,24 @@
             digest.update(data)
     seen.body_digest = digest.hexdigest()
     seen.body_complete = True
+
+
+async def serve_target(behaviour: Behaviour, host: str, port: int, node_url: str) -> None:
+    """Serve as a target until the task is cancelled.
+
+    Args:
+        behaviour: How requests are answered.
+        host: IP address to listen on.
+        port: Port; 0 takes a free one, which is printed.
+        node_url: Address of the node's listener for inner calls.
+    """
+    target = StandinTarget(behaviour)
+    target.node_url = node_url
+    # A record of every request would grow without bound.
+    target.keep_seen = False
+    taken = await target.open(host, port)
+    print(f"target stand-in on http://{host}:{taken}", flush=True)
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await target.close()
