--- a/gentianthread/commands/standin.py
+++ b/gentianthread/commands/standin.py
@@ -10,6 +10,8 @@
 from ..standins.platform import PlatformStandin, load_instances, load_values, serve
 from ..standins.target import Behaviour, StandinTarget, serve_target
 
+EXIT_USAGE = 2
+
 _HELP = """Run stand-ins for outside systems, for tests, trials and demonstrations.
 
 `gentian-standin platform` serves published values and an instance list, and can go down, go silent
@@ -62,7 +64,7 @@
     *,
     host: str = "127.0.0.1",
     port: int = 9000,
-    node: str = "http://127.0.0.1:8081",
+    node: str = "",
     slots: int = 0,
     service_ms: float = 0.0,
     body_bytes: int = 100,
@@ -90,6 +92,9 @@
     inner
         Paths that the target calls through its node before it answers.
     """
+    if inner and not node:
+        print("--inner needs --node", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
     behaviour = Behaviour(
         status=status, service_ms=service_ms, body_bytes=body_bytes, inner_paths=inner
     )
--- a/tests/commands/test_standin.py
+++ b/tests/commands/test_standin.py
@@ -33,7 +33,7 @@
 
     async def test_inner_calls_need_a_node(self):
         """Guards against a target whose inner calls all fail."""
-        process = await self.start("--port", "0", "--calls", "/prices")
+        process = await self.start("--port", "0", "--inner", "/prices")
         _, error = await process.communicate()
         self.assertEqual(2, process.returncode)
         self.assertIn(b"--node", error)
