Let a starting node find peers while the instance list is down

Cause: a replacement that started while the platform was down knew no peer and never became ready. Change: [peers] seeds names peers as an instance list that is older than any of the platform's.

--- a/gentianthread/coordination/services.py
+++ b/gentianthread/coordination/services.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from reactivex import operators
+
 from ..clock import Clock
 from ..ids import NodeIdentity, OrganisationId, UpstreamId
 from ..metrics import Metrics
@@ -9,6 +11,7 @@
 from ..state.bundle import Bundle, decode_plan, make_values
 from ..state.config_store import ConfigStore
 from ..state.executions import Executions
+from ..state.member_table import SEED_REVISION
 from ..state.members import Member
 from ..state.plan import Plan, Profile
 from ..transport.connections import WebSocketTransport
@@ -66,6 +69,19 @@
     )
 
 
+def _seed_list(settings: Settings) -> InstanceList:
+    """Return the peers that the settings name, as an instance list older than any other."""
+    return InstanceList(
+        SEED_REVISION,
+        tuple(
+            ListedInstance(
+                seed.upstream_id, seed.availability_zone, seed.address.host, seed.address.port
+            )
+            for seed in settings.seeds
+        ),
+    )
+
+
 class AddressBook:
     """Know where the nodes listen for peers, from the plan or else from the instance list."""
 
@@ -135,8 +151,9 @@
             metrics=metrics,
         )
         self.lists = InstanceListReader(self.platform, lambda: self.spread.watching, clock)
-        self._listed = self.lists.lists.subscribe(addresses.observe)
-        self.members = Membership(self.network, self.lists.lists, clock, metrics=metrics)
+        instances = self.lists.lists.pipe(operators.start_with(_seed_list(settings)))
+        self._listed = instances.subscribe(addresses.observe)
+        self.members = Membership(self.network, instances, clock, metrics=metrics)
         self.spread = ConfigSpread(
             self.network,
             self.members,
--- a/gentianthread/settings.py
+++ b/gentianthread/settings.py
@@ -27,6 +27,21 @@
     port: int
 
 
+@attrs.frozen
+class Seed:
+    """Name a peer that a starting node asks while the platform's instance list is down.
+
+    Attributes:
+        upstream_id: Its upstream.
+        availability_zone: Where it is.
+        address: Its peer listener.
+    """
+
+    upstream_id: UpstreamId
+    availability_zone: AvailabilityZoneId
+    address: Address
+
+
 @attrs.frozen
 class Settings:
     """Hold the checked settings of a node process.
@@ -41,6 +56,7 @@
         target: Address of the own target.
         source_address: IP address that outgoing connections to other nodes and to the platform come
             from, or None for the system's choice. It matters on hosts with several addresses.
+        seeds: Peers to ask while the instance list is down.
         fleet_secret: Secret that all nodes share; never shown.
         platform: Address of the platform's services, or None.
         bundle_folder: Folder that `gentianctl bundle` wrote, read at the start, or None.
@@ -60,6 +76,7 @@
     peers: Address
     target: Address
     source_address: str | None
+    seeds: tuple[Seed, ...]
     fleet_secret: str = attrs.field(repr=False)
     platform: Address | None
     bundle_folder: Path | None
@@ -127,6 +144,20 @@
     return Form("the path of a folder", read)
 
 
+def seeds() -> Form:
+    """Return the form of a list of seeds."""
+    read_address = address().read
+
+    def read(found: str) -> tuple[Seed, ...]:
+        entries = [part.split() for part in found.split(",")]
+        return tuple(
+            Seed(UpstreamId(upstream), AvailabilityZoneId(zone), read_address(place))
+            for upstream, zone, place in entries
+        )
+
+    return Form("upstream, availability zone and address, as pricing-0 volos-a 10.0.0.1:8083", read)
+
+
 def secret() -> Form:
     """Return the form of the fleet secret."""
 
@@ -173,6 +204,7 @@
         peers=listeners.get("peers", address()),
         target=sections["target"].get("address", address()),
         source_address=peers.get("source_address", ip(), None),
+        seeds=peers.get("seeds", seeds(), ()),
         fleet_secret=_read_secret(peers),
         platform=platform.get("address", address(), None),
         bundle_folder=platform.get("bundle_folder", folder(), None),
--- a/gentianthread/state/member_table.py
+++ b/gentianthread/state/member_table.py
@@ -22,6 +22,9 @@
 
 _DIGEST_BYTES = 8
 
+# Revision of the list that settings give to a node; every list of the platform is newer.
+SEED_REVISION = -1
+
 
 @attrs.frozen
 class MemberRecord:
@@ -108,7 +111,7 @@
         self.local = local
         self.records: dict[UpstreamId, MemberRecord] = {}
         self._listings: dict[UpstreamId, Listing] = {}
-        self._revision = -1
+        self._revision = SEED_REVISION - 1
         self._dropped: dict[UpstreamId, StartNumber] = {}
         self._states: dict[UpstreamId, MemberState] = {}
         self._by_zone: dict[AvailabilityZoneId, set[UpstreamId]] = {}
--- /dev/null
+++ b/tests/coordination/test_services.py
@@ -0,0 +1,117 @@
+import asyncio
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import attrs
+
+from bench.support.processes import free_ports
+from gentianthread.clock import SystemClock
+from gentianthread.coordination.services import NodeServices
+from gentianthread.ids import AvailabilityZoneId, NodeIdentity, StartNumber, UpstreamId
+from gentianthread.metrics import MemoryMetrics
+from gentianthread.settings import read_settings
+from gentianthread.standins.platform import PlatformStandin
+from gentianthread.state.bundle import make_bundle, make_values
+from gentianthread.transport.platforms import ListedInstance, PlatformFaults
+
+from ..base import SocketTestCase
+from ..plans import small_plan
+
+SETTINGS = """
+[node]
+upstream = {upstream}
+availability_zone = {zone}
+[listeners]
+callers = 127.0.0.1:0
+target = 127.0.0.1:0
+operator = 127.0.0.1:0
+peers = 127.0.0.1:{peers}
+[target]
+address = 127.0.0.1:1
+[peers]
+fleet_secret = not a secret, only used on loopback
+{seeds}
+[platform]
+address = 127.0.0.1:{platform}
+"""
+
+ZONES = {"catalogue-0": "larisa-a", "catalogue-1": "volos-a"}
+
+
+class TestNodeServices(SocketTestCase):
+    def make_plan(self, version):
+        plan = small_plan(version)
+        return attrs.evolve(
+            plan,
+            upstreams={
+                name: attrs.evolve(upstream, peer_port=self.ports[name])
+                for name, upstream in plan.upstreams.items()
+            },
+        )
+
+    async def open_platform(self):
+        self.ports = dict(zip(ZONES, free_ports(2), strict=True))
+        platform = PlatformStandin()
+        platform.state.publish(make_values(make_bundle(self.make_plan(1))))
+        platform.state.set_instances(
+            tuple(
+                ListedInstance(
+                    UpstreamId(name), AvailabilityZoneId(zone), "127.0.0.1", self.ports[name]
+                )
+                for name, zone in ZONES.items()
+            )
+        )
+        self.platform_port = await platform.start()
+        return platform
+
+    def make_node(self, name, start_number, seeds=""):
+        text = SETTINGS.format(
+            upstream=name,
+            zone=ZONES[name],
+            peers=self.ports[name],
+            platform=self.platform_port,
+            seeds=seeds,
+        )
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "node.ini"
+            path.write_text(text)
+            settings = read_settings(path)
+        zone = AvailabilityZoneId(ZONES[name])
+        identity = NodeIdentity(UpstreamId(name), zone, StartNumber(start_number))
+        return NodeServices(settings, identity, SystemClock(), MemoryMetrics())
+
+    async def test_node_starts_from_seeds_while_the_platform_is_down(self):
+        """Guards against replacements that never serve because an outage hides their peers."""
+        platform = await self.open_platform()
+        first = self.make_node("catalogue-0", 1)
+        await first.start()
+        await first.spread.ready.wait()
+        platform.state.set_faults(PlatformFaults(down=True))
+        seeds = f"seeds = catalogue-0 larisa-a 127.0.0.1:{self.ports['catalogue-0']}"
+        second = self.make_node("catalogue-1", 2, seeds)
+        await second.start()
+        try:
+            await second.spread.ready.wait()
+            self.assertEqual(1, second.store.version)
+            self.assertTrue(second.members.takes_work(UpstreamId("catalogue-0")))
+        finally:
+            await asyncio.gather(first.stop(), second.stop())
+            await platform.close()
+
+    async def test_restarted_node_does_not_revert_to_a_stale_service(self):
+        """Guards against an old version in force after a restart during an outage (P12)."""
+        platform = await self.open_platform()
+        first = self.make_node("catalogue-0", 1)
+        await first.start()
+        await first.spread.ready.wait()
+        platform.state.set_faults(PlatformFaults(stale=True))
+        # The newer version reached one node only.
+        first.store.offer(make_bundle(self.make_plan(2)), "test")
+        second = self.make_node("catalogue-1", 2)
+        await second.start()
+        try:
+            await second.spread.ready.wait()
+            self.assertEqual(2, second.store.version)
+        finally:
+            await asyncio.gather(first.stop(), second.stop())
+            await platform.close()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -22,6 +22,7 @@
 
 [peers]
 source_address = 127.0.3.9
+seeds = pricing-1 volos-a 10.0.0.2:8083, orders-0 larisa-a 10.0.0.3:8083
 fleet_secret = 0123456789abcdef0123456789abcdef
 
 [limits]
@@ -49,6 +50,8 @@
         self.assertEqual(Address("::1", 8082), settings.operator)
         self.assertEqual((120_000.0, 60_000), (settings.grace_ms, settings.record_limit))
         self.assertEqual("127.0.3.9", settings.source_address)
+        self.assertEqual(["pricing-1", "orders-0"], [seed.upstream_id for seed in settings.seeds])
+        self.assertEqual(Address("10.0.0.3", 8083), settings.seeds[1].address)
         self.assertNotIn(settings.fleet_secret, repr(settings))
 
     def test_each_wrong_field_is_named(self):
@@ -76,6 +79,13 @@
                 "5 days",
             ),
             ("grace = 2 min", "window = 2 min", "limits", "window", "2 min"),
+            (
+                "orders-0 larisa-a 10.0.0.3:8083",
+                "orders-0",
+                "peers",
+                "seeds",
+                "pricing-1 volos-a 10.0.0.2:8083, orders-0",
+            ),
             ("[limits]", "[limit]", "limit", "", "limit"),
             (
                 "callers = 127.0.0.1:8080",
