Run the demo on whole nodes with a platform, four zones and a surge

Cause: the demo ran nodes with simple parts in memory; it showed neither configuration from a platform nor overload.

--- a/bench/support/processes.py
+++ b/bench/support/processes.py
@@ -1,7 +1,6 @@
 """Start nodes and stand-in targets as processes on loopback addresses, for benchmarks and tests."""
 
 import asyncio
-import socket
 import sys
 from pathlib import Path
 
@@ -10,6 +9,7 @@
 
 from gentianthread.ids import UpstreamId
 from gentianthread.standins.fleet import key_of, make_plan
+from gentianthread.standins.service_fleet import free_ports
 from gentianthread.state.bundle import make_bundle, make_values
 from gentianthread.state.plan import Plan
 
@@ -47,18 +47,6 @@
     target: int
 
 
-def free_ports(number: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    held = [socket.socket() for _ in range(number)]
-    try:
-        for one in held:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in held]
-    finally:
-        for one in held:
-            one.close()
-
-
 class ProcessFleet:
     """Run one node and one target process for each upstream of a small plan."""
 
--- a/gentianthread/standins/demo_report.py
+++ b/gentianthread/standins/demo_report.py
@@ -1,4 +1,4 @@
-"""Show the request path of a small fleet: calls, refusals, a withdrawn key and a graceful stop."""
+"""Show what a small fleet does: calls, refusals, a surge, a withdrawn key, a graceful stop."""
 
 import asyncio
 import time
@@ -7,15 +7,29 @@
 import aiohttp
 import attrs
 
-from .fleet import Fleet, key_of, make_plan
+from ..ids import OrganisationId, Priority, ServiceId, UpstreamId
+from ..state.plan import Plan
+from .callers import Callers
+from .fleet import key_of, make_plan
+from .results import Result, Results
+from .service_fleet import ServiceFleet
 from .target import Behaviour, pattern
+from .workload import RequestStream, Workload
 
-SERVICES = {"catalogue": 2, "pricing": 2, "orders": 1}
+ZONES = ("larisa-a", "larisa-b", "volos-a", "trikala-a")
+SERVICES = {"catalogue": 4, "pricing": 2, "orders": 2}
 ORGANISATIONS = ("alpha", "beta")
 CALLERS = 16
 CALLS = 40
 STOP_BODY_BYTES = 40_000
 
+# Each target runs 4 requests at once in 100 ms each, so four of them serve 160 look-ups/s.
+SLOTS = 4
+SURGE_SERVICE_MS = 100.0
+SURGE_S = (3.0, 6.0)
+SURGE_RUN_S = 10.0
+SURGE_FACTOR = 4.0
+
 # The design allows 3 s from the withdrawal in force at a node to its first refusal.
 WITHDRAWAL_BOUND_MS = 3_000.0
 
@@ -42,7 +56,7 @@
 class Demo:
     """Run the steps of the demo on one fleet."""
 
-    def __init__(self, fleet: Fleet, session: aiohttp.ClientSession):
+    def __init__(self, fleet: ServiceFleet, session: aiohttp.ClientSession):
         """Create a demo on a running fleet."""
         self.fleet = fleet
         self.session = session
@@ -71,6 +85,7 @@
         await self.show_calls()
         await self.show_refusals()
         await self.show_idempotency()
+        await self.show_surge()
         await self.show_withdrawal()
         await self.show_graceful_stop()
         self.check_keys()
@@ -78,8 +93,9 @@
 
     async def show_calls(self) -> None:
         """Call over one and two nodes, with an inner call, and check every answer."""
-        inner = self.fleet.members["orders-0"].target
-        inner.behaviour = Behaviour(inner_paths=("/pricing?id=inner",))
+        for name in ("orders-0", "orders-1"):
+            target = self.fleet.members[name].target
+            target.behaviour = Behaviour(inner_paths=("/pricing?id=inner",))
         whole = 0
         for number in range(CALLS):
             path = ("/catalogue", "/pricing", "/orders")[number % 3]
@@ -113,9 +129,9 @@
 
     async def show_idempotency(self) -> None:
         """Send one keyed order three times and count its executions."""
-        node = self.fleet.members["catalogue-0"].node
-        ticket = await node.idempotency.fetch_ticket(
-            "alpha", "orders", lambda tried: self.fleet.plan.upstreams["orders-0"].upstream_id
+        idempotency = self.fleet.members["catalogue-0"].services.node.idempotency
+        ticket = await idempotency.fetch_ticket(
+            OrganisationId("alpha"), ServiceId("orders"), lambda tried: UpstreamId("orders-0")
         )
         headers = {"Idempotency-Key": ticket}
         bodies = set()
@@ -126,12 +142,48 @@
         self.report.check("keyed_order_executions", executions, executions == 1)
         self.report.check("keyed_order_answers", len(bodies), len(bodies) == 1)
 
+    async def show_surge(self) -> None:
+        """Send look-ups at four times their rate for a while, beside orders."""
+        for name, member in self.fleet.members.items():
+            calls = ("/pricing?id=inner",) if name.startswith("orders") else ()
+            member.target.behaviour = Behaviour(service_ms=SURGE_SERVICE_MS, inner_paths=calls)
+        entries = tuple(member.url for member in self.fleet.members.values())
+        streams = (
+            _stream("look-ups", "alpha", Priority.NORMAL, "GET", "/catalogue", 60.0, SURGE_FACTOR),
+            _stream("orders", "beta", Priority.IMPORTANT, "POST", "/orders", 8.0, 1.0),
+        )
+        workload = Workload(entries, SURGE_RUN_S, *SURGE_S, streams)
+        results = await Callers(workload, seed=1).run()
+        self._report_surge(results)
+
+    def _report_surge(self, results: Results) -> None:
+        phases = {
+            "before": (1.0, SURGE_S[0]),
+            "during": SURGE_S,
+            "after": (SURGE_S[1] + 1.0, SURGE_RUN_S),
+        }
+        for name, organisation in (("lookups", "alpha"), ("orders", "beta")):
+            for phase, (start_s, end_s) in phases.items():
+                found = [
+                    sample
+                    for sample in results.samples
+                    if sample.organisation == organisation and start_s <= sample.started_s < end_s
+                ]
+                whole = sum(sample.result is Result.COMPLETE for sample in found)
+                goodput = f"{whole / (end_s - start_s):.1f} of {len(found) / (end_s - start_s):.1f}"
+                self.report.values[f"surge.{name}.{phase}.goodput_per_s"] = goodput
+        reasons = Counter(sample.reason for sample in results.samples if sample.reason)
+        for reason, number in sorted(reasons.items()):
+            self.report.values[f"surge.refused.{reason}"] = number
+        corrupt = sum(sample.result is Result.CORRUPT for sample in results.samples)
+        self.report.check("surge.corrupt", corrupt, corrupt == 0)
+
     async def show_withdrawal(self) -> None:
         """Withdraw a key under a connected caller and measure the delay of its refusal."""
         await self.call("catalogue-0", "/catalogue", organisation="beta")
         started_s = time.monotonic()
         withdrawn = frozenset({"beta"})
-        self.fleet.publish(make_plan(SERVICES, ORGANISATIONS, version=2, withdrawn=withdrawn))
+        self.fleet.publish(_make_plan(version=2, withdrawn=withdrawn))
         reason = ""
         while reason != "key_unknown" and time.monotonic() - started_s < 5:
             _, reason, _ = await self.call("catalogue-0", "/catalogue", organisation="beta")
@@ -145,7 +197,7 @@
         results: Counter[str] = Counter()
         callers = [asyncio.ensure_future(self._send_many(n, results)) for n in range(CALLERS)]
         await asyncio.sleep(0.2)
-        await self.fleet.members["pricing-0"].node.stop_gracefully()
+        await self.fleet.stop_gracefully("pricing-0")
         await asyncio.gather(*callers)
         for name in ("answered", "refused"):
             self.report.values[f"stop.{name}"] = results[name]
@@ -170,16 +222,48 @@
         self.report.check("keys_at_targets", leaked, leaked == 0)
 
 
+def _stream(
+    name: str,
+    organisation: str,
+    priority: Priority,
+    method: str,
+    path: str,
+    rate_per_s: float,
+    surge_factor: float,
+) -> RequestStream:
+    return RequestStream(
+        name=name,
+        organisation=organisation,
+        priority=priority,
+        method=method,
+        path=path,
+        key=key_of(organisation),
+        rate_per_s=rate_per_s,
+        body_bytes=0,
+        deadline_ms=1_000.0,
+        retries=1,
+        retry_wait_ms=100.0,
+        ticket_service="",
+        surge_factor=surge_factor,
+    )
+
+
+def _make_plan(version: int = 1, withdrawn: frozenset[str] = frozenset()) -> Plan:
+    return make_plan(
+        SERVICES, ORGANISATIONS, version=version, slots=SLOTS, withdrawn=withdrawn, zones=ZONES
+    )
+
+
 def _expected(name: str, size: int) -> bytes:
     block = pattern(name, 16 * 1024)
     return (block * (size // len(block) + 1))[:size]
 
 
 async def run_demo() -> DemoReport:
-    """Run the demo on a fleet over links and return its report."""
-    fleet = Fleet(make_plan(SERVICES, ORGANISATIONS, slots=64), links=True)
-    await fleet.start()
+    """Run the demo on a fleet of whole nodes and return its report."""
+    fleet = ServiceFleet(_make_plan())
     try:
+        await fleet.start()
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
             return await Demo(fleet, session).run()
--- a/gentianthread/standins/fleet.py
+++ b/gentianthread/standins/fleet.py
@@ -42,6 +42,7 @@
     withdrawn: frozenset[str] = frozenset(),
     retry_allowance: int = 3,
     deadline_ms: float = 5_000.0,
+    zones: tuple[str, ...] = ("larisa-a",),
 ) -> Plan:
     """Return a plan with routes `/SERVICE` (GET idempotent, POST not) and `/open/SERVICE`.
 
@@ -53,19 +54,20 @@
         withdrawn: Organisations whose key is withdrawn.
         retry_allowance: Extra attempts of one root request.
         deadline_ms: Deadline of all routes.
+        zones: Availability zones that the upstreams of each service are spread over.
     """
-    zone = AvailabilityZoneId("larisa-a")
     profile = Profile(ProfileId("demo"), retry_allowance=retry_allowance)
     upstreams = {}
     for service, number in services.items():
         for index in range(number):
             name = UpstreamId(f"{service}-{index}")
+            zone = AvailabilityZoneId(zones[index % len(zones)])
             upstreams[name] = Upstream(
                 name, ServiceId(service), zone, "127.0.0.1", 0, 0, 0, slots, slots * 4
             )
     return Plan(
         ConfigVersion(version),
-        availability_zones=(zone,),
+        availability_zones=tuple(AvailabilityZoneId(zone) for zone in zones),
         profiles={profile.profile_id: profile},
         services={
             ServiceId(name): Service(ServiceId(name), profile.profile_id) for name in services
--- a/tests/coordination/test_services.py
+++ b/tests/coordination/test_services.py
@@ -4,13 +4,13 @@
 
 import attrs
 
-from bench.support.processes import free_ports
 from gentianthread.clock import SystemClock
 from gentianthread.coordination.services import NodeServices
 from gentianthread.ids import AvailabilityZoneId, NodeIdentity, StartNumber, UpstreamId
 from gentianthread.metrics import MemoryMetrics
 from gentianthread.settings import read_settings
 from gentianthread.standins.platform import PlatformStandin
+from gentianthread.standins.service_fleet import free_ports
 from gentianthread.state.bundle import make_bundle, make_values
 from gentianthread.transport.platforms import ListedInstance, PlatformFaults
 
