--- a/tests/coordination/test_escrow_quota.py
+++ b/tests/coordination/test_escrow_quota.py
@@ -191,6 +191,21 @@
         self.assertGreater(admitted, 0.6 * RATE_PER_S * 3)
         await fleet.close()
 
+    async def test_planned_stop_keeps_the_level(self):
+        """Guards against a planned restart that empties an organisation's bucket."""
+        fleet = await self.start_fleet()
+        holder = self.fleet_holder(fleet)
+        holder.quota.zone_holder.leaving = True
+        await holder.quota.leave()
+        successor = self.fleet_holder(fleet)
+        self.assertNotEqual(holder.identity.upstream_id, successor.identity.upstream_id)
+        own_part = 1 - len(fleet.zone(holder.identity.availability_zone)) / 5
+        pool = successor.quota.fleet_holder.pools[ORGANISATION]
+        self.assertGreater(pool.bucket.level, 0.9 * own_part * BURST)
+        await self.load(fleet, 5_000.0)
+        self.check_bound(fleet)
+        await fleet.close()
+
 
 class TestPlanChanges(QuotaTestCase):
     async def change_fractions(self, fleet: QuotaFleet, left_out: set[str]) -> None:
