Hedge slow idempotent requests in the request path

Cause: run_hedged existed, but nothing in the request path called it, so a profile with hedging behaved like one without.

Change: where the profile hedges, Attempts runs an idempotent request without an idempotency key through run_hedged. The second attempt takes one unit of allowance and budget before it starts, goes to another upstream and reads its own copy of a body that has come whole. The loser is cancelled and reported before the winner's answer is passed on; its loan counts as used. A local answer that is aborted no longer reports used attempts, because loans of its inner calls are not settled then. Attempts that may have run are counted instead of remembered as one flag: with two attempts under way, the refusal of one would have made "not run" true for the other.

--- a/gentianthread/coordination/answers.py
+++ b/gentianthread/coordination/answers.py
@@ -171,10 +171,19 @@
         """Return whether the body can be read from its start again."""
         return self._kept is not None
 
+    @property
+    def whole(self) -> bool:
+        """Return whether all of the body has come and is kept."""
+        return self._ended and self._kept is not None
+
     def rewind(self) -> None:
         """Start again; the caller has checked `replayable`."""
         self._position = 0
 
+    def copy(self) -> Body:
+        """Return the body from its start again; the caller has checked `whole`."""
+        return KeptBody(self.length, self._kept)
+
     async def read(self) -> bytes | None:
         """Return the next bytes, first those that were kept."""
         if self._kept is not None and self._position < len(self._kept):
@@ -205,6 +214,24 @@
         self._position += 1
 
 
+class KeptBody(Body):
+    """Read a request body of which all bytes are kept."""
+
+    def __init__(self, length: int | None, parts: list[bytes]):
+        """Create a body.
+
+        Args:
+            length: Length in bytes, or None.
+            parts: All of its bytes.
+        """
+        self.length = length
+        self._parts = iter(parts)
+
+    async def read(self) -> bytes | None:
+        """Return the next bytes."""
+        return next(self._parts, None)
+
+
 def lost_answer() -> Answer:
     """Return the answer of an attempt that may have run and whose answer is lost."""
     answer = RefusedAnswer(RefusalHead(RefusalReason.OUTCOME_UNKNOWN, False, None, 0, NO_LOAD))
--- a/gentianthread/coordination/attempts.py
+++ b/gentianthread/coordination/attempts.py
@@ -12,10 +12,10 @@
 from ..protocol.headers import CONTENT_LENGTH
 from ..protocol.messages_requests import RefusalHead, RequestHead, ResponseHead
 from ..protocol.streams import Stream
+from ..transport.http_client import Body
 from .answers import (
     Answer,
     RefusedAnswer,
-    ReplayBody,
     StreamAnswer,
     drain_answer,
     early_end,
@@ -25,6 +25,7 @@
 )
 from .calls import Call
 from .executor import Executor
+from .hedging import run_hedged
 from .idempotency import home_of
 from .peer_network import PeerNetwork
 from .retries import FAILURE_STATUS, Retries, Verdict, judge
@@ -50,6 +51,7 @@
     upstream_id: UpstreamId
     started_at_ms: float
     lent: int
+    body: Body | None
     answer: Answer | None = None
     outcome: Outcome | None = None
 
@@ -98,6 +100,7 @@
             TransportError: The answer broke off.
         """
         self.retries.record_first_attempt(call.plan, call.item.service_id)
+        hedged = _may_hedge(call)
         last: tuple[Answer, list[bytes]] | None = None
         while True:
             try:
@@ -106,10 +109,13 @@
                 if last is None:
                     raise
                 break
-            attempt = _Attempt(upstream_id, self.clock.now_ms(), call.state.allowance.lend())
-            self.router.started(upstream_id)
+            attempt = self._begin(call, upstream_id, call.body)
             try:
-                chunks = await self._run(call, attempt, relay)
+                if hedged:
+                    attempt = await self._receive_hedged(call, attempt)
+                else:
+                    await self._receive(call, attempt)
+                chunks = await self._use(call, attempt, relay)
                 if chunks is None:
                     return
             finally:
@@ -119,12 +125,70 @@
                 break
         await relay(*last)
 
-    async def _run(self, call: Call, attempt: _Attempt, relay: Relay) -> list[bytes] | None:
-        """Make one attempt; return None if its answer went to the caller, or else its body."""
-        answer = attempt.answer = await self._send(call, attempt)
+    def _begin(self, call: Call, upstream_id: UpstreamId, body: Body | None) -> _Attempt:
+        """Lend an attempt its part of the allowance and count it at the router."""
+        attempt = _Attempt(upstream_id, self.clock.now_ms(), call.state.allowance.lend(), body)
+        self.router.started(upstream_id)
+        return attempt
+
+    async def _receive(self, call: Call, attempt: _Attempt) -> _Attempt:
+        """Send an attempt, take the head of its answer, and return the attempt."""
+        attempt.answer = await self._send(call, attempt)
         call.check_body()
         if call.body is not None and call.body.problem is not None:
             raise call.body.problem
+        return attempt
+
+    async def _receive_hedged(self, call: Call, first: _Attempt) -> _Attempt:
+        """Take the head of an attempt, or of a second one that starts when the first is slow.
+
+        Returns:
+            The attempt whose answer counts; the other one has ended.
+        """
+        attempts = [first]
+        chosen: list[UpstreamId] = []
+
+        def prepare() -> bool:
+            if call.body is not None and not call.body.whole:
+                return False
+            try:
+                chosen.append(self._choose(call))
+            except NoUpstream:
+                return False
+            return True
+
+        def receive(number: int) -> Awaitable[_Attempt]:
+            if number > 0:
+                self.metrics.count("gateway.hedges")
+                body = None if call.body is None else call.body.copy()
+                attempts.append(self._begin(call, chosen[0], body))
+            return self._receive(call, attempts[number])
+
+        counting = first
+        try:
+            counting = await run_hedged(
+                receive,
+                call.item,
+                call.plan.profile_of(call.item.service_id),
+                call.state.allowance,
+                self.retries.budget(call.plan, call.item.service_id),
+                self.clock,
+                prepare=prepare,
+                is_good=_is_good,
+            )
+            for attempt in attempts:
+                if attempt is not counting:
+                    attempt.outcome = _lost_race(attempt)
+            return counting
+        finally:
+            # After an error the caller ends the first attempt.
+            for attempt in attempts:
+                if attempt is not counting:
+                    self._end(call, attempt)
+
+    async def _use(self, call: Call, attempt: _Attempt, relay: Relay) -> list[bytes] | None:
+        """Return None if the answer of an attempt went to the caller, or else its body."""
+        answer = attempt.answer
         if judge(answer.head) is Verdict.FINAL and isinstance(answer.head, ResponseHead):
             try:
                 await relay(answer, [])
@@ -212,22 +276,23 @@
         """Send one attempt and return its answer once the head is there."""
         head = self._request_head(call, attempt.lent)
         call.state.attempts += 1
-        before, call.may_have_run = call.may_have_run, True
+        # Attempts of one request can overlap, so each settles only what it added itself.
+        call.unsettled += 1
         if attempt.upstream_id == self.local.upstream_id:
-            answer = await self.executor.dispatch(head, call.body, call.item.deadline_at_ms)
+            answer = await self.executor.dispatch(head, attempt.body, call.item.deadline_at_ms)
         else:
-            answer = await self._send_to_peer(call, attempt.upstream_id, head)
+            answer = await self._send_to_peer(call, attempt, head)
         if isinstance(answer.head, RefusalHead) and answer.head.not_run:
-            call.may_have_run = before
+            call.unsettled -= 1
         return answer
 
-    async def _send_to_peer(self, call: Call, upstream_id: UpstreamId, head: RequestHead) -> Answer:
+    async def _send_to_peer(self, call: Call, attempt: _Attempt, head: RequestHead) -> Answer:
         try:
-            stream = await self.peers.open_stream(upstream_id, head)
+            stream = await self.peers.open_stream(attempt.upstream_id, head)
         except PeerUnreachable:
             # An earlier request with the key may have run at its unreachable home.
             return unreachable_answer() if call.idempotency_key is None else lost_answer()
-        return await _exchange(stream, call.body)
+        return await _exchange(stream, attempt.body)
 
     def _request_head(self, call: Call, lent: int) -> RequestHead:
         item = call.item
@@ -253,7 +318,7 @@
         )
 
 
-async def _exchange(stream: Stream, body: ReplayBody | None) -> Answer:
+async def _exchange(stream: Stream, body: Body | None) -> Answer:
     """Send the body and return the answer once its head is there; abort on any failure."""
     pump = None if body is None else asyncio.ensure_future(_pump(stream, body))
     try:
@@ -273,7 +338,7 @@
     return StreamAnswer(stream, head, pump)
 
 
-async def _pump(stream: Stream, body: ReplayBody) -> None:
+async def _pump(stream: Stream, body: Body) -> None:
     try:
         while (data := await body.read()) is not None:
             await stream.send_chunk(data)
@@ -290,6 +355,27 @@
         pump.cancel()
 
 
+def _may_hedge(call: Call) -> bool:
+    """Return whether a second attempt of a request may overlap its first."""
+    # Idempotent routes ignore a key, but a caller that sends one asks for a single execution.
+    if not call.item.idempotent or call.head.idempotency_key is not None:
+        return False
+    return call.plan.profile_of(call.item.service_id).hedging
+
+
+def _is_good(attempt: _Attempt) -> bool:
+    """Return whether an answer goes to the caller while another attempt is under way."""
+    head = attempt.answer.head
+    return isinstance(head, ResponseHead) and head.status < FAILURE_STATUS
+
+
+def _lost_race(attempt: _Attempt) -> Outcome:
+    """Return the outcome of an attempt that another one made superfluous."""
+    if attempt.answer is None or _is_good(attempt):
+        return Outcome.CANCELLED
+    return _outcome(attempt.answer.head)
+
+
 def _outcome(head: ResponseHead | RefusalHead) -> Outcome:
     if isinstance(head, ResponseHead):
         return Outcome.FAILURE if head.status >= FAILURE_STATUS else Outcome.SUCCESS
--- a/gentianthread/coordination/calls.py
+++ b/gentianthread/coordination/calls.py
@@ -97,7 +97,7 @@
         state: Its attempts.
         idempotency_key: Its key against double execution; None on idempotent routes.
         tried: Upstreams that an attempt went to.
-        may_have_run: Whether an attempt may have reached a target.
+        unsettled: Attempts that may have reached a target.
     """
 
     plan: Plan
@@ -112,7 +112,12 @@
     state: RetryState
     idempotency_key: str | None = None
     tried: set[UpstreamId] = attrs.field(factory=set)
-    may_have_run: bool = False
+    unsettled: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an attempt may have reached a target."""
+        return self.unsettled > 0
 
     def check_body(self) -> None:
         """Refuse a request whose body was found to contain the caller's key.
--- a/gentianthread/coordination/executor.py
+++ b/gentianthread/coordination/executor.py
@@ -82,7 +82,9 @@
         self._answer.close()
         self.service_ms = self._executor.clock.now_ms() - self._started_at_ms
         self._executor.end(self._context, permit, outcome, self.service_ms)
-        self.used_attempts = self._context.allowance.used
+        if outcome in (Outcome.SUCCESS, Outcome.FAILURE):
+            # Before the complete end, inner calls may still hold loans that are not settled.
+            self.used_attempts = self._context.allowance.used
 
 
 class Executor:
--- a/gentianthread/coordination/retries.py
+++ b/gentianthread/coordination/retries.py
@@ -93,7 +93,7 @@
 
     def record_first_attempt(self, plan: Plan, service_id: ServiceId) -> None:
         """Credit the budget of a service."""
-        self._budget(plan, service_id).record_first_attempt()
+        self.budget(plan, service_id).record_first_attempt()
 
     def allows(
         self,
@@ -121,7 +121,7 @@
             return False
         if verdict is Verdict.NOT_OFFERED:
             return True
-        if state.allowance.remaining <= 0 or not self._budget(plan, item.service_id).take():
+        if state.allowance.remaining <= 0 or not self.budget(plan, item.service_id).take():
             return False
         state.allowance.spend()
         state.retries += 1
@@ -135,14 +135,15 @@
         remaining_ms = item.deadline_at_ms - self._clock.now_ms()
         return min(self._random.random() * limit_ms, remaining_ms / 2)
 
-    def balances(self) -> dict[str, float]:
-        """Return the balance of each service, for the state dump."""
-        return {name: budget.balance for name, budget in self._budgets.items()}
-
-    def _budget(self, plan: Plan, service_id: ServiceId) -> RetryBudget:
+    def budget(self, plan: Plan, service_id: ServiceId) -> RetryBudget:
+        """Return the budget of a service, with the ratio of a plan."""
         budget = self._budgets.get(service_id)
         ratio = plan.profile_of(service_id).retry_ratio
         if budget is None:
             budget = self._budgets[service_id] = RetryBudget(ratio)
         budget.ratio = ratio
         return budget
+
+    def balances(self) -> dict[str, float]:
+        """Return the balance of each service, for the state dump."""
+        return {name: budget.balance for name, budget in self._budgets.items()}
--- a/gentianthread/standins/fleet.py
+++ b/gentianthread/standins/fleet.py
@@ -42,6 +42,7 @@
     withdrawn: frozenset[str] = frozenset(),
     retry_allowance: int = 3,
     deadline_ms: float = 5_000.0,
+    hedge_delay_ms: float | None = None,
 ) -> Plan:
     """Return a plan with routes `/SERVICE` (GET idempotent, POST not) and `/open/SERVICE`.
 
@@ -53,9 +54,12 @@
         withdrawn: Organisations whose key is withdrawn.
         retry_allowance: Extra attempts of one root request.
         deadline_ms: Deadline of all routes.
+        hedge_delay_ms: When slow idempotent requests are sent a second time, or None for never.
     """
     zone = AvailabilityZoneId("larisa-a")
     profile = Profile(ProfileId("demo"), retry_allowance=retry_allowance)
+    if hedge_delay_ms is not None:
+        profile = attrs.evolve(profile, hedging=True, hedge_delay_ms=hedge_delay_ms)
     upstreams = {}
     for service, number in services.items():
         for index in range(number):
--- a/gentianthread/state/allowance.py
+++ b/gentianthread/state/allowance.py
@@ -71,9 +71,14 @@
         """Add the credit of one first attempt."""
         self.balance = min(self.BALANCE_LIMIT, self.balance + self.ratio)
 
+    @property
+    def has_credit(self) -> bool:
+        """Return whether the balance allows one retry."""
+        return self.balance >= 1.0
+
     def take(self) -> bool:
         """Take one retry and tell whether the balance allowed it."""
-        if self.balance < 1.0:
+        if not self.has_credit:
             return False
         self.balance -= 1.0
         return True
