--- a/gentianthread/standins/fleet.py
+++ b/gentianthread/standins/fleet.py
@@ -43,6 +43,7 @@
     retry_allowance: int = 3,
     deadline_ms: float = 5_000.0,
     zones: tuple[str, ...] = ("larisa-a",),
+    hedge_delay_ms: float | None = None,
 ) -> Plan:
     """Return a plan with routes `/SERVICE` (GET idempotent, POST not) and `/open/SERVICE`.
 
@@ -55,8 +56,11 @@
         retry_allowance: Extra attempts of one root request.
         deadline_ms: Deadline of all routes.
         zones: Availability zones that the upstreams of each service are spread over.
+        hedge_delay_ms: When slow idempotent requests are sent a second time, or None for never.
     """
     profile = Profile(ProfileId("demo"), retry_allowance=retry_allowance)
+    if hedge_delay_ms is not None:
+        profile = attrs.evolve(profile, hedging=True, hedge_delay_ms=hedge_delay_ms)
     upstreams = {}
     for service, number in services.items():
         for index in range(number):
