Revert the use of recent demand at the beginning of an overload

A trace by cause of refusal shows the waste in the first 2 s of surge and trigger, and thresholds of rare organisations that swing.

--- a/gentianthread/state/shed_control.py
+++ b/gentianthread/state/shed_control.py
@@ -163,7 +163,6 @@
         allowed = self.allowed_queue = max(queue_target_ms * capacity, 2 * sqrt(state.limit))
         if self._smallest_queue > allowed and not self.overloaded:
             self.overloaded = True
-            self._meet_surge()
         if self.overloaded and capacity > 0:
             self._share_capacity(capacity, allowed)
         self._recent.append(self.thresholds)
@@ -203,13 +202,6 @@
         self._recent_demand = {name: self._recent_demand[name] for name in self.demand}
         self._seen = {}
 
-    def _meet_surge(self) -> None:
-        """Take the demand of the last moments where it is larger than the average."""
-        for name, demand in self.demand.items():
-            known = sum(demand.values())
-            factor = max(1.0, self._recent_demand.get(name, 0.0) / known)
-            self.demand[name] = {step: rate * factor for step, rate in demand.items()}
-
     def _demand_time_ms(self, name: OrganisationId, length_ms: float) -> float:
         """Return the averaging time for an organisation: short while its demand changes."""
         seen = sum(self._seen.get(name, {}).values()) / length_ms
