Carry the passed shed threshold through the request path

Cause: admission and routing agree on the part of the demand they see by the threshold that a root request passed, but requests carried none; a failure of an inner call also counted against every hop above it, which ejects healthy upstreams in deep chains. Change: the entry marks the item with its threshold, heads and inner calls pass it on, and a failure marked inner_failed reaches the router as cancelled.

--- a/gentianthread/coordination/attempts.py
+++ b/gentianthread/coordination/attempts.py
@@ -315,6 +315,7 @@
             call.target,
             headers,
             call.body is not None,
+            item.passed_threshold,
         )
 
 
@@ -378,5 +379,9 @@
 
 def _outcome(head: ResponseHead | RefusalHead) -> Outcome:
     if isinstance(head, ResponseHead):
-        return Outcome.FAILURE if head.status >= FAILURE_STATUS else Outcome.SUCCESS
+        if head.status < FAILURE_STATUS:
+            return Outcome.SUCCESS
+        # A failed inner call says nothing about the upstream that made it; counting it would
+        # eject the healthy upstreams above a failing one.
+        return Outcome.CANCELLED if head.inner_failed else Outcome.FAILURE
     return _OUTCOMES.get(head.reason, Outcome.REFUSED)
--- a/gentianthread/coordination/executor.py
+++ b/gentianthread/coordination/executor.py
@@ -157,6 +157,7 @@
             deadline_at_ms,
             head.idempotent,
             head.route_id,
+            head.passed_threshold,
         )
         try:
             if self.leaving is not None:
--- a/gentianthread/coordination/gateway.py
+++ b/gentianthread/coordination/gateway.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
+import attrs
+
 from ..clock import Clock
 from ..errors import CallerGone, ConnectionLost, GentianError, Refused, TransportError
 from ..events import REQUEST_ABORTED, REQUEST_CANCELLED, REQUEST_REFUSED, TASK_FAILED
@@ -156,12 +158,23 @@
                     # Work that would be shed further on takes no unit of its organisation.
                     self.attempts.router.check_early(call.item)
                     await self._take_unit(call, remaining_ms)
+                call.item = self._mark_threshold(call)
                 await self.attempts.answer(call, relay)
         except TimeoutError:
             if exchange.head_sent:
                 raise ConnectionLost("target", "deadline exceeded during the answer") from None
             raise Refused(RefusalReason.DEADLINE_EXCEEDED, not_run=not call.may_have_run) from None
 
+    def _mark_threshold(self, call: Call) -> WorkItem:
+        """Return the item with the threshold that it passed, so that later hops judge it alike."""
+        if call.parent is None:
+            threshold = self.attempts.router.entry_threshold(call.item)
+        else:
+            threshold = self.attempts.executor.admission.passed_threshold(call.parent.item)
+        if threshold <= 0:
+            return call.item
+        return attrs.evolve(call.item, passed_threshold=threshold)
+
     async def _take_unit(self, call: Call, remaining_ms: float) -> None:
         organisation_id = call.item.organisation_id
         # Requests without a key are counted only where the plan gives them a rate.
--- a/tests/coordination/test_outcomes.py
+++ b/tests/coordination/test_outcomes.py
@@ -1,5 +1,6 @@
 import asyncio
 
+from gentianthread.coordination.admission import SlotAdmission
 from gentianthread.coordination.routing import TurnRouter
 from gentianthread.ids import Outcome
 from gentianthread.standins.target import Behaviour
@@ -46,6 +47,38 @@
                         outcomes = self.routers["catalogue-0"].outcomes
                         self.assertIs(expected, outcomes[-1], (links, path, behaviour))
 
+    async def test_failed_inner_call_does_not_count_against_the_hop_above(self):
+        """Guards against the ejection of healthy upstreams above a failing one."""
+        async with self.fleet(adjust=self.recording()) as fleet:
+            fleet.members["pricing-0"].target.behaviour = Behaviour(status=500)
+            inner = Behaviour(inner_paths=("/pricing",))
+            fleet.members["catalogue-0"].target.behaviour = inner
+            status, _, _ = await self.call(fleet, "catalogue-0", "/catalogue")
+            self.assertEqual(502, status)
+            self.assertEqual(
+                [Outcome.FAILURE, Outcome.CANCELLED], self.routers["catalogue-0"].outcomes
+            )
+
+    async def test_threshold_of_the_entry_reaches_every_hop(self):
+        """Guards against hops that judge the same request by different thresholds (P2)."""
+        admitted = []
+
+        class Admission(SlotAdmission):
+            async def admit(self, item):
+                admitted.append((item.depth, item.passed_threshold))
+                return await super().admit(item)
+
+        def adjust(upstream_id, parts):
+            parts.router = RecordingRouter(parts.plan)
+            parts.router.entry_threshold = lambda item: 1.5
+            parts.admission = Admission(4, parts.clock)
+
+        async with self.fleet(adjust=adjust) as fleet:
+            inner = Behaviour(inner_paths=("/pricing",))
+            fleet.members["catalogue-0"].target.behaviour = inner
+            await self.call(fleet, "catalogue-0", "/catalogue")
+        self.assertEqual([(0, 1.5), (1, 1.5)], admitted)
+
     async def test_callers_that_break_off_do_not_count_against_the_target(self):
         """Guards against callers that get an upstream ejected by cutting their uploads."""
         for links in (False, True):
