Find the successor of a leaving zone holder sooner

Cause: after a planned stop of a zone holder its nodes had no tokens until the next regular fleet poll.

--- a/gentianthread/coordination/quota_fleet_holder.py
+++ b/gentianthread/coordination/quota_fleet_holder.py
@@ -75,6 +75,7 @@
         self._withdrawn: dict[NodeIdentity, int] = {}
         self._expired_sequence = 0
         self._eager_until_ms = 0.0
+        self._woken = asyncio.Event()
         self._predecessors: dict[OrganisationId, tuple[NodeIdentity, float]] = {}
         self.leaving = False
         self._settles_at_ms: dict[int, float] = {}
@@ -90,7 +91,14 @@
                 context.spawn(self._poll_fleet(tuple(sorted(self.led))))
                 young = context.clock.now_ms() < self._eager_until_ms
                 poll_ms = context.times.poll_ms
-                await context.clock.sleep_ms(poll_ms / EAGER_POLLS if young else poll_ms)
+                wait_ms = poll_ms / EAGER_POLLS if young else poll_ms
+                self._woken.clear()
+                try:
+                    await asyncio.wait_for(self._woken.wait(), wait_ms / 1000)
+                except TimeoutError:
+                    pass
+                # A paused process goes on only when it resumes.
+                await context.clock.sleep_ms(poll_ms / 10)
             else:
                 await context.clock.sleep_ms(context.times.poll_ms / 4)
 
@@ -193,11 +201,16 @@
         self._predecessors[name] = (sender, now_ms + times.delegation_ms + times.grant_ms)
 
     def _lead(self, name: OrganisationId) -> None:
-        context = self.context
-        times = context.times
         self.led.add(name)
-        self._eager_until_ms = context.clock.now_ms() + times.delegation_ms + 2 * times.grant_ms
-        log(HOLDER_CHANGED, role=f"{name} fleet", upstream_id=context.local.upstream_id)
+        self._poll_eagerly()
+        local_id = self.context.local.upstream_id
+        log(HOLDER_CHANGED, role=f"{name} fleet", upstream_id=local_id)
+
+    def _poll_eagerly(self) -> None:
+        times = self.context.times
+        duration_ms = times.delegation_ms + 2 * times.grant_ms
+        self._eager_until_ms = self.context.clock.now_ms() + duration_ms
+        self._woken.set()
 
     def _recent_predecessors(self) -> tuple[tuple[OrganisationId, NodeIdentity], ...]:
         now_ms = self.context.clock.now_ms()
@@ -234,6 +247,8 @@
             # A successor may use the shares already, so this process cannot confirm.
             return None
         self._withdrawn[sender] = self.context.sequence
+        # The zone gets a new holder, which has to be found before its nodes run out of tokens.
+        self._poll_eagerly()
         for pool in self.pools.values():
             pool.drop_share(sender)
         return Done()
