Look up the members of one zone without a scan of the fleet

Cause: the quota asks for the reachable nodes of a zone with every poll, and a watcher is chosen every second. Both built and sorted all members, and the planned upstreams of a zone were collected from the whole plan each time.

--- a/bench/run.py
+++ b/bench/run.py
@@ -8,7 +8,10 @@
 FOLDER = Path(__file__).resolve().parent
 
 # Arguments of the short form that keeps the whole run under ten minutes.
-SHORT_ARGUMENTS: dict[str, list[str]] = {"faults": ["--short"]}
+SHORT_ARGUMENTS: dict[str, list[str]] = {
+    "control_cost": ["--nodes", "24", "--settle-s", "20", "--window-s", "6"],
+    "faults": ["--short"],
+}
 
 TIMEOUT_S = 180
 
--- a/gentianthread/coordination/membership.py
+++ b/gentianthread/coordination/membership.py
@@ -12,7 +12,7 @@
 from ..clock import Clock, LoopClock
 from ..errors import PeerTimeout, PeerUnreachable
 from ..events import MEMBER_CHANGED, MEMBER_SUPERSEDED, TASK_FAILED
-from ..ids import NodeIdentity, UpstreamId
+from ..ids import AvailabilityZoneId, NodeIdentity, UpstreamId
 from ..logs import log
 from ..metrics import MemoryMetrics, Metrics
 from ..protocol.messages_membership import (
@@ -24,7 +24,7 @@
     LeavingNotice,
 )
 from ..state.member_table import Listing, MemberRecord, MemberTable, fingerprint
-from ..state.members import Member, Members, MemberState
+from ..state.members import REACHABLE, Member, Members, MemberState
 from ..state.overlay import choose_neighbours
 from ..transport.platforms import InstanceList
 from .peer_network import PeerNetwork
@@ -129,6 +129,16 @@
         """Return every known member in id order."""
         return [member for name in self.table.names() if (member := self.table.get(name))]
 
+    def reachable(self, availability_zone: AvailabilityZoneId | None = None) -> list[UpstreamId]:
+        """Return the ids of live, suspect and leaving members, of one zone if it is given.
+
+        The quota asks several times a second, so this looks only at the zone in question.
+        """
+        zones = self.table.zones()
+        chosen = zones.values() if availability_zone is None else [zones.get(availability_zone, ())]
+        state = self.table.state
+        return sorted(name for names in chosen for name in names if state(name) in REACHABLE)
+
     def neighbours(self) -> tuple[UpstreamId, ...]:
         """Return the overlay neighbours that this node keeps links to."""
         if self._neighbours_outdated:
--- a/gentianthread/coordination/quota_context.py
+++ b/gentianthread/coordination/quota_context.py
@@ -93,6 +93,7 @@
         self.times = times
         self.history = FractionHistory()
         self.plans: list[Plan] = []
+        self._planned: dict[AvailabilityZoneId, list[UpstreamId]] = {}
         self.superseded = False
         # Rises with every loss of time-based permissions; answers to older requests are dropped.
         self.epoch = 0
@@ -116,6 +117,7 @@
         self.plans.append(plan)
         self.history.accept(plan.version, plan.fractions.get(self.local.upstream_id, 0.0))
         self._forget_plans()
+        self._index_plans()
 
     def settle(self, version: int | None) -> None:
         """Learn the newest plan version whose decreases are in force everywhere."""
@@ -137,24 +139,19 @@
 
     def zones(self) -> list[AvailabilityZoneId]:
         """Return the zones of all plans that may be in force somewhere."""
-        return sorted(
-            {
-                upstream.availability_zone
-                for plan in self.plans
-                for upstream in plan.upstreams.values()
-            }
-        )
+        return sorted(self._planned)
 
     def planned(self, zone: AvailabilityZoneId) -> list[UpstreamId]:
         """Return the upstreams of a zone in all plans that may be in force somewhere."""
-        return sorted(
-            {
-                upstream.upstream_id
-                for plan in self.plans
-                for upstream in plan.upstreams.values()
-                if upstream.availability_zone == zone
-            }
-        )
+        return self._planned.get(zone, [])
+
+    def _index_plans(self) -> None:
+        """Sort the upstreams by zone; holders look them up with every poll."""
+        found: dict[AvailabilityZoneId, set[UpstreamId]] = {}
+        for plan in self.plans:
+            for upstream in plan.upstreams.values():
+                found.setdefault(upstream.availability_zone, set()).add(upstream.upstream_id)
+        self._planned = {zone: sorted(names) for zone, names in found.items()}
 
     def reachable(self, zone: AvailabilityZoneId) -> list[UpstreamId]:
         """Return the upstreams of a zone that the membership view reaches."""
@@ -246,4 +243,7 @@
     def _forget_plans(self) -> None:
         settled = self.history.settled_version
         if settled is not None and self.plans[-1:] and self.plans[-1].version >= settled:
-            self.plans = [plan for plan in self.plans if plan.version >= settled]
+            kept = [plan for plan in self.plans if plan.version >= settled]
+            if len(kept) < len(self.plans):
+                self.plans = kept
+                self._index_plans()
--- a/gentianthread/coordination/watchers.py
+++ b/gentianthread/coordination/watchers.py
@@ -17,9 +17,9 @@
     """
     zone = local.availability_zone
     live = {
-        member.identity.upstream_id
-        for member in members.all()
-        if member.identity.availability_zone == zone and member.state is MemberState.LIVE
+        name
+        for name in members.reachable(zone)
+        if (member := members.get(name)) is not None and member.state is MemberState.LIVE
     }
     live.add(local.upstream_id)
     return local.upstream_id in rank(f"watch:{zone}", live)[:WATCHERS_PER_ZONE]
--- a/gentianthread/state/members.py
+++ b/gentianthread/state/members.py
@@ -31,6 +31,10 @@
     state: MemberState
 
 
+# States of members that answer messages.
+REACHABLE = frozenset((MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING))
+
+
 class Members(ABC):
     """Give the present view of the fleet; it always contains the local node."""
 
@@ -57,11 +61,10 @@
         Args:
             availability_zone: Only members of this zone, if given.
         """
-        states = (MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING)
         return [
             member.identity.upstream_id
             for member in self.all()
-            if member.state in states
+            if member.state in REACHABLE
             and availability_zone in (None, member.identity.availability_zone)
         ]
 
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -265,3 +265,14 @@
             self.assertEqual((), members.neighbours())
         finally:
             await fleet.close()
+
+    @with_fleet()
+    async def test_reachable_in_a_zone(self, fleet):
+        """Guards against quota holders that poll dead nodes or those of other zones."""
+        await fleet.kill("b1")
+        await fleet.members["b2"].leave()
+        await fleet.clock.sleep_ms(3_000)
+        members = fleet.members["a0"]
+        self.assertEqual(["b0", "b2", "b3"], members.reachable("b"))
+        self.assertEqual(11, len(members.reachable()))
+        self.assertEqual([], members.reachable("z"))
