Send the heartbeats of all links in one turn of the event loop

Cause: each link woke the event loop for its own heartbeat every 250 ms.

Change: heartbeats are due at multiples of 50 ms of the event loop's time.

--- a/gentianthread/protocol/link.py
+++ b/gentianthread/protocol/link.py
@@ -1,6 +1,7 @@
 """Multiplex control messages and request streams over one connection."""
 
 import asyncio
+import math
 import struct
 from collections.abc import Coroutine
 from typing import Any
@@ -27,6 +28,10 @@
 HEARTBEAT_MS = 250
 SILENCE_MS = 1_000
 
+# Heartbeats are due at multiples of this time of the event loop, so that those of all links of a
+# process leave in one turn of the loop and do not wake it for each link.
+TIMER_GRID_MS = 50
+
 # A timer that fires this late shows that this process was held up; frames may wait unread then.
 LATE_TIMER_MS = 100
 
@@ -335,10 +340,10 @@
 
     def _schedule_timer(self) -> None:
         silent_s = self._received_s + SILENCE_MS / 1000
-        if self._writing or self._queue.heartbeat_due:
-            self._timer_s = min(self._loop.time() + HEARTBEAT_MS / 1000, silent_s)
-        else:
-            self._timer_s = min(self._sent_s + HEARTBEAT_MS / 1000, silent_s)
+        waiting = self._writing or self._queue.heartbeat_due
+        due_s = (self._loop.time() if waiting else self._sent_s) + HEARTBEAT_MS / 1000
+        turn_s = TIMER_GRID_MS / 1000
+        self._timer_s = min(math.floor(due_s / turn_s) * turn_s, silent_s)
         self._timer = self._loop.call_at(self._timer_s, self._on_timer)
 
     def _on_timer(self) -> None:
@@ -350,7 +355,10 @@
         if silence_ms >= SILENCE_MS - 0.5 and not late:
             self.fail(ConnectionSilent(str(self.peer.upstream_id), silence_ms))
             return
-        if now_s - self._sent_s >= (HEARTBEAT_MS - 0.5) / 1000 and not self._writing:
+        if (
+            now_s - self._sent_s >= (HEARTBEAT_MS - TIMER_GRID_MS - 0.5) / 1000
+            and not self._writing
+        ):
             self._queue.heartbeat_due = True
             self._queue.wake()
         if silence_ms >= SILENCE_MS - 0.5:
