--- a/gentianthread/coordination/gateway.py
+++ b/gentianthread/coordination/gateway.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
+import attrs
+
 from ..clock import Clock
 from ..errors import CallerGone, ConnectionLost, GentianError, Refused, TransportError
 from ..events import REQUEST_ABORTED, REQUEST_CANCELLED, REQUEST_REFUSED, TASK_FAILED
@@ -156,12 +158,23 @@
                     # Work that would be shed further on takes no unit of its organisation.
                     self.attempts.router.check_early(call.item)
                     await self._take_unit(call, remaining_ms)
+                call.item = self._mark_threshold(call)
                 await self.attempts.answer(call, relay)
         except TimeoutError:
             if exchange.head_sent:
                 raise ConnectionLost("target", "deadline exceeded during the answer") from None
             raise Refused(RefusalReason.DEADLINE_EXCEEDED, not_run=not call.may_have_run) from None
 
+    def _mark_threshold(self, call: Call) -> WorkItem:
+        """Return the item with the threshold that it passed, so that later hops judge it alike."""
+        if call.parent is None:
+            threshold = self.attempts.router.entry_threshold(call.item)
+        else:
+            threshold = self.attempts.executor.admission.passed_threshold(call.parent.item)
+        if threshold <= 0:
+            return call.item
+        return attrs.evolve(call.item, passed_threshold=threshold)
+
     async def _take_unit(self, call: Call, remaining_ms: float) -> None:
         organisation_id = call.item.organisation_id
         # Requests without a key are counted only where the plan gives them a rate.
@@ -188,13 +201,23 @@
         has_body = call.method != "HEAD" and head.status not in _BODILESS_STATUS
         fields = (*head.headers, (REQUEST_ID, call.call_id))
         await exchange.send_head(head.status, fields, has_body=has_body, close=self.leaving)
+        whole = None if chunks else answer.take_whole()
+        if whole is not None:
+            if whole and has_body:
+                await exchange.send(whole)
+        else:
+            await self._stream(exchange, answer, chunks, has_body)
+        await exchange.finish()
+        self.metrics.count("gateway.answered")
+
+    async def _stream(
+        self, exchange: Exchange, answer: Answer, chunks: list[bytes], has_body: bool
+    ) -> None:
         for chunk in chunks:
             await exchange.send(chunk)
         while (data := await answer.read()) is not None:
             if has_body:
                 await exchange.send(data)
-        await exchange.finish()
-        self.metrics.count("gateway.answered")
 
     async def _refuse(self, exchange: Exchange, refusal: Refused, call_id: str) -> None:
         self.metrics.count(f"gateway.refused.{refusal.reason.value}")
