Refuse plans that name an unknown limiter, queue order or chooser

Cause: gentianctl check and every node accepted any well-formed name. The node then failed with UnknownEntryError while it brought the plan into force, after it had accepted the version.

--- a/gentianthread/state/plan_rules.py
+++ b/gentianthread/state/plan_rules.py
@@ -8,6 +8,10 @@
 import attrs
 
 from ..ids import ANONYMOUS, Priority
+from ..registry import Registry
+from .backlog import queue_orders
+from .choosers import choosers
+from .limiters import limiters
 from .plan import Key, Link, Organisation, Plan, Profile, Route, Service, Upstream
 
 METHODS = ("*", "DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
@@ -173,9 +177,19 @@
     )
 
 
-def _word(attribute: str, what: str) -> FieldRule:
+def _entry(attribute: str, registry: Registry) -> FieldRule:
+    """Return the rule of a field that names an implementation.
+
+    An unknown name that got into force would fail in the node that looks it up, so the plan is
+    refused as a whole.
+    """
     return FieldRule(
-        attribute, f"the name of {what}", str, valid_name, required=False, placeholder="none"
+        attribute,
+        f"one of {', '.join(registry.names())}",
+        str,
+        registry.__contains__,
+        required=False,
+        placeholder=registry.names()[0],
     )
 
 
@@ -205,11 +219,11 @@
 _PROFILE_FIELDS = {
     "queue_target": _duration("queue_target_ms", 1, 60_000),
     "queue_limit": _integer("queue_limit", 0, 100_000),
-    "limiter": _word("limiter", "a concurrency limiter"),
+    "limiter": _entry("limiter", limiters),
     "min_concurrency": _integer("min_concurrency", 1, 100_000),
     "max_concurrency": _integer("max_concurrency", 0, 100_000),
-    "queue_order": _word("queue_order", "a queue order"),
-    "chooser": _word("chooser", "an upstream chooser"),
+    "queue_order": _entry("queue_order", queue_orders),
+    "chooser": _entry("chooser", choosers),
     "retry_allowance": _integer("retry_allowance", 0, 20),
     "retry_ratio": _number("retry_ratio", 0, 1),
     "hedging": _yes_no("hedging"),
--- a/tests/state/test_bundle.py
+++ b/tests/state/test_bundle.py
@@ -119,6 +119,17 @@
         )
         self.assertIn("fraction", error.part)
 
+    def test_unknown_implementation(self):
+        """Guards against a plan in force that names code which the node does not have."""
+        for field, name in (("limiter", "gradiant"), ("queue_order", "x"), ("chooser", "x")):
+            profiles = {
+                profile_id: attrs.evolve(profile, **{field: name})
+                for profile_id, profile in PLAN.profiles.items()
+            }
+            bundle = make_bundle(attrs.evolve(PLAN, profiles=profiles))
+            error = self.assertRaises(BundleError, decode_plan, bundle)
+            self.assertIn(field, str(error))
+
     def test_dangling_reference(self):
         """Guards against a look-up that fails at a request."""
         items = content()
