--- a/gentianthread/commands/standin.py
+++ b/gentianthread/commands/standin.py
@@ -3,14 +3,12 @@
 import asyncio
 import sys
 from pathlib import Path
-from typing import Annotated
 
 import cyclopts
-from cyclopts import Parameter, validators
 
 from .. import __version__
 from ..standins.platform import PlatformStandin, load_instances, load_values, serve
-from ..standins.target import Behaviour, serve_target
+from ..standins.target import Behaviour, StandinTarget, serve_target
 
 EXIT_USAGE = 2
 
@@ -19,8 +17,7 @@
 `gentian-standin platform` serves published values and an instance list, and can go down, go silent
 or serve stale content. Control it over HTTP below `/standin`.
 
-`gentian-standin target` serves as a target: it answers every request after a set time, and makes
-inner calls through its node.
+`gentian-standin target` serves as the target of a node.
 """
 
 app = cyclopts.App(
@@ -65,35 +62,47 @@
 @app.command
 def target(
     *,
-    port: int,
     host: str = "127.0.0.1",
+    port: int = 9000,
     node: str = "",
-    service_ms: Annotated[float, Parameter(validator=validators.Number(gte=0))] = 0.0,
-    body_bytes: Annotated[int, Parameter(validator=validators.Number(gte=0))] = 100,
-    calls: tuple[str, ...] = (),
+    slots: int = 0,
+    service_ms: float = 0.0,
+    body_bytes: int = 100,
+    status: int = 200,
+    inner: tuple[str, ...] = (),
 ) -> None:
-    """Serve as a target until interrupted.
+    """Serve as a target until interrupted; SIGUSR1 switches draining on and off.
 
     Parameters
     ----------
-    port
-        Port to listen on; 0 takes a free one, which is printed.
     host
         IP address to listen on.
+    port
+        Port to listen on; 0 takes a free one, which is printed.
     node
-        Host and port of the `target` listener of the own node, for inner calls.
+        Address of the node's listener for its target, for inner calls.
+    slots
+        Requests that run at once, the others wait; 0 means any number.
     service_ms
-        Time before each answer, in ms.
+        Time before an answer, in ms.
     body_bytes
-        Length of each answer, in bytes.
-    calls
-        Path of an inner call before each answer; may be given several times.
+        Length of an answer; the query parameter `size` overrides it.
+    status
+        HTTP status of answers.
+    inner
+        Paths that the target calls through its node before it answers.
     """
-    if calls and not node:
-        print("--calls needs --node", file=sys.stderr)
+    if inner and not node:
+        print("--inner needs --node", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    behaviour = Behaviour(service_ms=service_ms, body_bytes=body_bytes, inner_paths=calls)
-    asyncio.run(serve_target(behaviour, host, port, f"http://{node}"))
+    behaviour = Behaviour(
+        status=status, service_ms=service_ms, body_bytes=body_bytes, inner_paths=inner
+    )
+    made = StandinTarget(behaviour, slots=slots)
+    made.node_url = node
+    # A stand-in that runs for long must not record every request.
+    made.keep_seen = False
+    asyncio.run(serve_target(made, host, port))
 
 
 def main() -> None:
--- a/gentianthread/state/member_table.py
+++ b/gentianthread/state/member_table.py
@@ -22,6 +22,9 @@
 
 _DIGEST_BYTES = 8
 
+# Revision of the list that settings give to a node; every list of the platform is newer.
+SEED_REVISION = -1
+
 
 @attrs.frozen
 class MemberRecord:
@@ -108,7 +111,7 @@
         self.local = local
         self.records: dict[UpstreamId, MemberRecord] = {}
         self._listings: dict[UpstreamId, Listing] = {}
-        self._revision = -1
+        self._revision = SEED_REVISION - 1
         self._dropped: dict[UpstreamId, StartNumber] = {}
         self._states: dict[UpstreamId, MemberState] = {}
         self._by_zone: dict[AvailabilityZoneId, set[UpstreamId]] = {}
@@ -128,10 +131,30 @@
         Returns:
             The members whose state changed, or None if the record is not newer.
         """
+        fresh, changed = self.apply_all((record,))
+        return changed if fresh else None
+
+    def apply_all(self, records: Iterable[MemberRecord]) -> tuple[list[MemberRecord], list[Member]]:
+        """Take over several records and judge states once.
+
+        Returns:
+            The records that are newer than the known ones, and the members whose state changed.
+        """
+        fresh: list[MemberRecord] = []
+        affected: set[UpstreamId] = set()
+        reports_changed = False
+        for record in records:
+            known = self.records.get(record.identity.upstream_id)
+            if known is not None and record.rank <= known.rank:
+                continue
+            fresh.append(record)
+            affected |= self._replace(known, record)
+            reports_changed |= known is None or known.silent != record.silent
+        return fresh, self._judge_all(affected, reports_changed) if fresh else []
+
+    def _replace(self, known: MemberRecord | None, record: MemberRecord) -> set[UpstreamId]:
+        """Put a record in place of an earlier one and return the upstreams to judge again."""
         upstream_id = record.identity.upstream_id
-        known = self.records.get(upstream_id)
-        if known is not None and record.rank <= known.rank:
-            return None
         affected = {upstream_id, *self._forget(known), *self._names_of(record.silent)}
         self.records[upstream_id] = record
         self._toggle(record)
@@ -143,7 +166,7 @@
         ):
             del self._dropped[upstream_id]
         self._index(record.identity)
-        return self._judge_all(affected)
+        return affected
 
     def apply_list(self, revision: int, listings: Iterable[Listing]) -> list[Member]:
         """Take over the platform's list unless a newer one is known.
@@ -255,8 +278,8 @@
                 names.discard(identity.upstream_id)
         self._by_zone.setdefault(identity.availability_zone, set()).add(identity.upstream_id)
 
-    def _judge_all(self, affected: set[UpstreamId]) -> list[Member]:
-        cut = self._find_cut_zones()
+    def _judge_all(self, affected: set[UpstreamId], reports_changed: bool = True) -> list[Member]:
+        cut = self._find_cut_zones() if reports_changed else self._cut_zones
         for zone in cut ^ self._cut_zones:
             affected |= self._by_zone[zone]
         self._cut_zones = cut
