Tell an outdated process of its successor, and count only cut requests

Cause: when a newer process of an upstream proves itself, every peer closes and refuses the links of the older one, so the older one never heard of it and went on to admit work to the target. Exit code 1 was also given when a second signal met a node on which nothing ran any more, and the first SIGTERM to a superseded process counted as its second.

Change: an accepting node that refuses a proven, outdated dialling node sends it the newest start number with an HMAC that covers it; the outdated process then stops by itself. The exit code is 1 only while requests run. Only signals count as signals.

--- a/bench/support/processes.py
+++ b/bench/support/processes.py
@@ -33,6 +33,8 @@
 bundle_folder = {bundle}
 [log]
 level = warning
+[limits]
+grace = {grace_ms}ms
 """
 
 
@@ -62,16 +64,18 @@
 class ProcessFleet:
     """Run one node and one target process for each upstream of a small plan."""
 
-    def __init__(self, folder: Path, services: dict[str, int], slots: int = 64):
+    def __init__(self, folder: Path, services: dict[str, int], slots: int = 64, **options: float):
         """Prepare the files of a fleet.
 
         Args:
             folder: Where settings and bundle go.
             services: Number of upstreams of each service.
             slots: Slots of each target.
+            options: Further options of the plan; see `make_plan`.
         """
         self.folder = folder
-        self.plan = make_plan(services, ("alpha",), slots=slots)
+        self.grace_ms = 30_000
+        self.plan = make_plan(services, ("alpha",), slots=slots, **options)
         self.ports = {name: Ports(*free_ports(5)) for name in self.plan.upstreams}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._publish()
@@ -95,13 +99,10 @@
     async def start(self) -> None:
         """Start all processes and wait until they listen."""
         for name, ports in self.ports.items():
-            settings = self.folder / f"{name}.ini"
-            fields = {**attrs.asdict(ports), "upstream": name, "bundle": self.folder}
-            settings.write_text(SETTINGS.format(**fields))
             target = ("target", "--port", str(ports.target))
             node = ("--node", f"http://127.0.0.1:{ports.inner}")
             await self._spawn(f"target {name}", "gentianthread.commands.standin", *target, *node)
-            await self._spawn(name, "gentianthread.commands.node", str(settings))
+            await self._start_node(name, name, ports)
         for ports in self.ports.values():
             for port in (ports.callers, ports.target):
                 await _wait_for(port)
@@ -109,6 +110,22 @@
             for name in self.ports:
                 await self._wait_until_served(name)
 
+    async def start_newer(self, upstream_id: UpstreamId | str) -> str:
+        """Start a second node process of an upstream and return the name of the process.
+
+        It listens on ports of its own, as on another instance, and uses the same target.
+        """
+        ports = attrs.evolve(Ports(*free_ports(5)), target=self.ports[upstream_id].target)
+        name = f"newer {upstream_id}"
+        await self._start_node(name, upstream_id, ports)
+        return name
+
+    async def _start_node(self, name: str, upstream_id: UpstreamId | str, ports: Ports) -> None:
+        settings = self.folder / f"{name}.ini"
+        fields = {**attrs.asdict(ports), "upstream": upstream_id, "bundle": self.folder}
+        settings.write_text(SETTINGS.format(**fields, grace_ms=self.grace_ms))
+        await self._spawn(name, "gentianthread.commands.node", str(settings))
+
     async def _wait_until_served(self, upstream_id: UpstreamId) -> None:
         """Wait until a node answers calls to every service; quota and membership need a moment."""
         headers = {"Authorization": f"Bearer {key_of('alpha')}"}
--- a/gentianthread/coordination/links.py
+++ b/gentianthread/coordination/links.py
@@ -12,7 +12,7 @@
     ConnectionLost,
     ConnectionSilent,
     GentianError,
-    HandshakeError,
+    OutdatedProcess,
     PeerTimeout,
     PeerUnreachable,
     ProtocolError,
@@ -78,6 +78,8 @@
 
     Attributes:
         link_events: Observable of `LinkEvent`.
+        on_superseded: Called when a peer has proven that it knows a newer process of the upstream
+            of this node, with its start number.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         """
         super().__init__(local)
         self.link_events: reactivex.Observable[LinkEvent] = Subject()
+        self.on_superseded: Callable[[StartNumber], None] = lambda _: None
         self.metrics = metrics or MemoryMetrics()
         self._secret = secret
         self._address_of = address_of
@@ -268,6 +271,8 @@
     def _on_dial_failed(self, upstream_id: UpstreamId, peer: _Peer, error: Exception) -> None:
         peer.backoff.failed(self._now_s())
         self.metrics.count("link.dials_failed")
+        if isinstance(error, OutdatedProcess) and error.upstream_id == self.local.upstream_id:
+            self.on_superseded(StartNumber(error.newest))
         if upstream_id in self._kept and not peer.links:
             self._report(upstream_id, LinkState.UNREACHABLE, None, str(error) or "timeout")
 
@@ -292,7 +297,7 @@
     def _admit(self, identity: NodeIdentity) -> None:
         newest = self._peer(identity.upstream_id).newest
         if identity.start_number < newest:
-            raise HandshakeError(f"start number {identity.start_number}, newest is {newest}")
+            raise OutdatedProcess(identity.upstream_id, identity.start_number, newest)
 
     def _add_link(
         self, connection: MessageConnection, identity: NodeIdentity, *, dialed: bool
@@ -300,7 +305,7 @@
         """Add a link and choose between the links to the same process.
 
         Raises:
-            HandshakeError: A newer process opened a link during the handshake.
+            OutdatedProcess: A newer process opened a link during the handshake.
         """
         self._admit(identity)
         self.note_start_number(identity.upstream_id, identity.start_number)
--- a/gentianthread/coordination/membership.py
+++ b/gentianthread/coordination/membership.py
@@ -242,7 +242,7 @@
         if self._asked_at_ms.get(peer, 0) < self._clock.now_ms() - CONTACT_MS:
             self._asked_at_ms.pop(peer, None)
         if answer.newest_start > self.local.start_number:
-            self._note_superseded(answer.newest_start)
+            self.note_superseded(answer.newest_start)
         if answer.digest == self.table.digest():
             self._differed.discard(peer)
             self._synchronised = True
@@ -372,7 +372,7 @@
                 self._silent.pop(upstream_id)
                 self._state_own()
             if upstream_id == self.local.upstream_id and record.identity != self.local:
-                self._note_superseded(record.identity.start_number)
+                self.note_superseded(record.identity.start_number)
             self._queue(record, source)
         self._publish(changed)
 
@@ -382,7 +382,12 @@
         if waiting is not None and source is not None and record.rank >= waiting[0].rank:
             waiting[1].add(source)
 
-    def _note_superseded(self, start_number: int) -> None:
+    def note_superseded(self, start_number: int) -> None:
+        """Learn of a newer process of the local upstream.
+
+        Args:
+            start_number: Its start number.
+        """
         if not self.superseded.is_set():
             self.superseded.set()
             log(MEMBER_SUPERSEDED, upstream_id=self.local.upstream_id, start_number=start_number)
--- a/gentianthread/coordination/process.py
+++ b/gentianthread/coordination/process.py
@@ -59,6 +59,7 @@
         self.services = NodeServices(settings, local, self.clock, self.metrics)
         self.node = self.services.node
         self._asked = asyncio.Event()
+        self._signalled = False
         self._asked_again = asyncio.Event()
 
     async def run(self) -> ExitCode:
@@ -89,7 +90,11 @@
         self._asked.set()
 
     def _ask(self) -> None:
-        (self._asked_again if self._asked.is_set() else self._asked).set()
+        # The stop of a superseded process is no signal; the first one after it cuts nothing off.
+        if self._signalled:
+            self._asked_again.set()
+        self._signalled = True
+        self._asked.set()
 
     async def _stop(self) -> ExitCode:
         """Finish what runs; a second signal counts once the grace period is over."""
@@ -97,7 +102,7 @@
         idle = asyncio.ensure_future(self.node.drain.wait_idle())
         forced = asyncio.ensure_future(self._wait_for_force())
         await asyncio.wait((idle, forced), return_when=asyncio.FIRST_COMPLETED)
-        code = ExitCode.STOPPED if idle.done() else ExitCode.CUT_OFF
+        code = ExitCode.CUT_OFF if self.node.drain.running else ExitCode.STOPPED
         idle.cancel()
         forced.cancel()
         await self.services.stop()
--- a/gentianthread/coordination/services.py
+++ b/gentianthread/coordination/services.py
@@ -137,6 +137,7 @@
         self.lists = InstanceListReader(self.platform, lambda: self.spread.watching, clock)
         self._listed = self.lists.lists.subscribe(addresses.observe)
         self.members = Membership(self.network, self.lists.lists, clock, metrics=metrics)
+        self.network.on_superseded = self.members.note_superseded
         self.spread = ConfigSpread(
             self.network,
             self.members,
--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -123,6 +123,20 @@
         super().__init__(f"peer handshake failed: {problem}")
 
 
+class OutdatedProcess(HandshakeError):
+    """Report a process whose upstream has a newer one.
+
+    Attributes:
+        upstream_id: The upstream.
+        newest: Start number of the newest process that has proven itself.
+    """
+
+    def __init__(self, upstream_id: str, start_number: int, newest: int):
+        self.upstream_id = upstream_id
+        self.newest = newest
+        super().__init__(f"start number {start_number} of {upstream_id}, newest is {newest}")
+
+
 class FrameError(ProtocolError):
     """Report a frame that violates the link protocol.
 
--- a/gentianthread/protocol/handshake.py
+++ b/gentianthread/protocol/handshake.py
@@ -7,6 +7,9 @@
 The accepting node sends nothing after its proof until the empty message arrives: the dialling node
 raises its message limit only when it has checked the proof, and a long message right behind the
 proof would still meet the low limit.
+
+A dialling node whose upstream has a newer process gets `Outdated` in place of `AcceptorProof`. The
+links of an outdated process are closed everywhere, so it learns of the newer one only here.
 """
 
 import asyncio
@@ -14,19 +17,19 @@
 import hmac
 import secrets
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from enum import Enum
 from typing import TypeVar
 
 import attrs
 import cbor2
 
-from ..errors import HandshakeError, MessageError
+from ..errors import ConnectionLost, HandshakeError, MessageError, OutdatedProcess
 from ..ids import NodeIdentity, UpstreamId
 from ..transport.connections import MessageConnection
 from .codec import decode, encode
 from .frames import LINK_MESSAGE_LIMIT_BYTES
-from .messages_links import AcceptorProof, Challenge, DialerProof, Hello
+from .messages_links import AcceptorProof, Challenge, DialerProof, Hello, Outdated
 
 PROTOCOL_VERSION = 1
 NONCE_BYTES = 32
@@ -44,9 +47,12 @@
 
     DIALER = "dialer"
     ACCEPTOR = "acceptor"
+    REFUSER = "refuser"
 
 
-def make_proof(secret: bytes, role: Role, hello: Hello, challenge: Challenge) -> bytes:
+def make_proof(
+    secret: bytes, role: Role, hello: Hello, challenge: Challenge, newest: int = 0
+) -> bytes:
     """Return the HMAC-SHA-256 of one end over both nonces and both identities.
 
     Args:
@@ -54,6 +60,7 @@
         role: The end that proves itself.
         hello: What the dialling node sent.
         challenge: What the accepting node sent.
+        newest: The start number in an `Outdated`, which its proof covers.
     """
     text = cbor2.dumps(
         [
@@ -64,6 +71,7 @@
             challenge.nonce,
             list(attrs.astuple(hello.identity)),
             list(attrs.astuple(challenge.identity)),
+            *([newest] if role is Role.REFUSER else []),
         ]
     )
     return hmac.digest(secret, text, hashlib.sha256)
@@ -86,6 +94,7 @@
         admit: Raises `HandshakeError` for a proven identity that is not wanted.
 
     Raises:
+        OutdatedProcess: One of both ends has a newer process.
         HandshakeError: The peer did not prove the expected identity in time.
         ConnectionLost: The connection closed.
     """
@@ -98,7 +107,11 @@
             raise HandshakeError(f"{challenge.identity.upstream_id} in place of {expected}")
         proof = make_proof(secret, Role.DIALER, hello, challenge)
         await connection.send(encode(DialerProof(proof)))
-        answer = await _receive(connection, AcceptorProof)
+        answer = await _receive(connection, AcceptorProof, Outdated)
+        if isinstance(answer, Outdated):
+            expected_proof = make_proof(secret, Role.REFUSER, hello, challenge, answer.newest)
+            _check_proof(answer.proof, expected_proof)
+            raise OutdatedProcess(local.upstream_id, local.start_number, answer.newest)
         _check_proof(answer.proof, make_proof(secret, Role.ACCEPTOR, hello, challenge))
         admit(challenge.identity)
         connection.raise_limit(LINK_MESSAGE_LIMIT_BYTES)
@@ -132,7 +145,15 @@
         await connection.send(encode(challenge))
         answer = await _receive(connection, DialerProof)
         _check_proof(answer.proof, make_proof(secret, Role.DIALER, hello, challenge))
-        admit(hello.identity)
+        try:
+            admit(hello.identity)
+        except OutdatedProcess as refusal:
+            proof = make_proof(secret, Role.REFUSER, hello, challenge, refusal.newest)
+            await connection.send(encode(Outdated(refusal.newest, proof)))
+            # The dialling node closes the connection; closing it here could discard the message.
+            with suppress(ConnectionLost):
+                await connection.receive()
+            raise
         # Raised before the proof goes out: the dialling end may send long messages as soon as it
         # has the proof.
         connection.raise_limit(LINK_MESSAGE_LIMIT_BYTES)
@@ -152,7 +173,7 @@
         raise HandshakeError(f"not finished in {HANDSHAKE_TIMEOUT_MS} ms") from None
 
 
-async def _receive(connection: MessageConnection, expected: type[T]) -> T:
+async def _receive(connection: MessageConnection, *expected: type[T]) -> T:
     data = await connection.receive()
     try:
         received = decode(data)
@@ -160,7 +181,7 @@
         raise HandshakeError(f"bad message: {error.problem}") from error
     if not isinstance(received, expected):
         name = type(received).__name__
-        raise HandshakeError(f"{name} in place of {expected.__name__}")
+        raise HandshakeError(f"{name} in place of {expected[0].__name__}")
     return received
 
 
--- a/gentianthread/protocol/messages_links.py
+++ b/gentianthread/protocol/messages_links.py
@@ -58,3 +58,17 @@
     """
 
     proof: bytes
+
+
+@message(5)
+@attrs.frozen
+class Outdated:
+    """Refuse a proven dialling node because its upstream has a newer process.
+
+    Attributes:
+        newest: Start number of the newest process that has proven itself.
+        proof: HMAC of the accepting role, which covers the start number.
+    """
+
+    newest: int
+    proof: bytes
--- a/tests/protocol/test_handshake.py
+++ b/tests/protocol/test_handshake.py
@@ -1,10 +1,16 @@
 import asyncio
 
-from gentianthread.errors import ConnectionLost, HandshakeError
+from gentianthread.errors import ConnectionLost, HandshakeError, OutdatedProcess
 from gentianthread.ids import AvailabilityZoneId, NodeIdentity, StartNumber, UpstreamId
 from gentianthread.protocol.codec import decode, encode
 from gentianthread.protocol.handshake import Role, accept_peer, dial_peer, make_proof
-from gentianthread.protocol.messages_links import AcceptorProof, Challenge, DialerProof, Hello
+from gentianthread.protocol.messages_links import (
+    AcceptorProof,
+    Challenge,
+    DialerProof,
+    Hello,
+    Outdated,
+)
 from gentianthread.transport.connections import memory_connection_pair
 
 from ..base import VirtualTimeTestCase
@@ -121,6 +127,8 @@
         proofs = {
             make_proof(SECRET, Role.DIALER, hello, challenge),
             make_proof(SECRET, Role.ACCEPTOR, hello, challenge),
+            make_proof(SECRET, Role.REFUSER, hello, challenge, 1),
+            make_proof(SECRET, Role.REFUSER, hello, challenge, 2),
             make_proof(other, Role.DIALER, hello, challenge),
             make_proof(SECRET, Role.DIALER, Hello(2, DIALER, bytes(32)), challenge),
             make_proof(SECRET, Role.DIALER, Hello(1, DIALER, other), challenge),
@@ -129,7 +137,7 @@
             make_proof(SECRET, Role.DIALER, hello, Challenge(ACCEPTOR, other)),
             make_proof(SECRET, Role.DIALER, hello, Challenge(identity("b", 2), bytes(32))),
         }
-        self.assertEqual(9, len(proofs))
+        self.assertEqual(11, len(proofs))
 
     async def test_other_upstream_than_expected_is_refused(self):
         """Guards against requests for one upstream that reach the node of another."""
@@ -154,6 +162,41 @@
         with self.assertRaisesType(ConnectionLost):
             await dialling
 
+    async def test_outdated_process_is_told_the_newest_start_number(self):
+        """Guards against an old process that is refused everywhere and never learns why."""
+        near, far = memory_connection_pair(delay_ms=1)
+
+        def admit(found):
+            raise OutdatedProcess(found.upstream_id, found.start_number, 9)
+
+        accepting = accept(far, admit=admit)
+        with self.assertRaisesType(OutdatedProcess) as caught:
+            await dial(near)
+        self.assertEqual(("a", 9), (caught.exception.upstream_id, caught.exception.newest))
+        near.abort()
+        await self.assert_refused(accepting, "start number 1 of a, newest is 9")
+
+    async def test_only_a_proven_peer_can_call_a_process_outdated(self):
+        """Guards against strangers, or other proofs, that stop a node by a false start number."""
+        for secret, role, proven in (
+            (b"a guess", Role.REFUSER, 9),
+            (SECRET, Role.REFUSER, 8),
+            (SECRET, Role.ACCEPTOR, 9),
+        ):
+            near, far = memory_connection_pair()
+
+            async def pretend(far, secret, role, proven):
+                hello = decode(await far.receive())
+                challenge = Challenge(ACCEPTOR, bytes(32))
+                await far.send(encode(challenge))
+                await far.receive()
+                proof = make_proof(secret, role, hello, challenge, proven)
+                await far.send(encode(Outdated(9, proof)))
+
+            pretending = asyncio.ensure_future(pretend(far, secret, role, proven))
+            await self.assert_refused(dial(near))
+            await pretending
+
     async def test_slow_peer_is_refused_after_two_seconds(self):
         """Guards against strangers who hold connections open."""
         _, far = memory_connection_pair()
