--- a/gentianthread/coordination/services.py
+++ b/gentianthread/coordination/services.py
@@ -154,6 +154,7 @@
         instances = self.lists.lists.pipe(operators.start_with(_seed_list(settings)))
         self._listed = instances.subscribe(addresses.observe)
         self.members = Membership(self.network, instances, clock, metrics=metrics)
+        self.network.on_superseded = self.members.note_superseded
         self.spread = ConfigSpread(
             self.network,
             self.members,
