--- a/tests/commands/test_node_stop.py
+++ b/tests/commands/test_node_stop.py
@@ -113,3 +113,16 @@
                 self.signal(fleet, "pricing-0")
                 self.assertEqual(ANSWER_BYTES, len(await answer.read()))
             self.assertEqual(0, await fleet.processes["pricing-0"].wait())
+
+    async def test_answer_of_an_older_process_over_a_link_is_not_cut(self):
+        """Guards against a replacement that cuts off what other nodes forwarded (P11)."""
+        async with self.processes({"catalogue": 1, "pricing": 1}) as fleet:
+            url = f"{fleet.url('catalogue-0')}/pricing?size={ANSWER_BYTES}"
+            received = 0
+            async with fleet.session.get(url) as answer:
+                await fleet.start_newer("pricing-0")
+                await self.until_leaving(fleet, "pricing-0")
+                with contextlib.suppress(aiohttp.ClientError):
+                    async for part in answer.content.iter_any():
+                        received += len(part)
+            self.assertEqual(ANSWER_BYTES, received)
