--- a/bench/overload.py
+++ b/bench/overload.py
@@ -9,7 +9,7 @@
 import gc
 import sys
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from pathlib import Path
 
 import attrs
@@ -18,6 +18,7 @@
 import looptime
 
 from gentianthread.ids import Priority
+from gentianthread.standins.results import plot_series
 from gentianthread.state.fairness import weighted_max_min
 
 from .overload_model import (
@@ -191,6 +192,27 @@
                 writer.writerow([deployment, variant, index * Record.BIN_S, *counts])
 
 
+def plot(folder: Path, deployment: str, record: Record) -> None:
+    """Plot completed root requests per second by priority and by organisation.
+
+    Args:
+        folder: Where the PNG file goes; it gets the name of the deployment.
+        deployment: Name of the deployment.
+        record: What happened.
+
+    Raises:
+        PlotsUnavailable: The plotting library is not installed.
+    """
+    series: dict[str, Counter] = defaultdict(Counter)
+    for _, ended_s, organisation, priority in record.completed:
+        series[f"priority {priority.name.lower()}"][int(ended_s)] += 1
+        series[f"organisation {organisation}"][int(ended_s)] += 1
+    phases = Phases()
+    triggers_s = [(phases.surge, phases.surge_end), (phases.trigger, phases.trigger_end)]
+    title = f"{deployment}: demand doubled, then the deep service slowed to a third"
+    plot_series(dict(sorted(series.items())), folder / f"{deployment}.png", triggers_s, title)
+
+
 def print_table(results: dict[tuple[str, str], Result]) -> None:
     """Print all figures."""
     names = [field.name for field in attrs.fields(Result)]
@@ -207,6 +229,7 @@
 def main(
     seed: int = 1,
     csv: Path | None = None,
+    png: Path | None = None,
     deployment: str | None = None,
     variant: str | None = None,
     every: bool = False,
@@ -216,6 +239,7 @@
     Args:
         seed: Seed of all random choices.
         csv: File for the time series.
+        png: Folder for a plot of gentianthread in each deployment (needs the extra `plots`).
         deployment: Run only this one.
         variant: Run only this one.
         every: Run the variants without gentianthread in lakeshore too. Its chain is 18 deep and
@@ -241,6 +265,10 @@
     print_table(results)
     if csv is not None:
         write_series(csv, records)
+    if png is not None:
+        for (name, chosen), record in records.items():
+            if chosen == Gentianthread.name:
+                plot(png, name, record)
     missed = [
         f"{key[0]}.{name}"
         for key, result in results.items()
--- a/gentianthread/standins/results.py
+++ b/gentianthread/standins/results.py
@@ -133,18 +133,18 @@
         Raises:
             PlotsUnavailable: The plotting library is not installed.
         """
-        plot_series(self.series(), path, trigger_s, title)
+        plot_series(self.series(), path, [trigger_s], title)
 
 
 def plot_series(
-    series: dict[str, Counter], path: Path, trigger_s: tuple[float, float], title: str
+    series: dict[str, Counter], path: Path, triggers_s: list[tuple[float, float]], title: str
 ) -> None:
     """Plot goodput series, priorities above and organisations below.
 
     Args:
         series: Completed requests by second, for each group.
         path: The PNG file to write.
-        trigger_s: Start and end of the shaded trigger.
+        triggers_s: Start and end of each trigger; they are shaded.
         title: Put above the picture.
 
     Raises:
@@ -157,7 +157,8 @@
     figure = Figure(figsize=(9, 7), layout="constrained")
     figure.suptitle(title)
     for axes, kind in zip(figure.subplots(2, 1), ("priority", "organisation"), strict=True):
-        axes.axvspan(*trigger_s, color="0.9", label="trigger")
+        for place, trigger_s in enumerate(triggers_s):
+            axes.axvspan(*trigger_s, color="0.9", label=None if place else "trigger")
         for name, counts in series.items():
             if name.startswith(kind):
                 seconds = list(range(max(counts, default=-1) + 1))
