--- a/bench/support/node_fleet.py
+++ b/bench/support/node_fleet.py
@@ -1,7 +1,9 @@
 """Run many nodes as processes with a stand-in platform, and read what each one takes."""
 
 import asyncio
+import random
 import signal
+import socket
 import sys
 import time
 from itertools import combinations
@@ -19,8 +21,6 @@
 from gentianthread.state.plan import Link, Organisation, Plan, Upstream
 from gentianthread.transport.platforms import ListedInstance
 
-from .processes import free_ports
-
 # Limits of the machine for one benchmark.
 PROCESS_LIMIT = 200
 MEMORY_LIMIT_BYTES = 8_000_000_000
@@ -56,6 +56,26 @@
 """
 
 
+# Below the range of ports that outgoing connections take; nodes open many of those, and one of them
+# could take the port of a node that has not started yet.
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+
+
+def listener_ports(number: int) -> list[int]:
+    """Return ports that nothing listens on and that no outgoing connection takes."""
+    found: list[int] = []
+    candidates = random.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT)
+    while len(found) < number:
+        port = candidates.pop()
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
+
+
 def zone_names(number: int) -> list[AvailabilityZoneId]:
     """Return the zones of two regions in turn."""
     return [AvailabilityZoneId(f"region-{1 + i % 2}-{chr(97 + i // 2)}") for i in range(number)]
@@ -151,7 +171,7 @@
         if nodes > PROCESS_LIMIT - 5:
             raise ValueError(f"{nodes} nodes are too many for one machine")
         added = list(self.plan.upstreams)[len(self.running) : nodes]
-        ports = free_ports(4 * len(added))
+        ports = listener_ports(4 * len(added))
         upstreams = dict(self.plan.upstreams)
         settings = {}
         for index, name in enumerate(added):
@@ -242,7 +262,15 @@
             await asyncio.sleep(2.0)
 
     async def dumps(self) -> dict[UpstreamId, dict]:
-        """Return the state dump of every node."""
+        """Return the state dump of every node.
+
+        Raises:
+            RuntimeError: A node has ended.
+        """
+        for name, runner in self.running.items():
+            if runner.process.returncode is not None:
+                output = (self.folder / f"{name}.log").read_text()
+                raise RuntimeError(f"{name} ended with {runner.process.returncode}: {output}")
         async with aiohttp.ClientSession() as session:
 
             async def read(runner: Runner) -> dict:
