--- a/gentianthread/coordination/links.py
+++ b/gentianthread/coordination/links.py
@@ -143,13 +143,21 @@
             peer.changed.set()
 
     def note_start_number(self, upstream_id: UpstreamId, start_number: StartNumber) -> None:
-        """Learn of a process of an upstream; links of older processes are closed and refused."""
+        """Learn of a process of an upstream; older ones are refused.
+
+        A link of an older process closes at once, or when the streams under way on it have ended:
+        a planned replacement starts while its predecessor still serves its last requests.
+        """
         peer = self._peer(upstream_id)
         if start_number <= peer.newest:
             return
         peer.newest = start_number
         for link in list(peer.links):
-            if link.peer.start_number < start_number:
+            if link.peer.start_number >= start_number:
+                continue
+            if link.streams:
+                link.drain()
+            else:
                 link.fail(ConnectionLost(str(upstream_id), "replaced by a newer process"))
 
     def connected(self) -> frozenset[UpstreamId]:
