Share node settings and free ports between the benchmark fleets

Cause: two fleets of node processes had their own copies of the settings text and of the search for ports below the ephemeral range. Change: bench/support/settings.py and standins.service_fleet.free_ports serve both.

--- a/bench/support/node_fleet.py
+++ b/bench/support/node_fleet.py
@@ -1,9 +1,7 @@
 """Run many nodes as processes with a stand-in platform, and read what each one takes."""
 
 import asyncio
-import random
 import signal
-import socket
 import sys
 import time
 from itertools import combinations
@@ -16,11 +14,14 @@
 from gentianthread.ids import AvailabilityZoneId, ConfigVersion, ServiceId, UpstreamId
 from gentianthread.standins.fleet import make_plan
 from gentianthread.standins.platform import PlatformStandin
+from gentianthread.standins.service_fleet import free_ports
 from gentianthread.standins.target import StandinTarget
 from gentianthread.state.bundle import make_bundle, make_values
 from gentianthread.state.plan import Link, Organisation, Plan, Upstream
 from gentianthread.transport.platforms import ListedInstance
 
+from .settings import NODE_SETTINGS
+
 # Limits of the machine for one benchmark.
 PROCESS_LIMIT = 200
 MEMORY_LIMIT_BYTES = 8_000_000_000
@@ -36,44 +37,7 @@
 START_TIMEOUT_S = 60.0
 SETTLE_TIMEOUT_S = 60.0
 
-SETTINGS = """
-[node]
-upstream = {upstream}
-availability_zone = {zone}
-[listeners]
-callers = 127.0.0.1:{callers}
-target = 127.0.0.1:{inner}
-operator = 127.0.0.1:{operator}
-peers = 127.0.0.1:{peers}
-[target]
-address = 127.0.0.1:{target}
-[peers]
-fleet_secret = not a secret, only used on loopback
-[platform]
-address = 127.0.0.1:{platform}
-[log]
-level = warning
-"""
-
-
-# Below the range of ports that outgoing connections take; nodes open many of those, and one of them
-# could take the port of a node that has not started yet.
-FIRST_PORT, LAST_PORT = 12_000, 32_000
-
-
-def listener_ports(number: int) -> list[int]:
-    """Return ports that nothing listens on and that no outgoing connection takes."""
-    found: list[int] = []
-    candidates = random.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT)
-    while len(found) < number:
-        port = candidates.pop()
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        found.append(port)
-    return found
+SETTINGS = NODE_SETTINGS + "[platform]\naddress = 127.0.0.1:{platform}\n"
 
 
 def zone_names(number: int) -> list[AvailabilityZoneId]:
@@ -171,7 +135,7 @@
         if nodes > PROCESS_LIMIT - 5:
             raise ValueError(f"{nodes} nodes are too many for one machine")
         added = list(self.plan.upstreams)[len(self.running) : nodes]
-        ports = listener_ports(4 * len(added))
+        ports = free_ports(4 * len(added))
         upstreams = dict(self.plan.upstreams)
         settings = {}
         for index, name in enumerate(added):
--- a/bench/support/processes.py
+++ b/bench/support/processes.py
@@ -13,29 +13,12 @@
 from gentianthread.state.bundle import make_bundle, make_values
 from gentianthread.state.plan import Plan
 
+from .settings import NODE_SETTINGS
+
 # A node waits a delegation period before it uses its fraction of the quota.
 START_TIMEOUT_S = 20.0
 
-SETTINGS = """
-[node]
-upstream = {upstream}
-availability_zone = larisa-a
-[listeners]
-callers = 127.0.0.1:{callers}
-target = 127.0.0.1:{inner}
-operator = 127.0.0.1:{operator}
-peers = 127.0.0.1:{peers}
-[target]
-address = 127.0.0.1:{target}
-[peers]
-fleet_secret = not a secret, only used on loopback
-[platform]
-bundle_folder = {bundle}
-[log]
-level = warning
-[limits]
-grace = {grace_ms}ms
-"""
+SETTINGS = NODE_SETTINGS + "[platform]\nbundle_folder = {bundle}\n[limits]\ngrace = {grace_ms}ms\n"
 
 
 @attrs.define
@@ -111,7 +94,7 @@
     async def _start_node(self, name: str, upstream_id: UpstreamId | str, ports: Ports) -> None:
         settings = self.folder / f"{name}.ini"
         fields = {**attrs.asdict(ports), "upstream": upstream_id, "bundle": self.folder}
-        settings.write_text(SETTINGS.format(**fields, grace_ms=self.grace_ms))
+        settings.write_text(SETTINGS.format(**fields, zone="larisa-a", grace_ms=self.grace_ms))
         await self._spawn(name, "gentianthread.commands.node", str(settings))
 
     async def _wait_until_served(self, upstream_id: UpstreamId) -> None:
