--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,10 @@
+import contextlib
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from gentianthread.errors import DeclarationErrors
 from gentianthread.settings import Address, read_settings
 
@@ -29,6 +33,8 @@
 grace = 2 min
 """
 
+FIELDS = [line.partition(" = ")[0] for line in GOOD.splitlines() if " = " in line]
+
 
 class TestSettings(TestCase):
     def read(self, text):
@@ -120,3 +126,19 @@
         )
         for before, after, *expected in cases:
             self.assertIn(tuple(expected), self.errors(GOOD.replace(before, after)), after)
+
+    @given(st.text(max_size=300), st.integers(min_value=0, max_value=len(GOOD)))
+    @settings(max_examples=200, derandomize=True, database=None, deadline=None)
+    def test_any_text_gives_settings_or_a_typed_error(self, junk, place):
+        """Guards against a damaged settings file that ends the process with a traceback."""
+        for text in (junk, GOOD[:place] + junk + GOOD[place:], GOOD[:place]):
+            with contextlib.suppress(DeclarationErrors):
+                self.read(text)
+
+    @given(st.sampled_from(FIELDS), st.text(max_size=60))
+    @settings(max_examples=300, derandomize=True, database=None, deadline=None)
+    def test_any_value_gives_settings_or_a_typed_error(self, field, value):
+        """Guards against a value whose form raises something other than a typed error."""
+        line = next(line for line in GOOD.splitlines() if line.startswith(f"{field} ="))
+        with contextlib.suppress(DeclarationErrors):
+            self.read(GOOD.replace(line, f"{field} = {value}"))
