--- a/bench/run.py
+++ b/bench/run.py
@@ -14,6 +14,7 @@
     "faults": ["--short"],
     "overload": ["--variant", "gentianthread"],
     "quota_cost": ["--organisations", "8"],
+    "rate_share": ["--deployment", "mandalaki"],
 }
 
 TIMEOUT_S = 180
