--- a/gentianthread/coordination/quota_draws.py
+++ b/gentianthread/coordination/quota_draws.py
@@ -13,8 +13,6 @@
 
 # A draw takes other organisations along whose last draw is older than this part of the period.
 COMPANION_AGE = 0.6
-# Without tokens and demand the next request wakes the loop; the wait only bounds a missed wake-up.
-IDLE_WAIT_MS = 1_000.0
 # Keeps rounding of the clock from turning a wait into a busy loop.
 LEAST_WAIT_MS = 1.0
 
@@ -108,8 +106,6 @@
         now_ms = self.context.clock.now_ms()
         names = set(self.source.organisations())
         names |= {name for name, pace in self._paces.items() if pace.urgent}
-        if not names:
-            return IDLE_WAIT_MS
         # A holder can keep a draw of a scarce organisation for a while, so these go alone.
         due: dict[tuple[NodeIdentity, bool], list[OrganisationId]] = defaultdict(list)
         companions: dict[tuple[NodeIdentity, bool], list[OrganisationId]] = defaultdict(list)
