Leave empty sections and fields out of field errors

Cause: a file that cannot be read gave 'x.ini: [] : ...' with a doubly quoted text. Change: the message names only the parts that it has; system errors show their own text.

--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -32,7 +32,8 @@
         self.found = found
         self.expected = expected
         shown = "missing" if found is None else repr(found)
-        super().__init__(f"{file}: [{section}] {field}: {shown}; expected {expected}")
+        place = " ".join(filter(None, (f"[{section}]" if section else "", field)))
+        super().__init__(": ".join(filter(None, (file, place, f"{shown}; expected {expected}"))))
 
 
 class DeclarationErrors(ConfigurationError):
--- a/gentianthread/ini.py
+++ b/gentianthread/ini.py
@@ -172,7 +172,8 @@
         try:
             parser.read_string(path.read_text(encoding="utf-8"), source=path.name)
         except (configparser.Error, OSError, UnicodeDecodeError) as error:
-            problem = FieldError(path.name, "", "", str(error).splitlines()[0], "an INI file")
+            found = getattr(error, "strerror", None) or str(error).splitlines()[0]
+            problem = FieldError(path.name, "", "", found, "an INI file")
             raise DeclarationErrors([problem]) from error
         self._sections = {name: dict(parser.items(name)) for name in parser.sections()}
 
--- a/tests/test_ini.py
+++ b/tests/test_ini.py
@@ -40,4 +40,7 @@
     def test_broken_file_is_a_typed_error(self):
         """Guards against a parser error that ends the process with a traceback."""
         self.assertRaises(DeclarationErrors, ini, "no section\n")
-        self.assertRaises(DeclarationErrors, IniFile, Path("/nonexistent.ini"))
+        error = self.assertRaises(DeclarationErrors, IniFile, Path("/nonexistent.ini"))
+        self.assertEqual(
+            "nonexistent.ini: 'No such file or directory'; expected an INI file", str(error)
+        )
