Build the small plans of tests from those of the stand-in fleet

Cause: tests and the demo had two makers of the same plan with the same routes and keys. Change: tests.plans.small_plan evolves standins.fleet.make_plan.

--- a/tests/coordination/test_calls.py
+++ b/tests/coordination/test_calls.py
@@ -1,10 +1,10 @@
 from gentianthread.coordination.calls import ExchangeBody
 from gentianthread.errors import KeyInBody
+from gentianthread.standins.fleet import key_of
 
 from ..base import VirtualTimeTestCase
-from ..plans import key_text
 
-KEY = key_text("alpha")
+KEY = key_of("alpha")
 
 
 class PartsExchange:
--- a/tests/plans.py
+++ b/tests/plans.py
@@ -1,24 +1,12 @@
 """Build small plans for tests and benchmarks."""
 
-import hashlib
+import attrs
 
-from gentianthread.ids import (
-    AvailabilityZoneId,
-    ConfigVersion,
-    KeyId,
-    OrganisationId,
-    Priority,
-    ProfileId,
-    RouteId,
-    ServiceId,
-    UpstreamId,
-)
-from gentianthread.state.plan import Key, Organisation, Plan, Profile, Route, Service, Upstream
+from gentianthread.standins.fleet import make_plan
+from gentianthread.state.plan import Plan
+from gentianthread.state.profiles import built_in
 
-
-def key_text(organisation: str) -> str:
-    """Return the key of an organisation in a small plan."""
-    return f"gtk_{organisation}1_{'s' * 43}"
+DEADLINE_MS = 2_000.0
 
 
 def small_plan(
@@ -34,59 +22,35 @@
     withdrawn: frozenset[str] = frozenset(),
 ) -> Plan:
     """Return a plan whose routes are `/SERVICE` (GET idempotent, POST not) and `/open/SERVICE`."""
-    upstreams = {}
-    for service in services:
-        for index in range(upstreams_per_service):
-            name = UpstreamId(f"{service}-{index}")
-            port = first_port + 4 * len(upstreams)
-            upstreams[name] = Upstream(
-                upstream_id=name,
-                service_id=ServiceId(service),
-                availability_zone=AvailabilityZoneId(zones[index % len(zones)]),
-                host="127.0.0.1",
-                peer_port=port,
-                caller_port=port + 1,
-                target_port=port + 2,
-                slots=slots,
+    plan = make_plan(
+        dict.fromkeys(services, upstreams_per_service),
+        organisations,
+        version=version,
+        slots=slots,
+        withdrawn=withdrawn,
+        deadline_ms=DEADLINE_MS,
+        zones=zones,
+    )
+    profile = attrs.evolve(built_in("lookup"), hedging=False, deadline_ms=DEADLINE_MS)
+    return attrs.evolve(
+        plan,
+        profiles={profile.profile_id: profile},
+        services={
+            name: attrs.evolve(service, profile_id=profile.profile_id)
+            for name, service in plan.services.items()
+        },
+        upstreams={
+            name: attrs.evolve(
+                upstream,
+                peer_port=first_port + 4 * place,
+                caller_port=first_port + 4 * place + 1,
+                target_port=first_port + 4 * place + 2,
                 connections=slots * 8,
             )
-    return Plan(
-        version=ConfigVersion(version),
-        availability_zones=tuple(AvailabilityZoneId(zone) for zone in zones),
-        profiles={ProfileId("lookup"): Profile(ProfileId("lookup"))},
-        services={
-            ServiceId(name): Service(ServiceId(name), ProfileId("lookup")) for name in services
+            for place, (name, upstream) in enumerate(plan.upstreams.items())
         },
-        routes=_routes(services),
-        upstreams=upstreams,
         organisations={
-            OrganisationId(name): Organisation(OrganisationId(name), rate_per_s, burst)
-            for name in organisations
+            name: attrs.evolve(organisation, rate_per_s=rate_per_s, burst=burst)
+            for name, organisation in plan.organisations.items()
         },
-        keys={KeyId(f"{name}1"): _key(name) for name in organisations if name not in withdrawn},
-        fractions={name: 1 / len(upstreams) for name in upstreams},
     )
-
-
-def _routes(services: tuple[str, ...]) -> dict[RouteId, Route]:
-    routes = {}
-    for name in services:
-        for method, idempotent, priority in (
-            ("GET", True, Priority.NORMAL),
-            ("POST", False, Priority.IMPORTANT),
-        ):
-            route_id = RouteId(f"{name}-{method.lower()}")
-            routes[route_id] = Route(
-                route_id, ServiceId(name), method, f"/{name}", idempotent, priority, False, 2000.0
-            )
-        open_id = RouteId(f"{name}-open")
-        routes[open_id] = Route(
-            open_id, ServiceId(name), "GET", f"/open/{name}", True, Priority.NORMAL, True, 2000.0
-        )
-    return routes
-
-
-def _key(organisation: str) -> Key:
-    salt = organisation.encode()
-    digest = hashlib.sha256(salt + key_text(organisation).encode()).digest()
-    return Key(KeyId(f"{organisation}1"), OrganisationId(organisation), salt, digest)
