Choose the platform adapter by name in the settings

Cause: adapters register by name so that another platform is one more module, but nodes named the HTTP adapter in code, and the registry was never asked. Change: [platform] adapter names it (http by default); adapters have connect(); an unknown name ends the start with a typed error and exit code 2.

--- a/gentianthread/coordination/process.py
+++ b/gentianthread/coordination/process.py
@@ -8,7 +8,7 @@
 from enum import IntEnum
 
 from ..clock import SystemClock, wall_clock_ms
-from ..errors import BundleError, GentianError
+from ..errors import ConfigurationError, GentianError
 from ..ids import NodeIdentity, StartNumber
 from ..logs import handler
 from ..metrics import MemoryMetrics, Metrics, StatsdMetrics
@@ -49,7 +49,7 @@
             settings: Checked settings.
 
         Raises:
-            BundleError: The bundle in the settings is wrong.
+            ConfigurationError: The bundle or the platform adapter in the settings is wrong.
         """
         self.settings = settings
         self.clock = SystemClock()
@@ -138,7 +138,7 @@
     async def run() -> ExitCode:
         try:
             process = NodeProcess(settings)
-        except BundleError as error:
+        except ConfigurationError as error:
             print(error, file=sys.stderr)
             return ExitCode.WRONG_INPUT
         return await process.run()
--- a/gentianthread/coordination/services.py
+++ b/gentianthread/coordination/services.py
@@ -14,14 +14,15 @@
 from ..state.member_table import SEED_REVISION
 from ..state.members import Member
 from ..state.plan import Plan, Profile
+from ..transport import platform_http  # noqa: F401  # Registers its adapter.
 from ..transport.connections import WebSocketTransport
-from ..transport.platform_http import HttpPlatform
 from ..transport.platforms import (
     InstanceList,
     ListedInstance,
     MemoryPlatform,
     Platform,
     PlatformState,
+    platforms,
 )
 from .config_spread import ConfigSpread
 from .escrow_quota import EscrowQuota
@@ -47,11 +48,12 @@
 
     Raises:
         BundleError: The bundle folder holds no valid bundle.
+        UnknownEntryError: No adapter has the name in the settings.
     """
     if settings.platform is not None:
         host = f"[{settings.platform.host}]" if ":" in settings.platform.host else None
         base_url = f"http://{host or settings.platform.host}:{settings.platform.port}"
-        return HttpPlatform(base_url, source_address=settings.source_address)
+        return platforms.get(settings.platform_adapter).connect(base_url, settings.source_address)
     state = PlatformState()
     if settings.bundle_folder is not None:
         bundle = read_bundle(settings.bundle_folder)
--- a/gentianthread/settings.py
+++ b/gentianthread/settings.py
@@ -59,6 +59,7 @@
         seeds: Peers to ask while the instance list is down.
         fleet_secret: Secret that all nodes share; never shown.
         platform: Address of the platform's services, or None.
+        platform_adapter: Name of the adapter that speaks the platform's protocol.
         bundle_folder: Folder that `gentianctl bundle` wrote, read at the start, or None.
         log_form: "human" or "json".
         log_level: Lowest level that is written.
@@ -79,6 +80,7 @@
     seeds: tuple[Seed, ...]
     fleet_secret: str = attrs.field(repr=False)
     platform: Address | None
+    platform_adapter: str
     bundle_folder: Path | None
     log_form: str
     log_level: str
@@ -207,6 +209,7 @@
         seeds=peers.get("seeds", seeds(), ()),
         fleet_secret=_read_secret(peers),
         platform=platform.get("address", address(), None),
+        platform_adapter=platform.get("adapter", text("the name of a platform adapter"), "http"),
         bundle_folder=platform.get("bundle_folder", folder(), None),
         log_form=log.get("form", one_of(["human", "json"]), "human"),
         log_level=log.get("level", one_of(["debug", "info", "warning", "error"]), "info"),
--- a/gentianthread/standins/service_fleet.py
+++ b/gentianthread/standins/service_fleet.py
@@ -149,6 +149,7 @@
             seeds=(),
             fleet_secret="secret of a fleet in one process",
             platform=Address(HOST, self._platform_port),
+            platform_adapter="http",
             bundle_folder=None,
             log_form="human",
             log_level="warning",
--- a/gentianthread/transport/platform_http.py
+++ b/gentianthread/transport/platform_http.py
@@ -58,6 +58,11 @@
         self._read_timeout_ms = read_timeout_ms
         self._session: aiohttp.ClientSession | None = None
 
+    @classmethod
+    def connect(cls, base_url: str, source_address: str | None) -> "HttpPlatform":
+        """Return an adapter for the service at an address."""
+        return cls(base_url, source_address=source_address)
+
     async def read(self, key: str) -> PlatformValue | None:
         """Read one value."""
         return await self._fetch_value("read", key, {}, 0.0)
--- a/gentianthread/transport/platforms.py
+++ b/gentianthread/transport/platforms.py
@@ -73,6 +73,16 @@
 class Platform(ABC):
     """Read the platform. Nothing here writes, and every wait is bounded."""
 
+    @classmethod
+    @abstractmethod
+    def connect(cls, base_url: str, source_address: str | None) -> "Platform":
+        """Return an adapter for the platform that the settings of a node name.
+
+        Args:
+            base_url: Where the platform is.
+            source_address: IP address that connections come from, or None for any.
+        """
+
     @abstractmethod
     async def read(self, key: str) -> PlatformValue | None:
         """Return a value, or None if the key has none.
@@ -232,6 +242,11 @@
         self.state = state
         self._read_timeout_ms = read_timeout_ms
 
+    @classmethod
+    def connect(cls, base_url: str, source_address: str | None) -> "MemoryPlatform":
+        """Return an adapter of an empty platform; there is nothing to connect to."""
+        return cls(PlatformState())
+
     async def read(self, key: str) -> PlatformValue | None:
         """Read from the state."""
         return await self._bounded("read", self.state.read(key), 0.0)
--- a/tests/coordination/test_services.py
+++ b/tests/coordination/test_services.py
@@ -6,6 +6,7 @@
 
 from gentianthread.clock import SystemClock
 from gentianthread.coordination.services import NodeServices
+from gentianthread.errors import UnknownEntryError
 from gentianthread.ids import AvailabilityZoneId, NodeIdentity, StartNumber, UpstreamId
 from gentianthread.metrics import MemoryMetrics
 from gentianthread.settings import read_settings
@@ -32,6 +33,7 @@
 fleet_secret = not a secret, only used on loopback
 {seeds}
 [platform]
+adapter = {adapter}
 address = 127.0.0.1:{platform}
 """
 
@@ -64,13 +66,14 @@
         self.platform_port = await platform.start()
         return platform
 
-    def make_node(self, name, start_number, seeds=""):
+    def make_node(self, name, start_number, seeds="", adapter="http"):
         text = SETTINGS.format(
             upstream=name,
             zone=ZONES[name],
             peers=self.ports[name],
             platform=self.platform_port,
             seeds=seeds,
+            adapter=adapter,
         )
         with TemporaryDirectory() as folder:
             path = Path(folder) / "node.ini"
@@ -98,6 +101,12 @@
             await asyncio.gather(first.stop(), second.stop())
             await platform.close()
 
+    async def test_unknown_adapter_is_a_typed_error(self):
+        """Guards against an adapter that is ignored, or one that ends the node with a traceback."""
+        await (await self.open_platform()).close()
+        with self.assertRaisesType(UnknownEntryError):
+            self.make_node("catalogue-0", 1, adapter="other")
+
     async def test_restarted_node_does_not_revert_to_a_stale_service(self):
         """Guards against an old version in force after a restart during an outage (P12)."""
         platform = await self.open_platform()
