Give errors of one connection a common base

Cause: ConnectionLost and DialError had the same attributes and constructor. Change: PeerConnectionError holds both; the two keep their texts and stay apart for handlers.

--- a/gentianthread/errors.py
+++ b/gentianthread/errors.py
@@ -154,18 +154,27 @@
     """Be the base of failures of connections."""
 
 
-class ConnectionLost(TransportError):
-    """Report a connection that closed, failed or went silent.
+class PeerConnectionError(TransportError):
+    """Be the base of failures of one connection.
 
     Attributes:
         peer: Name or address of the other end.
         problem: What happened.
     """
 
+    # Text of the message, over the attributes.
+    text: str
+
     def __init__(self, peer: str, problem: str):
         self.peer = peer
         self.problem = problem
-        super().__init__(f"connection to {peer} lost: {problem}")
+        super().__init__(self.text.format(peer=peer, problem=problem))
+
+
+class ConnectionLost(PeerConnectionError):
+    """Report a connection that closed, failed or went silent."""
+
+    text = "connection to {peer} lost: {problem}"
 
 
 class ConnectionSilent(ConnectionLost):
@@ -187,18 +196,10 @@
         super().__init__("caller", problem)
 
 
-class DialError(TransportError):
-    """Report a connection that could not be opened; no byte has left.
-
-    Attributes:
-        peer: Name or address of the other end.
-        problem: What happened.
-    """
+class DialError(PeerConnectionError):
+    """Report a connection that could not be opened; no byte has left."""
 
-    def __init__(self, peer: str, problem: str):
-        self.peer = peer
-        self.problem = problem
-        super().__init__(f"no connection to {peer}: {problem}")
+    text = "no connection to {peer}: {problem}"
 
 
 class PeerUnreachable(TransportError):
