Answer requests at the entry without a task while nothing fails

The entry made a task, a timeout context and eight coroutines for each request, though the target side already runs without a task.

Change: the listener starts work that calls back, the forwarder's first attempt and a peer's call take callbacks, and only what follows a failure takes a task. A fault of the node's own code in the first step is answered 503 or 502 instead of 400.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -8,8 +8,9 @@
 
 from ...clock import Clock
 from ...decisions import DecisionLog
-from ...events import REQUEST_ENDED
+from ...events import REQUEST_ENDED, TASK_FAILED
 from ...ids import OrganisationId, RouteId, ServiceId
+from ...logs import log
 from ...metrics import Metrics
 from ...protocol.dialect import HttpDialect
 from ...protocol.messages_mesh import RunAnswer, RunOutcome
@@ -17,9 +18,10 @@
 from ...state.fleet_plan import FleetOrganisation, FleetPlan, HostRoute
 from ...state.fleet_rate import LimitChanges, NodeRates
 from ...state.overload_level import KnownLevels
+from ...transport.callbacks import Cancellable
 from ...transport.http_names import HOP_BY_HOP
-from ...transport.http_pipeline import WholeAnswer, WholeRequest, render_fields
-from .forwarding import Forwarder, PendingRequest, forward_in_time
+from ...transport.http_pipeline import Deliver, WholeAnswer, WholeRequest, render_fields
+from .forwarding import Forwarder, PendingRequest
 
 # Time that a request without a stated one may take.
 USUAL_TIME_MS = 10_000.0
@@ -163,43 +165,43 @@
             }
         )
 
-    async def handle(self, request: WholeRequest) -> WholeAnswer:
-        """Answer one request."""
-        self.running += 1
-        started_ms = self.clock.now_ms()
-        request_id = request.find(self._id_field) or ""
-        route_id, sent = "-", 0
-        try:
-            found = self._describe(request, request_id, started_ms)
-            if isinstance(found, EntryReply):
-                reply = found
-            else:
-                route_id = found.route.route_id
-                reply = await self._serve(found, started_ms)
-                sent = found.sent
-        except asyncio.CancelledError:
-            self.metrics.count("entry.cancelled")
-            raise
-        finally:
-            self.running -= 1
-        took_ms = self.clock.now_ms() - started_ms
-        self.metrics.count(f"entry.status.{reply.status}")
+    def start(self, request: WholeRequest, deliver: Deliver) -> Cancellable:
+        """Start to answer one request.
+
+        Args:
+            request: The request.
+            deliver: Called once with the answer, after the return, unless the work is cancelled.
+        """
+        run = StartedRequest(self, request, deliver)
+        run.begin()
+        return run
+
+    def end(self, run: "StartedRequest", reply: EntryReply) -> WholeAnswer:
+        """Write down how a request ended and return its answer."""
+        self.running -= 1
+        took_ms = self.clock.now_ms() - run.started_ms
+        self.metrics.count(_counter_of(reply.status))
         self.metrics.timing_ms("entry.took_ms", took_ms)
         if reply.reason:
+            pending = run.pending
             self.metrics.count(f"entry.refused.{reply.reason.replace(' ', '_')}")
             self.decisions.write(
                 REQUEST_ENDED,
-                request_id=request_id,
-                route=route_id,
+                request_id=run.request_id,
+                route="-" if pending is None else pending.route.route_id,
                 status=reply.status,
                 reason=reply.reason,
                 took_ms=took_ms,
-                sent=sent,
+                sent=0 if pending is None else pending.sent,
             )
-        reply.headers.append((self.dialect.request_id, request_id))
+        reply.headers.append((self.dialect.request_id, run.request_id))
         return WholeAnswer(reply.status, reply.headers, reply.body, reply.fields)
 
-    def _describe(
+    def find_id(self, request: WholeRequest) -> str:
+        """Return the id of a request, or an empty text."""
+        return request.find(self._id_field) or ""
+
+    def describe(
         self, request: WholeRequest, request_id: str, now_ms: float
     ) -> PendingRequest | EntryReply:
         """Return what is known of a request, or why it goes no further."""
@@ -266,27 +268,24 @@
             kept.append((self.dialect.organisation, organisation.organisation_id))
         return render_fields(kept)
 
-    async def _serve(self, pending: PendingRequest, now_ms: float) -> EntryReply:
+    def admit(self, pending: PendingRequest, now_ms: float) -> EntryReply | None:
+        """Return why a request is refused before any work, or None."""
         if pending.organisation_id:
             catch_up_ms = self._over_rate_ms(pending, now_ms)
             if catch_up_ms is not None:
                 return self._again(429, "over the rate", catch_up_ms)
-        if not pending.inner:
-            # Upstreams that are cut off take no work, so they must not lower the mean.
-            sources = len(self.forwarder.pool(pending.service_id))
-            plan = self.plan()
-            lowest = pending.priority if plan is None else plan.priorities[1]
-            part = self.levels.refused_part(
-                pending.service_id, pending.priority, lowest, now_ms, sources
-            )
-            if self.levels.refuses(part, late=pending.late):
-                return self._again(
-                    503, "overload", EXCESS_WAIT_MS * part / (REFUSED_PART_LIMIT - part)
-                )
-        answer = await forward_in_time(self.forwarder, pending, now_ms)
-        if answer is None:
-            return self._out_of_time(pending)
-        return self._reply(pending, answer)
+        if pending.inner:
+            return None
+        # Upstreams that are cut off take no work, so they must not lower the mean.
+        sources = len(self.forwarder.pool(pending.service_id))
+        plan = self.plan()
+        lowest = pending.priority if plan is None else plan.priorities[1]
+        part = self.levels.refused_part(
+            pending.service_id, pending.priority, lowest, now_ms, sources
+        )
+        if not self.levels.refuses(part, late=pending.late):
+            return None
+        return self._again(503, "overload", EXCESS_WAIT_MS * part / (REFUSED_PART_LIMIT - part))
 
     def _over_rate_ms(self, pending: PendingRequest, now_ms: float) -> float | None:
         """Return None for a request within its organisation's rate, else when there may be room."""
@@ -301,18 +300,26 @@
             return None
         return self.rates.catch_up_ms(name, rate_per_s)
 
-    def _reply(self, pending: PendingRequest, answer: RunAnswer) -> EntryReply:
+    def reply(self, pending: PendingRequest, answer: RunAnswer) -> EntryReply:
+        """Return what a caller gets for the outcome of the attempts."""
         if answer.outcome is RunOutcome.ANSWERED:
             return EntryReply(answer.status, "", [], answer.body, answer.fields)
         if pending.may_have_run:
             return EntryReply(502, "outcome unknown")
         return self._unavailable(answer.reason)
 
-    def _out_of_time(self, pending: PendingRequest) -> EntryReply:
+    def out_of_time(self, pending: PendingRequest) -> EntryReply:
+        """Return what a caller gets whose time is over."""
         if pending.may_have_run:
             return EntryReply(504, "out of time")
         return self._unavailable("out of time")
 
+    def fault(self, pending: PendingRequest | None) -> EntryReply:
+        """Return what a caller gets after a fault of the node."""
+        if pending is not None and pending.may_have_run:
+            return EntryReply(502, "fault of the node")
+        return self._unavailable("fault of the node")
+
     def _unavailable(self, reason: str) -> EntryReply:
         return self._again(503, reason)
 
@@ -320,3 +327,80 @@
         shortest_ms, longest_ms = RETRY_AFTER_MS
         wait_ms = least_ms + shortest_ms + (longest_ms - shortest_ms) * self.random.random()
         return EntryReply(status, reason, [(self.dialect.retry_after, f"{wait_ms / 1000:.3f}")])
+
+
+_counters: dict[int, str] = {}
+
+
+def _counter_of(status: int) -> str:
+    """Return the name of the counter of a status."""
+    name = _counters.get(status)
+    if name is None:
+        name = _counters[status] = f"entry.status.{status}"
+    return name
+
+
+class StartedRequest:
+    """Follow one request from its arrival to its answer.
+
+    Attributes:
+        request_id: Its id, or an empty text.
+        started_ms: When it came.
+        pending: What is known of it, once it is found to be proper.
+    """
+
+    def __init__(self, entry: Entry, request: WholeRequest, deliver: Deliver):
+        """Use `Entry.start` to create one."""
+        self.request_id = entry.find_id(request)
+        self.started_ms = entry.clock.now_ms()
+        self.pending: PendingRequest | None = None
+        self._entry = entry
+        self._request = request
+        self._deliver = deliver
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.Handle | None = None
+        self._work: Cancellable | None = None
+
+    def begin(self) -> None:
+        """Refuse the request, or send it on until its caller stops waiting."""
+        entry, now_ms = self._entry, self.started_ms
+        entry.running += 1
+        try:
+            found = entry.describe(self._request, self.request_id, now_ms)
+            if isinstance(found, EntryReply):
+                refusal = found
+            else:
+                self.pending = found
+                refusal = entry.admit(found, now_ms)
+            if refusal is None:
+                left_s = max(0.0, found.deadline_ms - now_ms) / 1000
+                self._timer = self._loop.call_later(left_s, self._expire)
+                self._work = entry.forwarder.start(found, now_ms, self._take)
+                return
+        except Exception as error:
+            # Raised on, it would count as a fault of the caller's request.
+            log(TASK_FAILED, task=f"request {self.request_id}", error=repr(error))
+            if self._timer is not None:
+                self._timer.cancel()
+            refusal = entry.fault(self.pending)
+        self._timer = self._loop.call_soon(self._end, refusal)
+
+    def _take(self, answer: RunAnswer) -> None:
+        self._timer.cancel()
+        self._end(self._entry.reply(self.pending, answer))
+
+    def _expire(self) -> None:
+        self._work.cancel()
+        self._end(self._entry.out_of_time(self.pending))
+
+    def _end(self, reply: EntryReply) -> None:
+        self._work = None
+        self._deliver(self._entry.end(self, reply))
+
+    def cancel(self) -> None:
+        """Stop the work, since the caller has gone; nothing is delivered."""
+        self._timer.cancel()
+        if self._work is not None:
+            self._work.cancel()
+        self._entry.running -= 1
+        self._entry.metrics.count("entry.cancelled")
--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -8,8 +8,9 @@
 from ...clock import Clock
 from ...decisions import DecisionLog
 from ...errors import ConnectionLost, PeerUnreachable, TransportError
-from ...events import ATTEMPT_FAILED
+from ...events import ATTEMPT_FAILED, TASK_FAILED
 from ...ids import OrganisationId, ServiceId, UpstreamId
+from ...logs import log
 from ...metrics import Metrics
 from ...protocol.messages_mesh import RunAnswer, RunOutcome, RunRequest
 from ...state.balancer import Balancer, LoadReport
@@ -17,6 +18,8 @@
 from ...state.fleet_plan import HostRoute
 from ...state.overload_level import KnownLevels
 from ...state.retry_window import RetryWindow
+from ...transport.callbacks import Cancellable
+from .peer_link import OnEnd
 from .peers import PeerLinks
 from .target import TargetSide
 
@@ -72,6 +75,27 @@
     may_have_run: bool = False
 
 
+@attrs.define(eq=False)
+class Attempts:
+    """Hold what the attempts of one request have brought so far.
+
+    Attributes:
+        pending: The request.
+        window: Retry window of its service.
+        tried: Upstreams that are not asked again.
+        refusals: Nodes that refused it.
+        may_have_run: Whether it may have run before the present attempt.
+        last: What to answer if no further attempt is made.
+    """
+
+    pending: PendingRequest
+    window: RetryWindow
+    last: RunAnswer
+    tried: set[UpstreamId] = attrs.field(factory=set)
+    refusals: int = 0
+    may_have_run: bool = False
+
+
 class Forwarder:
     """Make the attempts of requests."""
 
@@ -147,43 +171,61 @@
         )
         return reachable or ready
 
-    async def forward(self, pending: PendingRequest, now_ms: float) -> RunAnswer:
-        """Return the answer of an upstream, or the last reason why there is none.
+    def start(
+        self, pending: PendingRequest, now_ms: float, deliver: Callable[[RunAnswer], None]
+    ) -> Cancellable:
+        """Send a request, without a task where its first attempt needs none.
 
         Args:
             pending: The request.
             now_ms: Present time in ms.
+            deliver: Called once, after the return, with the answer of an upstream or with the last
+                reason why there is none, unless the work is cancelled.
         """
         if pending.inner:
             self.called.add(pending.service_id)
         window = self.window(pending.service_id)
         window.record_request(now_ms)
-        tried: set[UpstreamId] = set()
-        refusals = 0
-        last = _no_upstream()
-        while True:
-            entry = self.balancer.choose(self.pool(pending.service_id), tried)
-            if entry is None:
-                return last
-            tried.add(entry.upstream_id)
-            answer = await self._attempt(pending, entry, window)
-            if answer.outcome is RunOutcome.ANSWERED and answer.status not in FAULT_STATUSES:
-                return answer
-            if answer.outcome is RunOutcome.NOT_SENT:
-                refusals += 1
-                again = refusals < REFUSALS_LIMIT
-            else:
-                again = self._may_repeat(pending, answer, window)
-            if not again:
-                self._note(pending, entry, answer, again=False)
-                return answer if last.outcome is not RunOutcome.ANSWERED else last
-            if answer.outcome is not RunOutcome.NOT_SENT:
-                self._note(pending, entry, answer, again=True)
-                window.record_repeat(self.clock.now_ms())
-                self.metrics.count("forwarder.repeats")
-            # An answer of a target, also a failure, says more than a refusal of the next node.
-            if last.outcome is not RunOutcome.ANSWERED:
-                last = answer
+        run = StartedForward(self, Attempts(pending, window, _no_upstream()), deliver)
+        run.begin()
+        return run
+
+    def next_upstream(self, attempts: Attempts) -> UpstreamEntry | None:
+        """Choose the upstream of the next attempt, or return None where all were tried."""
+        entry = self.balancer.choose(self.pool(attempts.pending.service_id), attempts.tried)
+        if entry is not None:
+            attempts.tried.add(entry.upstream_id)
+        return entry
+
+    def judge(
+        self, attempts: Attempts, entry: UpstreamEntry, answer: RunAnswer
+    ) -> RunAnswer | None:
+        """Return the final answer, or None where another upstream is to be asked.
+
+        Args:
+            attempts: The attempts so far.
+            entry: The upstream of the last one.
+            answer: What it brought.
+        """
+        if answer.outcome is RunOutcome.ANSWERED and answer.status not in FAULT_STATUSES:
+            return answer
+        pending = attempts.pending
+        if answer.outcome is RunOutcome.NOT_SENT:
+            attempts.refusals += 1
+            again = attempts.refusals < REFUSALS_LIMIT
+        else:
+            again = self._may_repeat(pending, answer, attempts.window)
+        # An answer of a target, also a failure, says more than a refusal of the next node.
+        if attempts.last.outcome is not RunOutcome.ANSWERED:
+            attempts.last = answer
+        if not again:
+            self._note(pending, entry, answer, again=False)
+            return attempts.last
+        if answer.outcome is not RunOutcome.NOT_SENT:
+            self._note(pending, entry, answer, again=True)
+            attempts.window.record_repeat(self.clock.now_ms())
+            self.metrics.count("forwarder.repeats")
+        return None
 
     def _may_repeat(self, pending: PendingRequest, answer: RunAnswer, window: RetryWindow) -> bool:
         if pending.may_have_run and not pending.route.repeatable:
@@ -195,50 +237,96 @@
             return False
         return window.allows(now_ms)
 
-    async def _attempt(
-        self, pending: PendingRequest, entry: UpstreamEntry, window: RetryWindow
-    ) -> RunAnswer:
-        self.balancer.started(entry.upstream_id)
-        report: LoadReport | None = None
-        try:
-            answer = await self._send(pending, entry, window)
-            # Nodes that were not reached report no load.
-            report = answer.load if answer.load.limit else None
-        finally:
-            self.balancer.ended(entry.upstream_id, report)
-        self._learn(pending, entry, answer)
-        return answer
+    def start_attempt(
+        self, attempts: Attempts, entry: UpstreamEntry, on_end: OnEnd
+    ) -> Cancellable | None:
+        """Send a request to an upstream, or return None where that takes a task.
 
-    async def _send(
-        self, pending: PendingRequest, entry: UpstreamEntry, window: RetryWindow
-    ) -> RunAnswer:
+        Args:
+            attempts: The attempts so far.
+            entry: The upstream.
+            on_end: Called once with the outcome, for `settle_attempt`.
+        """
         if entry.host == self.own.address[0]:
-            pending.sent += 1
-            before, pending.may_have_run = pending.may_have_run, True
-            answer = await self.own.run(self._request(pending, entry, window))
+            work = self.own.start(self._prepare(attempts, entry), on_end)
+            if work is None:
+                self._take_back(attempts)
         else:
-            try:
-                link = await self.peers.link_to(entry.host)
-            except PeerUnreachable:
-                return _refused("peer is unreachable")
-            pending.sent += 1
-            before, pending.may_have_run = pending.may_have_run, True
-            try:
-                answer = await link.run(self._request(pending, entry, window))
-            except ConnectionLost as error:
-                return _unknown(error.problem)
-            except PeerUnreachable:
-                answer = _refused("link closed")
-            except TransportError as error:
-                return _unknown(str(error))
-        if answer.outcome in (RunOutcome.NOT_SENT, RunOutcome.REJECTED):
-            pending.may_have_run = before
+            link = self.peers.open_link(entry.host)
+            work = None if link is None else link.begin(self._prepare(attempts, entry), on_end)
+        if work is not None:
+            self.balancer.started(entry.upstream_id)
+        return work
+
+    async def attempt(self, attempts: Attempts, entry: UpstreamEntry) -> RunAnswer:
+        """Send a request to an upstream and return what that brought."""
+        self.balancer.started(entry.upstream_id)
+        try:
+            result = await self._send(attempts, entry)
+        except PeerUnreachable:
+            return self._end_attempt(attempts, entry, _refused("peer is unreachable"))
+        except asyncio.CancelledError:
+            self.abandon_attempt(entry)
+            raise
+        return self.settle_attempt(attempts, entry, result)
+
+    async def _send(self, attempts: Attempts, entry: UpstreamEntry) -> RunAnswer | TransportError:
+        """Return the answer of an upstream, or the error of an open link.
+
+        Raises:
+            PeerUnreachable: There is no link; nothing was sent.
+        """
+        if entry.host == self.own.address[0]:
+            return await self.own.run(self._prepare(attempts, entry))
+        link = await self.peers.link_to(entry.host)
+        try:
+            return await link.run(self._prepare(attempts, entry))
+        except TransportError as error:
+            return error
+
+    def _prepare(self, attempts: Attempts, entry: UpstreamEntry) -> RunRequest:
+        """Return the request for an upstream, which counts as sent from now on."""
+        pending = attempts.pending
+        pending.sent += 1
+        attempts.may_have_run, pending.may_have_run = pending.may_have_run, True
+        return self._request(pending, entry, attempts.window)
+
+    def _take_back(self, attempts: Attempts) -> None:
+        """Count an attempt as not made: the target has seen nothing of it."""
+        attempts.pending.sent -= 1
+        attempts.pending.may_have_run = attempts.may_have_run
+
+    def abandon_attempt(self, entry: UpstreamEntry) -> None:
+        """Count an attempt as ended that nobody waits for any more."""
+        self.balancer.ended(entry.upstream_id, None)
+
+    def settle_attempt(
+        self, attempts: Attempts, entry: UpstreamEntry, result: RunAnswer | Exception
+    ) -> RunAnswer:
+        """Learn from the outcome of an attempt and return it as an answer.
+
+        Args:
+            attempts: The attempts so far.
+            entry: The upstream of this one.
+            result: An answer, or the error of a link.
+        """
+        pending, answer = attempts.pending, _as_answer(result)
         if answer.outcome is RunOutcome.NOT_SENT:
-            pending.sent -= 1
+            self._take_back(attempts)
+        elif answer.outcome is RunOutcome.REJECTED:
+            pending.may_have_run = attempts.may_have_run
         if answer.resent:
             pending.sent += 1
-            window.record_repeat(self.clock.now_ms())
+            attempts.window.record_repeat(self.clock.now_ms())
             self.metrics.count("forwarder.repeats")
+        return self._end_attempt(attempts, entry, answer)
+
+    def _end_attempt(
+        self, attempts: Attempts, entry: UpstreamEntry, answer: RunAnswer
+    ) -> RunAnswer:
+        # Nodes that were not reached report no load.
+        self.balancer.ended(entry.upstream_id, answer.load if answer.load.limit else None)
+        self._learn(attempts.pending, entry, answer)
         return answer
 
     def _left(self, pending: PendingRequest) -> float:
@@ -314,13 +402,84 @@
     return RunAnswer(0, RunOutcome.UNKNOWN, reason, 0, "", b"", False, _NO_LOAD, 0)
 
 
-async def forward_in_time(
-    forwarder: Forwarder, pending: PendingRequest, now_ms: float
-) -> RunAnswer | None:
-    """Return the answer of `forward`, or None where the caller's time is over first."""
-    left_ms = pending.deadline_ms - now_ms
-    try:
-        async with asyncio.timeout(max(0.0, left_ms) / 1000):
-            return await forwarder.forward(pending, now_ms)
-    except TimeoutError:
-        return None
+def _as_answer(result: RunAnswer | Exception) -> RunAnswer:
+    """Return the outcome of an attempt as an answer; a fault leaves open whether it ran."""
+    if isinstance(result, RunAnswer):
+        return result
+    if isinstance(result, PeerUnreachable):
+        return _refused("link closed")
+    return _unknown(result.problem if isinstance(result, ConnectionLost) else str(result))
+
+
+class StartedForward:
+    """Follow the attempts of one request; only those after the first need a task."""
+
+    def __init__(
+        self, forwarder: Forwarder, attempts: Attempts, deliver: Callable[[RunAnswer], None]
+    ):
+        """Use `Forwarder.start` to create one."""
+        self._forwarder = forwarder
+        self._attempts = attempts
+        self._deliver = deliver
+        self._entry: UpstreamEntry | None = None
+        self._work: Cancellable | None = None
+        self._ended = False
+
+    def begin(self) -> None:
+        """Make the first attempt."""
+        entry = self._entry = self._forwarder.next_upstream(self._attempts)
+        if entry is not None:
+            self._work = self._forwarder.start_attempt(self._attempts, entry, self._end_first)
+        if self._work is None:
+            self._entry = None
+            self._work = asyncio.ensure_future(self._go_on(entry))
+
+    def _end_first(self, result: RunAnswer | Exception) -> None:
+        if self._ended:
+            return
+        entry, self._entry = self._entry, None
+        try:
+            answer = self._forwarder.settle_attempt(self._attempts, entry, result)
+            final = self._forwarder.judge(self._attempts, entry, answer)
+            if final is None:
+                following = self._forwarder.next_upstream(self._attempts)
+                self._work = asyncio.ensure_future(self._go_on(following))
+            else:
+                self._finish(final)
+        except Exception as error:
+            # Raised on, it would end the link and with it the requests of others.
+            self._fail(error)
+
+    async def _go_on(self, entry: UpstreamEntry | None) -> None:
+        """Make the attempts that are left, the first of them at an upstream that was chosen."""
+        forwarder, attempts = self._forwarder, self._attempts
+        try:
+            while entry is not None:
+                answer = await forwarder.attempt(attempts, entry)
+                final = forwarder.judge(attempts, entry, answer)
+                if final is not None:
+                    self._finish(final)
+                    return
+                entry = forwarder.next_upstream(attempts)
+            self._finish(attempts.last)
+        except Exception as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        log(TASK_FAILED, task=f"forward {self._attempts.pending.request_id}", error=repr(error))
+        if not self._ended:
+            self._finish(_unknown("fault of the node"))
+
+    def _finish(self, answer: RunAnswer) -> None:
+        # Work and its callback refer to each other; the collector would have to find them.
+        self._ended, self._work = True, None
+        self._deliver(answer)
+
+    def cancel(self) -> None:
+        """Stop the present attempt; nothing is delivered."""
+        if self._ended:
+            return
+        self._ended = True
+        self._work.cancel()
+        if self._entry is not None:
+            self._forwarder.abandon_attempt(self._entry)
--- a/gentianthread/coordination/mesh/peer_link.py
+++ b/gentianthread/coordination/mesh/peer_link.py
@@ -15,8 +15,8 @@
 from ...protocol.codec import decode_batch, encode_batch
 from ...protocol.compression import LEAST_BYTES, MARK, Compressor, Decompressor
 from ...protocol.messages_mesh import CancelRun, Probe, RunAnswer, RunRequest
+from ...transport.callbacks import Cancellable, settle
 from ...transport.direct_websocket import DirectWebSocket
-from .started_run import Cancellable
 
 if TYPE_CHECKING:
     from .peers import PeerLinks
@@ -43,10 +43,29 @@
     """Report a request whose link went silent; it may have run."""
 
 
+# Called once with the answer of a peer, or with the reason why there is none.
+OnEnd = Callable[[RunAnswer | Exception], None]
+
+
 @attrs.define(eq=False)
-class _Call:
-    answer: asyncio.Future
+class PeerCall:
+    """Follow a request that a peer runs.
+
+    Attributes:
+        link: The link that it was sent over.
+        number: Its number on the link.
+        repeatable: Whether it may run more than once.
+        on_end: Takes its outcome.
+    """
+
+    link: "PeerLink"
+    number: int
     repeatable: bool
+    on_end: OnEnd
+
+    def cancel(self) -> None:
+        """Ask the peer to stop; nothing is called back."""
+        self.link.cancel(self.number)
 
 
 Runner = Callable[[RunRequest], Awaitable[RunAnswer]]
@@ -73,7 +92,7 @@
         self._connection = connection
         self._owner = owner
         self._numbers = count(1)
-        self._calls: dict[int, _Call] = {}
+        self._calls: dict[int, PeerCall] = {}
         self._runs: dict[int, Cancellable] = {}
         self._outgoing: list[Any] = []
         self._compressor: Compressor | None = None
@@ -95,35 +114,62 @@
             self._flushing = True
             asyncio.get_running_loop().call_soon(self._flush)
 
-    async def run(self, request: RunRequest) -> RunAnswer:
-        """Send a request and return the answer of the peer.
-
-        Cancelling the call asks the peer to stop the request.
+    def begin(self, request: RunRequest, on_end: OnEnd) -> PeerCall:
+        """Send a request.
 
         Args:
             request: The request; it gets the next number.
+            on_end: Called once with the answer, with `ConnectionLost` where the link closed or went
+                silent for a repeatable request, unless the call is cancelled.
 
         Raises:
-            ConnectionLost: The link closed, or went silent for a repeatable request.
+            PeerUnreachable: The link is closed; nothing was sent.
         """
         if self.closed:
             raise PeerUnreachable(UpstreamId(self.host))
         number = next(self._numbers)
-        call = _Call(asyncio.get_running_loop().create_future(), request.repeatable)
+        call = PeerCall(self, number, request.repeatable, on_end)
         if not self._calls:
             self._heard_ms = max(self._heard_ms, self._owner.clock.now_ms())
+            self._owner.watch(self)
         self._calls[number] = call
         request.call = number
         self.post(request)
-        self._owner.watch(self)
+        return call
+
+    async def run(self, request: RunRequest) -> RunAnswer:
+        """Send a request and return the answer of the peer.
+
+        Cancelling the call asks the peer to stop the request.
+
+        Args:
+            request: The request; it gets the next number.
+
+        Raises:
+            PeerUnreachable: The link is closed; nothing was sent.
+            ConnectionLost: The link closed, or went silent for a repeatable request.
+        """
+        ended: asyncio.Future[RunAnswer | Exception] = asyncio.get_running_loop().create_future()
+        call = self.begin(request, partial(settle, ended))
         try:
-            return await call.answer
+            result = await ended
         except asyncio.CancelledError:
-            if not self.closed:
-                self.post(CancelRun(number))
+            call.cancel()
             raise
-        finally:
-            self._calls.pop(number, None)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    def cancel(self, number: int) -> None:
+        """Ask the peer to stop a request that has no answer yet."""
+        if self._calls.pop(number, None) is not None and not self.closed:
+            self.post(CancelRun(number))
+
+    def _end_calls(self, calls: list[PeerCall], error: Exception) -> None:
+        for call in calls:
+            # The end of an earlier one may have cancelled it.
+            if self._calls.pop(call.number, None) is not None:
+                call.on_end(error)
 
     def start(self) -> None:
         """Take messages until the connection ends."""
@@ -180,9 +226,9 @@
         self.silent = False
         if isinstance(message, RunAnswer):
             self._owner.on_revision(self, message.revision)
-            call = self._calls.get(message.call)
-            if call is not None and not call.answer.done():
-                call.answer.set_result(message)
+            call = self._calls.pop(message.call, None)
+            if call is not None:
+                call.on_end(message)
         elif isinstance(message, RunRequest):
             self._owner.on_revision(self, message.revision)
             run = self._owner.starter(message, partial(self._answer, message.call))
@@ -228,9 +274,8 @@
         elif silence_ms > SILENT_MS and not self.silent:
             self.silent = True
             log(PEER_SILENT, peer=self.host, silence_ms=silence_ms)
-            for call in self._calls.values():
-                if call.repeatable and not call.answer.done():
-                    call.answer.set_exception(LinkSilent(self.host, "silent"))
+            repeatable = [call for call in self._calls.values() if call.repeatable]
+            self._end_calls(repeatable, LinkSilent(self.host, "silent"))
         if silence_ms > ASK_MS and now_ms - self._asked_ms > ASK_MS:
             self._asked_ms = now_ms
             self.post(self._owner.probe(reply=False))
@@ -241,9 +286,7 @@
         self.closed = True
         self._ended.set()
         self._connection.abort()
-        for call in self._calls.values():
-            if not call.answer.done():
-                call.answer.set_exception(ConnectionLost(self.host, problem))
+        self._end_calls(list(self._calls.values()), ConnectionLost(self.host, problem))
         for run in list(self._runs.values()):
             run.cancel()
         self._owner.ended(self, problem)
--- a/gentianthread/coordination/mesh/peers.py
+++ b/gentianthread/coordination/mesh/peers.py
@@ -115,14 +115,19 @@
             return False
         return host not in self._backoff
 
+    def open_link(self, host: str) -> PeerLink | None:
+        """Return the link to a peer if it is open."""
+        link = self._dialled.get(host)
+        return None if link is None or link.closed else link
+
     async def link_to(self, host: str) -> PeerLink:
         """Return the link to a peer, opening it if needed.
 
         Raises:
             PeerUnreachable: The peer does not answer; nothing was sent.
         """
-        link = self._dialled.get(host)
-        if link is not None and not link.closed:
+        link = self.open_link(host)
+        if link is not None:
             return link
         task = self._dialling.get(host)
         if task is None:
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -35,7 +35,7 @@
 from ...state.overload_level import KnownLevels
 from ...state.retry_window import RetryWindow
 from ...transport.direct_websocket import DirectTransport
-from ...transport.http_pipeline import PipelineListener, WholeAnswer, WholeRequest
+from ...transport.http_pipeline import PipelineListener, WholeAnswer, WholeRequest, in_task
 from ...transport.metadata_store import store_adapters
 from ...transport.target_pool import TargetPool
 from .entry import Entry
@@ -167,9 +167,9 @@
             random,
         )
         self._ready_path = dialect.ready_path
-        self.outbound = PipelineListener(self.entry.handle, clock, self._limits)
-        self.ready = PipelineListener(self._answer_ready, clock)
-        self.operators = PipelineListener(self._answer_operator, clock)
+        self.outbound = PipelineListener(self.entry.start, clock, self._limits)
+        self.ready = PipelineListener(in_task(self._answer_ready), clock)
+        self.operators = PipelineListener(in_task(self._answer_operator), clock)
         self._tasks: list[asyncio.Task] = []
         self._connect()
 
--- a/gentianthread/coordination/mesh/started_run.py
+++ b/gentianthread/coordination/mesh/started_run.py
@@ -2,24 +2,18 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from ...events import TASK_FAILED
 from ...logs import log
 from ...protocol.messages_mesh import RunAnswer, RunRequest
+from ...transport.callbacks import Cancellable
 from ...transport.target_pool import KeptConnectionLost, PooledAnswer
 
 if TYPE_CHECKING:
     from .target import TargetSide
 
 
-class Cancellable(Protocol):
-    """Be work that can be given up."""
-
-    def cancel(self) -> object:
-        """Give the work up."""
-
-
 class StartedRun:
     """Follow a run that needs no task: nothing waits, and a kept connection is there."""
 
@@ -70,7 +64,7 @@
             self._finish(self._side.lost(error))
 
     def _finish(self, answer: RunAnswer) -> None:
-        self._ended = True
+        self._ended, self.work = True, None
         self._side.ended()
         self._deliver(answer)
 
--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -25,7 +25,7 @@
 from ..platform.store import BASE_PATH, CALL_KEY, CALL_RANGE, CALL_WATCH
 from ..settings import Address
 from ..sidecar_settings import SidecarSettings
-from ..transport.http_pipeline import PipelineListener, WholeAnswer, WholeRequest
+from ..transport.http_pipeline import PipelineListener, WholeAnswer, WholeRequest, in_task
 
 # The ports of an instance, the same on each of them.
 TARGET_PORT = 7801
@@ -77,7 +77,7 @@
         self._events: list[tuple[str, bytes | None, int]] = []
         self._forgotten = 0
         self._changed = asyncio.Event()
-        self._listener = PipelineListener(self._answer, SystemClock())
+        self._listener = PipelineListener(in_task(self._answer), SystemClock())
 
     async def open(self) -> None:
         """Start to serve."""
@@ -207,7 +207,7 @@
         self.runs: dict[str, int] = {}
         self.seen: list[WholeRequest] = []
         self.behave: Behaviour = answer_sealed
-        self._listener = PipelineListener(self._answer, SystemClock())
+        self._listener = PipelineListener(in_task(self._answer), SystemClock())
 
     async def open(self) -> None:
         """Start to serve."""
--- a/gentianthread/transport/http_pipeline.py
+++ b/gentianthread/transport/http_pipeline.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 
 import attrs
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -15,6 +16,7 @@
 from ..clock import Clock
 from ..errors import GentianError
 from ..state.fleet_plan import CallerLimits
+from .callbacks import Cancellable
 from .http_names import BODILESS_STATUS, PHRASES, decode_text
 
 HeaderPairs = list[tuple[str, str]]
@@ -84,18 +86,39 @@
 # Answers a request, or returns None to close the connection without an answer.
 Handler = Callable[[WholeRequest], Awaitable[WholeAnswer | None]]
 
+# Takes what a handler returns, once.
+Deliver = Callable[[WholeAnswer | None], None]
+
+# Starts to answer a request. The answer may be delivered only after the call has returned, and not
+# after the returned work was cancelled.
+Starter = Callable[[WholeRequest, Deliver], Cancellable]
+
+
+def in_task(handler: Handler) -> Starter:
+    """Return a starter that runs a handler in a task for each request."""
+
+    async def run(request: WholeRequest, deliver: Deliver) -> None:
+        try:
+            answer = await handler(request)
+        except Exception:
+            deliver(None)
+            raise
+        deliver(answer)
+
+    return lambda request, deliver: asyncio.ensure_future(run(request, deliver))
+
 
 class _PendingReply:
     """Hold one request of a connection until its answer has been written."""
 
-    __slots__ = ("answer", "body", "closes", "done", "method", "task")
+    __slots__ = ("answer", "closes", "done", "method", "work")
 
     def __init__(self, method: str, closes: bool):
         self.method = method
         self.closes = closes
         self.answer: WholeAnswer | None = None
         self.done = False
-        self.task: asyncio.Task | None = None
+        self.work: Cancellable | None = None
 
 
 class _RequestRefused(GentianError):
@@ -109,10 +132,9 @@
 class _Connection(asyncio.Protocol):
     """Read the requests of one connection and write the answers in their order."""
 
-    def __init__(self, listener: "PipelineListener", loop: asyncio.AbstractEventLoop):
+    def __init__(self, listener: "PipelineListener"):
         self.transport: asyncio.Transport | None = None
         self._listener = listener
-        self._loop = loop
         self._limits = listener.limits()
         self._parser = HttpRequestParser(self)
         self._pending: deque[_PendingReply] = deque()
@@ -140,10 +162,13 @@
         self.transport = None
         self._listener.connections.discard(self)
         self._closing = True
-        for pending in self._pending:
-            if pending.task is not None:
-                pending.task.cancel()
-        self._pending.clear()
+        self._cancel_pending()
+
+    def _cancel_pending(self) -> None:
+        pending, self._pending = self._pending, deque()
+        for reply in pending:
+            if reply.work is not None:
+                reply.work.cancel()
 
     def data_received(self, data: bytes) -> None:
         if self._closing:
@@ -182,11 +207,15 @@
     def on_url(self, url: bytes) -> None:
         """Take a part of the path."""
         self._target += url
-        self._count_head(len(url))
+        self._head_bytes += len(url)
+        if self._head_bytes > self._limits.header_bytes:
+            raise _RequestRefused(431)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header field."""
-        self._count_head(len(name) + len(value))
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > self._limits.header_bytes:
+            raise _RequestRefused(431)
         self._headers.append((decode_text(name), decode_text(value)))
 
     def on_headers_complete(self) -> None:
@@ -216,7 +245,7 @@
             method, decode_text(self._target), self._headers, b"".join(self._body), self._peer_host
         )
         self._headers, self._body = [], []
-        pending.task = self._loop.create_task(self._run(pending, request))
+        pending.work = self._listener.start(request, partial(self._take_answer, pending))
         if closes:
             # Whatever follows is no request.
             self._closing = True
@@ -224,16 +253,8 @@
             self._paused = True
             self.transport.pause_reading()
 
-    def _count_head(self, length: int) -> None:
-        self._head_bytes += length
-        if self._head_bytes > self._limits.header_bytes:
-            raise _RequestRefused(431)
-
-    async def _run(self, pending: _PendingReply, request: WholeRequest) -> None:
-        try:
-            pending.answer = await self._listener.handler(request)
-        finally:
-            pending.done = True
+    def _take_answer(self, pending: _PendingReply, answer: WholeAnswer | None) -> None:
+        pending.answer, pending.done, pending.work = answer, True, None
         self._flush()
 
     def _flush(self) -> None:
@@ -256,10 +277,7 @@
 
     def _close(self) -> None:
         self._closing = True
-        for pending in self._pending:
-            if pending.task is not None:
-                pending.task.cancel()
-        self._pending.clear()
+        self._cancel_pending()
         if self.transport is not None:
             self.transport.close()
 
@@ -310,9 +328,9 @@
 
 
 class PipelineListener:
-    """Listen on one address and give each request to a handler.
+    """Listen on one address and start to answer each request.
 
-    The task of a handler is cancelled when its caller closes the connection.
+    The work for a request is cancelled when its caller closes the connection.
 
     Attributes:
         connections: Open connections.
@@ -321,18 +339,18 @@
 
     def __init__(
         self,
-        handler: Handler,
+        start: Starter,
         clock: Clock,
         limits: Callable[[], CallerLimits] = CallerLimits,
     ):
         """Create a listener that is not open yet.
 
         Args:
-            handler: Answers one request.
+            start: Starts to answer one request; `in_task` makes one of a handler.
             clock: Clock of idle times.
             limits: Returns the present limits for callers.
         """
-        self.handler = handler
+        self.start = start
         self.clock = clock
         self.limits = limits
         self.leaving = False
@@ -353,7 +371,7 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self, loop), host, port, backlog=BACKLOG
+            lambda: _Connection(self), host, port, backlog=BACKLOG
         )
         self.port = self._server.sockets[0].getsockname()[1]
         self._sweeper = loop.create_task(self._sweep())
--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -7,12 +7,12 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
-from typing import Any
 
 import attrs
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from ..errors import ConnectionLost
+from .callbacks import settle
 from .http_names import decode_text
 from .http_pipeline import HeaderPairs
 from .sockets import is_reset, keep_probing
@@ -172,7 +172,7 @@
             TimeoutError: The answer was not whole in time.
         """
         ended: asyncio.Future[TargetAnswer | Exception] = self._loop.create_future()
-        self.begin(request, partial(_settle, ended))
+        self.begin(request, partial(settle, ended))
         try:
             result = await ended
         except asyncio.CancelledError:
@@ -279,11 +279,6 @@
             self.transport.abort()
 
 
-def _settle(future: asyncio.Future, result: Any) -> None:
-    if not future.done():
-        future.set_result(result)
-
-
 def _ends_with_connection(answer: TargetAnswer) -> bool:
     """Return whether an answer has neither a length nor chunks, so that its end is that of all."""
     return answer.find("content-length") is None and answer.find("transfer-encoding") is None
--- a/tests/transport/test_http_pipeline.py
+++ b/tests/transport/test_http_pipeline.py
@@ -2,14 +2,16 @@
 
 from gentianthread.clock import SystemClock
 from gentianthread.state.fleet_plan import CallerLimits
-from gentianthread.transport.http_pipeline import PipelineListener, WholeAnswer
+from gentianthread.transport.http_pipeline import PipelineListener, WholeAnswer, in_task
 
 from ..base import SocketTestCase
 
 
 class TestPipeline(SocketTestCase):
     async def open(self, handler, **limits):
-        self.listener = PipelineListener(handler, SystemClock(), lambda: CallerLimits(**limits))
+        self.listener = PipelineListener(
+            in_task(handler), SystemClock(), lambda: CallerLimits(**limits)
+        )
         await self.listener.open("127.0.0.1", 0)
         return await asyncio.open_connection("127.0.0.1", self.listener.port)
 
