--- a/gentianthread/clock.py
+++ b/gentianthread/clock.py
@@ -6,6 +6,7 @@
 
 # CLOCK_BOOTTIME also advances while the machine is suspended, so a lease cannot outlive a suspend.
 _SYSTEM_CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+_read_clock_ns = time.clock_gettime_ns
 
 
 class Clock(ABC):
@@ -29,7 +30,7 @@
 
     def now_ms(self) -> float:
         """Return the time since boot in ms."""
-        return time.clock_gettime_ns(_SYSTEM_CLOCK_ID) / 1_000_000
+        return _read_clock_ns(_SYSTEM_CLOCK_ID) / 1_000_000
 
 
 class LoopClock(Clock):
--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -19,8 +19,9 @@
 from ...state.fleet_rate import LimitChanges, NodeRates
 from ...state.overload_level import KnownLevels
 from ...transport.callbacks import Cancellable
+from ...transport.header_fields import render_fields
 from ...transport.http_names import HOP_BY_HOP
-from ...transport.http_pipeline import Deliver, WholeAnswer, WholeRequest, render_fields
+from ...transport.http_pipeline import Deliver, WholeAnswer, WholeRequest
 from .forwarding import Forwarder, PendingRequest
 
 # Time that a request without a stated one may take.
@@ -235,7 +236,6 @@
             now_ms + limit_ms,
             request.method,
             request.target,
-            self._fields(request, organisation),
             request.body,
             late=organisation is not None and self._is_late(route, stated_ms),
         )
@@ -256,16 +256,21 @@
             return False
         return usual_ms - stated_ms > LATE_PART * route.latency_objective_ms
 
-    def _fields(self, request: WholeRequest, organisation: FleetOrganisation | None) -> str:
-        """Return the fields that go on to the target, with those that the node sets."""
+    def fields(self, request: WholeRequest, organisation_id: OrganisationId) -> str:
+        """Return the fields that go on to the target, with those that the node sets.
+
+        Args:
+            request: The request.
+            organisation_id: For whom it runs; empty without a key.
+        """
         dropped = self._dropped
         connection = request.find("connection")
         if connection is not None:
             dropped = dropped | {name.strip().lower() for name in connection.split(",")}
-        kept = [pair for pair in request.headers if pair[0].lower() not in dropped]
+        kept = request.fields.without(dropped)
         kept.append((self.dialect.caller_service, self.service_id()))
-        if organisation is not None:
-            kept.append((self.dialect.organisation, organisation.organisation_id))
+        if organisation_id:
+            kept.append((self.dialect.organisation, organisation_id))
         return render_fields(kept)
 
     def admit(self, pending: PendingRequest, now_ms: float) -> EntryReply | None:
@@ -277,7 +282,7 @@
         if pending.inner:
             return None
         # Upstreams that are cut off take no work, so they must not lower the mean.
-        sources = len(self.forwarder.pool(pending.service_id))
+        sources = len(self.forwarder.pool(pending.service_id, now_ms))
         plan = self.plan()
         lowest = pending.priority if plan is None else plan.priorities[1]
         part = self.levels.refused_part(
@@ -373,6 +378,7 @@
                 self.pending = found
                 refusal = entry.admit(found, now_ms)
             if refusal is None:
+                found.fields = entry.fields(self._request, found.organisation_id)
                 left_s = max(0.0, found.deadline_ms - now_ms) / 1000
                 self._timer = self._loop.call_later(left_s, self._expire)
                 self._work = entry.forwarder.start(found, now_ms, self._take)
--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -52,8 +52,8 @@
         deadline_ms: When its caller stops waiting.
         method: HTTP method.
         target: Path and query.
-        fields: Header fields for the target, as the lines of a head.
         body: Its body.
+        fields: Header fields for the target, as the lines of a head; set before it is sent.
         late: Whether it can no longer meet its latency objective.
         sent: Upstreams that it was sent to.
         may_have_run: Whether an upstream may have run it.
@@ -68,8 +68,8 @@
     deadline_ms: float
     method: str
     target: str
-    fields: str
     body: bytes
+    fields: str = ""
     late: bool = False
     sent: int = 0
     may_have_run: bool = False
@@ -148,14 +148,18 @@
         until_ms, level = self._behind
         if now_ms >= until_ms:
             # Upstreams that are cut off take no work, so they must not lower the mean.
-            sources = {name: len(self.pool(name)) for name in self.called}
+            sources = {name: len(self.pool(name, now_ms)) for name in self.called}
             level = self.levels.highest(now_ms, sources)
             self._behind = (now_ms + CACHE_MS, level)
         return level
 
-    def pool(self, service_id: ServiceId) -> tuple[UpstreamEntry, ...]:
-        """Return the upstreams of a service that may be reached now."""
-        now_ms = self.clock.now_ms()
+    def pool(self, service_id: ServiceId, now_ms: float) -> tuple[UpstreamEntry, ...]:
+        """Return the upstreams of a service that may be reached now.
+
+        Args:
+            service_id: The service.
+            now_ms: Present time in ms.
+        """
         known = self._pools.get(service_id)
         if known is not None and now_ms < known[0]:
             return known[1]
@@ -192,7 +196,8 @@
 
     def next_upstream(self, attempts: Attempts) -> UpstreamEntry | None:
         """Choose the upstream of the next attempt, or return None where all were tried."""
-        entry = self.balancer.choose(self.pool(attempts.pending.service_id), attempts.tried)
+        pool = self.pool(attempts.pending.service_id, self.clock.now_ms())
+        entry = self.balancer.choose(pool, attempts.tried)
         if entry is not None:
             attempts.tried.add(entry.upstream_id)
         return entry
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -16,7 +16,7 @@
 from ...state.latency import LowLatency
 from ...state.overload_level import LevelControl
 from ...state.work_queue import QueuedWork, WorkQueue
-from ...transport.http_pipeline import render_fields
+from ...transport.header_fields import render_fields
 from ...transport.target_connection import TargetRequest, make_request
 from ...transport.target_pool import FRESH_MS, KeptConnectionLost, PooledAnswer, TargetPool
 from .started_run import StartedRun
--- a/gentianthread/protocol/codec.py
+++ b/gentianthread/protocol/codec.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 from enum import Enum
-from operator import attrgetter, is_
+from operator import attrgetter
 from types import NoneType, UnionType
 from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
 
@@ -25,10 +25,9 @@
 
 _types_by_code: dict[int, type] = {}
 _codes_by_type: dict[type, int] = {}
-_decoders: dict[type, tuple[Converter, ...]] = {}
+_readers: dict[int, "_Reader"] = {}
 _encoders: dict[type, Callable[[Any], list]] = {}
 _packers: dict[type, Callable[[Any], list]] = {}
-_exact: dict[type, tuple[list[type], list[int]]] = {}
 
 
 def message(code: int) -> Callable[[type[T]], type[T]]:
@@ -147,10 +146,13 @@
 def _decode_items(items: Any) -> Any:
     if not isinstance(items, list) or not items or not _is_int(items[0]):
         raise MessageError("?", "not an array that starts with a code")
-    cls = _types_by_code.get(items[0])
-    if cls is None:
-        raise MessageError(str(items[0]), "unknown code")
-    return _build(cls, items[1:])
+    reader = _readers.get(items[0])
+    if reader is None:
+        cls = _types_by_code.get(items[0])
+        if cls is None:
+            raise MessageError(str(items[0]), "unknown code")
+        reader = _readers[items[0]] = _Reader(cls)
+    return reader.build(items[1:])
 
 
 def _make_encoder(cls: type) -> Callable[[Any], list]:
@@ -220,56 +222,59 @@
     return value
 
 
-def _build(cls: type, items: list) -> Any:
-    decoders = _decoders.get(cls)
-    if decoders is None:
-        hints = get_type_hints(cls)
-        decoders = tuple(_converter(hints[field.name]) for field in attrs.fields(cls))
-        _decoders[cls] = decoders
-    if len(items) != len(decoders):
-        raise MessageError(cls.__name__, f"{len(items)} fields in place of {len(decoders)}")
-    exact, others = _exact_types(cls)
-    if all(map(is_, map(type, items), exact)):
-        # Every field but the others has the very type that its converter would return.
-        try:
-            for place in others:
-                items[place] = decoders[place](items[place])
-        except (TypeError, ValueError) as error:
-            raise MessageError(cls.__name__, str(error)) from error
-        return cls(*items)
-    try:
-        return cls(*[convert(item) for convert, item in zip(decoders, items, strict=True)])
-    except (TypeError, ValueError) as error:
-        raise MessageError(cls.__name__, str(error)) from error
+class _Reader:
+    """Build the values of one class from their wire form.
 
+    Classes whose hints are not all plain get no fast path, since no item has type `type`.
+    """
 
-def _exact_types(cls: type) -> tuple[list[type], list[int]]:
-    """Return the types that the fields of a class have on the wire, and the fields to convert.
+    __slots__ = ("_cls", "_converters", "_exact", "_others")
 
-    A field that is converted has the type of its wire form: a list for nested classes and tuples,
-    a text for enums. Classes with other hints get no fast path, since no item has type `type`.
-    """
-    found = _exact.get(cls)
-    if found is None:
+    def __init__(self, cls: type):
         hints = get_type_hints(cls)
-        types, others = [], []
+        self._cls = cls
+        self._converters = [_converter(hints[field.name]) for field in attrs.fields(cls)]
+        # The types that the fields have on the wire, and the converters of those that need one.
+        self._exact: list[type] = []
+        self._others: list[tuple[int, Converter]] = []
         for place, field in enumerate(attrs.fields(cls)):
             hint = getattr(hints[field.name], "__supertype__", hints[field.name])
-            if hint in (str, int, bool, bytes):
-                types.append(hint)
-                continue
-            others.append(place)
-            nested = isinstance(hint, type) and attrs.has(hint)
-            if nested or get_origin(hint) is tuple:
-                types.append(list)
-            elif hint is float:
-                types.append(float)
-            elif isinstance(hint, type) and issubclass(hint, Enum):
-                types.append(str)
-            else:
-                types.append(type)
-        found = _exact[cls] = (types, others)
-    return found
+            self._exact.append(_wire_type(hint))
+            if hint not in (str, int, bool, bytes):
+                self._others.append((place, self._converters[place]))
+
+    def build(self, items: list) -> Any:
+        """Return the value of a list of fields; the list may be changed.
+
+        Raises:
+            MessageError: A field is missing, too many, or has the wrong type.
+        """
+        cls = self._cls
+        try:
+            if list(map(type, items)) == self._exact:
+                for place, convert in self._others:
+                    items[place] = convert(items[place])
+                return cls(*items)
+            if len(items) != len(self._exact):
+                raise MessageError(
+                    cls.__name__, f"{len(items)} fields in place of {len(self._exact)}"
+                )
+            return cls(
+                *[convert(item) for convert, item in zip(self._converters, items, strict=True)]
+            )
+        except (TypeError, ValueError) as error:
+            raise MessageError(cls.__name__, str(error)) from error
+
+
+def _wire_type(hint: Any) -> type:
+    """Return the type that values of a hint have on the wire, or `type` for several ones."""
+    if hint in (str, int, bool, bytes, float):
+        return hint
+    if get_origin(hint) is tuple or (isinstance(hint, type) and attrs.has(hint)):
+        return list
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return str
+    return type
 
 
 def _is_int(value: Any) -> bool:
@@ -370,4 +375,5 @@
 
 def _nested(cls: type) -> Converter:
     check = _expect(list, "an array")
-    return lambda value: _build(cls, check(value))
+    reader = _Reader(cls)
+    return lambda value: reader.build(check(value))
--- a/gentianthread/state/balancer.py
+++ b/gentianthread/state/balancer.py
@@ -174,8 +174,8 @@
         Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001: comparing all
         of them would send the callers with the same stale reports to the same upstream.
         """
-        if not entries:
-            return None
+        if len(entries) < 2:
+            return entries[0] if entries else None
         pair = self._random.sample(entries, 2) if len(entries) > 2 else entries
         return min(pair, key=lambda entry: self._cost_ms(entry, now_ms))
 
--- a/gentianthread/transport/http_pipeline.py
+++ b/gentianthread/transport/http_pipeline.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import attrs
@@ -17,16 +17,18 @@
 from ..errors import GentianError
 from ..state.fleet_plan import CallerLimits
 from .callbacks import Cancellable
+from .header_fields import HeaderFields, HeaderPairs, render_fields
 from .http_names import BODILESS_STATUS, PHRASES, decode_text
 
-HeaderPairs = list[tuple[str, str]]
-
 # Requests of one connection that may run at once; further ones stay in the socket.
 PIPELINE_LIMIT = 64
 
 # Connections that the kernel holds until the process accepts them.
 BACKLOG = 1024
 
+# Field by which a caller asks whether to send its body (RFC 9110, section 10.1.1).
+_EXPECT = b"expect"
+
 # How often idle connections and incomplete heads are looked for.
 SWEEP_MS = 500.0
 
@@ -41,17 +43,27 @@
     Attributes:
         method: HTTP method.
         target: Path and query as sent.
-        headers: Header fields in order.
+        fields: Header fields.
         body: The body.
-        peer_host: IP address of the caller.
+        transport: The connection that it came over.
     """
 
     method: str
     target: str
-    headers: HeaderPairs
+    fields: HeaderFields = attrs.field(repr=False)
     body: bytes = attrs.field(repr=False)
-    peer_host: str = ""
-    _values: dict[str, str] | None = attrs.field(default=None, init=False, repr=False)
+    transport: asyncio.BaseTransport | None = attrs.field(default=None, repr=False)
+
+    @property
+    def peer_host(self) -> str:
+        """Return the IP address of the caller, or an empty text once the connection is gone."""
+        address = None if self.transport is None else self.transport.get_extra_info("peername")
+        return address[0] if address else ""
+
+    @property
+    def headers(self) -> HeaderPairs:
+        """Return the header fields in order."""
+        return self.fields.pairs
 
     def find(self, name: str) -> str | None:
         """Return the value of a field, the first one where there are several, or None.
@@ -59,11 +71,7 @@
         Args:
             name: Name of the field in lower case.
         """
-        values = self._values
-        if values is None:
-            values = {field.lower(): value for field, value in reversed(self.headers)}
-            self._values = values
-        return values.get(name)
+        return self.fields.first.get(name)
 
 
 @attrs.define(eq=False)
@@ -140,23 +148,21 @@
         self._pending: deque[_PendingReply] = deque()
         self._closing = False
         self._paused = False
-        self._peer_host = ""
         self._active_ms = listener.clock.now_ms()
         # The request whose bytes come in, and since when its head is incomplete.
         self._target = b""
-        self._headers: HeaderPairs = []
+        self._fields = HeaderFields()
         self._body: list[bytes] = []
         self._head_bytes = 0
         self._raw_head_bytes = 0
         self._body_bytes = 0
         self._in_body = False
         self._head_since_ms: float | None = None
+        self._expects = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
         self._listener.connections.add(self)
-        address = transport.get_extra_info("peername")
-        self._peer_host = address[0] if address else ""
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.transport = None
@@ -201,8 +207,9 @@
     def on_message_begin(self) -> None:
         """Start a request under the limits that are in force now."""
         self._limits = self._listener.limits()
-        self._target, self._headers, self._body = b"", [], []
+        self._target, self._fields, self._body = b"", HeaderFields(), []
         self._head_bytes = self._raw_head_bytes = self._body_bytes = 0
+        self._expects = False
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the path."""
@@ -216,16 +223,15 @@
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > self._limits.header_bytes:
             raise _RequestRefused(431)
-        self._headers.append((decode_text(name), decode_text(value)))
+        self._fields.add(name, value)
+        if len(name) == len(_EXPECT) and name.lower() == _EXPECT:
+            self._expects = value.lower() == b"100-continue"
 
     def on_headers_complete(self) -> None:
         """Tell the caller to go on where it waits for that."""
         self._in_body = True
-        if self._pending:
-            return
-        for name, value in self._headers:
-            if name.lower() == "expect" and value.lower() == "100-continue":
-                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self._expects and not self._pending:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
@@ -242,9 +248,9 @@
         pending = _PendingReply(method, closes)
         self._pending.append(pending)
         request = WholeRequest(
-            method, decode_text(self._target), self._headers, b"".join(self._body), self._peer_host
+            method, decode_text(self._target), self._fields, b"".join(self._body), self.transport
         )
-        self._headers, self._body = [], []
+        self._body = []
         pending.work = self._listener.start(request, partial(self._take_answer, pending))
         if closes:
             # Whatever follows is no request.
@@ -322,11 +328,6 @@
     return head if pending.method == "HEAD" else head + answer.body
 
 
-def render_fields(headers: Iterable[tuple[str, str]]) -> str:
-    """Return header fields as the lines of a head."""
-    return "".join([f"{name}: {value}\r\n" for name, value in headers])
-
-
 class PipelineListener:
     """Listen on one address and start to answer each request.
 
--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -13,8 +13,7 @@
 
 from ..errors import ConnectionLost
 from .callbacks import settle
-from .http_names import decode_text
-from .http_pipeline import HeaderPairs
+from .header_fields import HeaderFields
 from .sockets import is_reset, keep_probing
 
 # Longest head of an answer.
@@ -70,7 +69,7 @@
 
     Attributes:
         status: Its status.
-        headers: Its header fields in order.
+        fields: Its header fields.
         body: Parts of its body.
         has_head: Whether its head is complete.
         complete: Whether all of it has come.
@@ -81,28 +80,21 @@
         "body",
         "body_bytes",
         "complete",
+        "fields",
         "has_head",
         "head_bytes",
-        "headers",
         "keeps_alive",
         "status",
     )
 
     def __init__(self) -> None:
         self.status = 0
-        self.headers: HeaderPairs = []
+        self.fields = HeaderFields()
         self.body: list[bytes] = []
         self.has_head = self.complete = False
         self.keeps_alive = True
         self.head_bytes = self.body_bytes = 0
 
-    def find(self, name: str) -> str | None:
-        """Return the value of the first field with a name in lower case, or None."""
-        for field, value in self.headers:
-            if field.lower() == name:
-                return value
-        return None
-
 
 class TargetConnection(asyncio.Protocol):
     """Exchange one message at a time."""
@@ -216,7 +208,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header field."""
         if not self._answer.complete:
-            self._answer.headers.append((decode_text(name), decode_text(value)))
+            self._answer.fields.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Take a head; that of a late second answer to an earlier request is skipped."""
@@ -226,7 +218,7 @@
         answer.status = self._parser.get_status_code()
         if 100 <= answer.status < 200:
             return
-        found = answer.find(self._request_id_field)
+        found = answer.fields.first.get(self._request_id_field)
         if found is not None and found != self._request.request_id:
             self.reusable = False
             return
@@ -281,4 +273,5 @@
 
 def _ends_with_connection(answer: TargetAnswer) -> bool:
     """Return whether an answer has neither a length nor chunks, so that its end is that of all."""
-    return answer.find("content-length") is None and answer.find("transfer-encoding") is None
+    fields = answer.fields.first
+    return "content-length" not in fields and "transfer-encoding" not in fields
--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -170,20 +170,14 @@
         if answer is None or not answer.keeps_alive or not connection.usable:
             self._drop(connection)
             return
-        connection.keep_ms = _kept_ms(answer.find("keep-alive"), connection.keep_ms)
+        connection.keep_ms = _kept_ms(answer.fields.first.get("keep-alive"), connection.keep_ms)
         self._keep(connection)
 
     def pooled(self, answer: TargetAnswer, *, is_new: bool) -> PooledAnswer:
         """Return an answer without the fields that are kept back."""
-        fields: dict[str, str] = {}
-        kept = []
-        for pair in answer.headers:
-            name = pair[0].lower()
-            fields.setdefault(name, pair[1])
-            if name not in self._dropped:
-                kept.append(pair)
+        kept = answer.fields.without(self._dropped)
         whole = WholeAnswer(answer.status, kept, b"".join(answer.body))
-        return PooledAnswer(whole, fields, is_new)
+        return PooledAnswer(whole, answer.fields.first, is_new)
 
     async def _check_alive(self) -> None:
         """Check that the target did not crash during an answer that ended with its connection.
--- /dev/null
+++ b/tests/transport/test_header_fields.py
@@ -0,0 +1,33 @@
+from gentianthread.transport.header_fields import KEPT_NAME_BYTES, HeaderFields, _kept_texts
+
+from ..base import TestCase
+
+
+class TestHeaderFields(TestCase):
+    def test_repeated_fields_stay_in_order_and_the_first_is_found(self):
+        """Guards against fields of a caller that are lost, merged or put in another order."""
+        fields = HeaderFields()
+        for name, value in ((b"X-Tag", b"1"), (b"Host", b"a"), (b"x-tag", b"2")):
+            fields.add(name, value)
+        self.assertEqual([("X-Tag", "1"), ("Host", "a"), ("x-tag", "2")], fields.pairs)
+        self.assertEqual({"x-tag": "1", "host": "a"}, fields.first)
+        self.assertEqual([("Host", "a")], fields.without({"x-tag"}))
+
+    def test_bytes_that_are_no_text_come_back_unchanged(self):
+        """Guards against values that a node changes on their way."""
+        fields = HeaderFields()
+        fields.add(b"X-\xff", b"\x80\xfe")
+        name, value = fields.pairs[0]
+        self.assertEqual(b"X-\xff", name.encode("utf-8", "surrogateescape"))
+        self.assertEqual(b"\x80\xfe", value.encode("utf-8", "surrogateescape"))
+
+    def test_made_up_names_do_not_fill_the_memory(self):
+        """Guards against a caller that sends ever new or very long names of fields."""
+        fields = HeaderFields()
+        for number in range(2_000):
+            fields.add(b"X-%d" % number, b"1")
+        known = _kept_texts.cache_info()
+        self.assertEqual(known.maxsize, known.currsize)
+        misses = known.misses
+        fields.add(b"X" * (KEPT_NAME_BYTES + 1), b"1")
+        self.assertEqual(misses, _kept_texts.cache_info().misses)
