Soak sidecars as real processes, and refuse callers that stay at a stopping one

Cause: a stopping sidecar went on taking requests as long as callers sent them, waited until 0.9 of the grace period and cut off what it had read last.

Ruled out: the closing handshakes of links (0.5 s at most, after the callers were cut).

Change: 2.3 s after SIGTERM new requests of callers get 503 with Retry-After, which is true as "not run"; calls of the own target go on; the process ends as soon as nothing is under way. Tests fail before. The soak runs six processes with relays between them, before each target and before the store: kills, pauses, stops with double signals, wrong settings and SIGHUP, connections that are reset, silent, cut one way, slow or lossy, zones cut off, a store that is away. `peer_listen_port` lets a relay stand at a node's peer port. No target may see a key, and a stop must end with code 0.

--- a/bench/faults/relays.py
+++ b/bench/faults/relays.py
@@ -92,6 +92,18 @@
                 pair.silent = True
                 self.silenced += 1
 
+    def reset(self, host: str) -> None:
+        """Reset all open connections from and to a node."""
+        for pair in list(self._pairs):
+            if host in (pair.source, pair.host):
+                pair.abort()
+
+    def deafen(self, host: str) -> None:
+        """Drop all further answers to a node on its open connections; what it sends arrives."""
+        for pair in list(self._pairs):
+            if pair.source == host:
+                pair.near.deaf = True
+
     def is_cut(self, first_host: str, second_host: str) -> bool:
         """Return whether nothing passes between two nodes."""
         zones = frozenset(self.zones.get(host, "") for host in (first_host, second_host))
@@ -187,6 +199,7 @@
         self.other: _End = self
         self.transport: asyncio.Transport | None = None
         self.closed = False
+        self.deaf = False
         self._held: deque[tuple[float, bytes | None]] = deque()
         self._held_bytes = 0
         self._due_s = 0.0
@@ -225,7 +238,7 @@
     def take(self, data: bytes | None) -> None:
         """Hold one segment, or the end, until it is due."""
         pair = self.pair
-        if self.closed or pair.silent:
+        if self.closed or pair.silent or self.deaf:
             return
         loop = asyncio.get_running_loop()
         delay_s = pair.network.delay_s(pair.source, pair.host)
--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -100,6 +100,7 @@
 
     Attributes:
         running: Requests without an answer.
+        refuses_callers: Whether new requests are refused, but for the calls of the own target.
     """
 
     def __init__(
@@ -146,6 +147,7 @@
         self.decisions = decisions
         self.random = random
         self.running = 0
+        self.refuses_callers = False
         self.turns = WeightedTurns(random)
         # Longest time that callers of a route have stated.
         self._usual_ms: dict[RouteId, float] = {}
@@ -275,6 +277,8 @@
 
     def admit(self, pending: PendingRequest, now_ms: float) -> EntryReply | None:
         """Return why a request is refused before any work, or None."""
+        if self.refuses_callers and not pending.inner:
+            return self._unavailable("node is leaving")
         if pending.organisation_id:
             catch_up_ms = self._over_rate_ms(pending, now_ms)
             if catch_up_ms is not None:
--- a/gentianthread/coordination/mesh/peers.py
+++ b/gentianthread/coordination/mesh/peers.py
@@ -57,7 +57,7 @@
         Args:
             local: Identity of this node; its upstream id is the address of its instance.
             secret: The fleet secret; empty where the deployment has none.
-            peer_port: Port at which every node accepts links.
+            peer_port: Port at which every node is reached.
             transport: Opens connections.
             clock: Clock of silences and backoff.
             metrics: Counts links.
@@ -92,13 +92,17 @@
         self._tasks: set[asyncio.Task] = set()
         self._listener: Listener | None = None
 
-    async def open(self, host: str) -> None:
+    async def open(self, host: str, port: int) -> None:
         """Accept links.
 
+        Args:
+            host: IP address.
+            port: TCP port; others reach it as the peer port.
+
         Raises:
             OSError: The port cannot be listened on.
         """
-        self._listener = await self._transport.listen(host, self._peer_port, self._accept)
+        self._listener = await self._transport.listen(host, port, self._accept)
         self._spawn(self._watch())
 
     def links(self) -> list[PeerLink]:
--- a/gentianthread/coordination/mesh/process.py
+++ b/gentianthread/coordination/mesh/process.py
@@ -124,7 +124,10 @@
 
 
 async def leave(sidecar: Sidecar, clock: Clock, grace_ms: float) -> None:
-    """Serve until nothing is under way, and at least until callers go elsewhere.
+    """Serve until callers go elsewhere, then finish what is under way.
+
+    Callers that do not go elsewhere are refused from then on: what they send could be cut off at
+    the end of the grace period, and would keep the process up to it.
 
     Args:
         sidecar: What stops.
@@ -138,8 +141,10 @@
     while (passed_ms := clock.now_ms() - started_ms) < most_ms:
         if passed_ms >= drain_from_ms and not sidecar.draining:
             sidecar.begin_draining()
-        if passed_ms >= min(LEAVE_LEAST_MS, most_ms) and not sidecar.busy:
-            return
+        if passed_ms >= LEAVE_LEAST_MS:
+            sidecar.refuse_callers()
+            if not sidecar.busy:
+                return
         await clock.sleep_ms(LEAVE_TICK_MS)
 
 
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -304,7 +304,7 @@
         settings = self.settings
         await self.ready.open(settings.ready.host, settings.ready.port)
         await self.operators.open(settings.metrics.host, settings.metrics.port)
-        await self.peers.open(settings.host)
+        await self.peers.open(settings.host, settings.peer_listen_port)
         await self.outbound.open(settings.outbound.host, settings.outbound.port)
         loops = (
             self.follower.run(),
@@ -338,6 +338,10 @@
         for link in self.peers.links():
             link.post(self.peers.probe(reply=True))
 
+    def refuse_callers(self) -> None:
+        """Take no new requests of callers; the calls of requests under way go on."""
+        self.entry.refuses_callers = True
+
     @property
     def busy(self) -> bool:
         """Return whether a request is under way."""
--- a/gentianthread/sidecar_settings.py
+++ b/gentianthread/sidecar_settings.py
@@ -22,7 +22,9 @@
         outbound: Address for the callers and the target of this instance.
         ready: Address at which the platform asks whether the node is ready.
         metrics: Address of metrics and state dump.
-        peer_port: Port at which the nodes of all instances accept links.
+        peer_port: Port at which the nodes of all instances are reached by others.
+        peer_listen_port: Port at which this node accepts links; another one than `peer_port` where
+            something between the instances maps ports.
         fleet_secret: Secret that all nodes share, or an empty text; never shown.
         target: Address of the target.
         platform: Address of the metadata store.
@@ -43,6 +45,7 @@
     ready: Address
     metrics: Address
     peer_port: int
+    peer_listen_port: int
     fleet_secret: str = attrs.field(repr=False)
     target: Address
     platform: Address
@@ -80,6 +83,7 @@
 def _read(sections: dict[str, Section]) -> SidecarSettings:
     node, listeners, target = sections["node"], sections["listeners"], sections["target"]
     platform, retries, log = sections["platform"], sections["retries"], sections["log"]
+    peer_port = listeners.get("peer_port", whole(1, 65_535))
     return SidecarSettings(
         host=node.get("host", text("an IP address")),
         availability_zone=node.get("availability_zone", text()),
@@ -87,7 +91,8 @@
         outbound=listeners.get("outbound", address()),
         ready=listeners.get("ready", address()),
         metrics=listeners.get("metrics", address()),
-        peer_port=listeners.get("peer_port", whole(1, 65_535)),
+        peer_port=peer_port,
+        peer_listen_port=listeners.get("peer_listen_port", whole(1, 65_535), peer_port),
         fleet_secret=node.get("fleet_secret", text(), ""),
         target=target.get("address", address()),
         platform=platform.get("address", address()),
--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -202,6 +202,7 @@
         self.upstream_id = upstream_id
         self.slots = slots
         self.work_ms = 1.0
+        self.listed_port = TARGET_PORT
         self.running = 0
         self.most_running = 0
         self.runs: dict[str, int] = {}
@@ -221,7 +222,7 @@
         """Return its entry in the store."""
         return {
             "service": self.service_id,
-            "address": f"{self.host}:{TARGET_PORT}",
+            "address": f"{self.host}:{self.listed_port}",
             "zone": zone,
             "version": "v1",
             "slots": self.slots,
@@ -400,6 +401,7 @@
             ready=Address(host, READY_PORT),
             metrics=Address(host, METRICS_PORT),
             peer_port=PEER_PORT,
+            peer_listen_port=PEER_PORT,
             fleet_secret="",
             target=Address(host, TARGET_PORT),
             platform=Address(self.store.host, self.store.port),
--- /dev/null
+++ b/tests/coordination/mesh/process_soak.py
@@ -0,0 +1,363 @@
+"""Run real sidecar processes through a seeded schedule of faults from outside them.
+
+`python -m tests.coordination.mesh.process_soak --seeds 50` plays seeds 0 to 49. Relays on loopback
+stand between the sidecars, before each target and before the store; signals stop, pause, kill and
+reload the processes. Logs of a seed that broke are kept in the folder that is printed.
+"""
+
+import asyncio
+import shutil
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import attrs
+
+from bench.faults.relays import NetworkRules, RelayNetwork
+from gentianthread.coordination.mesh.process import SidecarExit
+from gentianthread.platform.documents import PLAN_KEY, UPSTREAM_PREFIX
+from gentianthread.standins.mesh import (
+    METRICS_PORT,
+    OUTBOUND_PORT,
+    PEER_PORT,
+    READY_PORT,
+    STORE_PORT,
+    TARGET_PORT,
+    MeshStore,
+    MeshTarget,
+    plan_document,
+    private_network,
+)
+
+from .soak import Call, Soak, main
+
+# What the relays forward to, or publish, beside the ports of a mesh without relays.
+LISTENED_PEER_PORT = PEER_PORT + 100
+PUBLISHED_TARGET_PORT = TARGET_PORT + 100
+PUBLISHED_STORE_PORT = STORE_PORT + 100
+
+# The usual grace period of the users.
+GRACE_S = 6.0
+READY_CHECK_S = 0.02
+
+# A caller may not yet have been heard when its sidecar was disturbed, and a link that a fault made
+# silent is noticed only later.
+SLACK_S = 0.3
+
+SETTINGS = """
+[node]
+host = {host}
+availability_zone = {zone}
+service = {service}
+
+[listeners]
+outbound = {host}:{outbound}
+ready = {host}:{ready}
+metrics = {host}:{metrics}
+peer_port = {peer}
+peer_listen_port = {listened}
+
+[target]
+address = {host}:{target}
+
+[platform]
+address = {store}
+
+[retries]
+slack = 1000
+
+[stop]
+grace = {grace}s
+
+[limits]
+log_lines_per_s = {lines}
+"""
+
+
+@attrs.frozen
+class Span:
+    """Hold a time in which callers of a sidecar may get no answer.
+
+    Attributes:
+        from_s: Its start.
+        until_s: Its end.
+        graceful: Whether the process was told to stop, so that no run may be cut off.
+    """
+
+    from_s: float
+    until_s: float
+    graceful: bool
+
+
+@attrs.define(eq=False)
+class ProcessInstance:
+    """Hold one instance: its target, and the process beside it.
+
+    Attributes:
+        process: The process, also when it has ended.
+        busy: Whether it is being stopped, paused or killed.
+        disturbed: When that was.
+    """
+
+    target: MeshTarget
+    zone: str
+    settings: Path
+    process: asyncio.subprocess.Process | None = None
+    busy: bool = False
+    disturbed: list[Span] = attrs.field(factory=list)
+
+
+class ProcessFleet:
+    """Run a store, targets and relays in this process, and sidecars as processes of their own."""
+
+    def __init__(self, seed: int):
+        """Create a fleet; `start` runs it."""
+        self.network = private_network()
+        self.store = MeshStore(f"{self.network}.250")
+        self.instances: dict[str, ProcessInstance] = {}
+        self.folder = Path(tempfile.mkdtemp(prefix=f"gentian-soak-{seed}-"))
+        self.rules = NetworkRules(delay_ms=1.0)
+        self.relays = RelayNetwork(self.rules, {}, seed)
+
+    async def start(self, services: dict[str, int], zones: tuple[str, ...]) -> None:
+        """Publish a plan and start instances; as `MeshFleet.start`."""
+        await self.store.open()
+        self.store.put(PLAN_KEY, plan_document())
+        await self.relays.add_relay(self.store.host, PUBLISHED_STORE_PORT, STORE_PORT)
+        for service, number in services.items():
+            for place in range(number):
+                await self._add(service, f"{service}-{place}", zones[place % len(zones)])
+        await self.wait_ready()
+
+    async def _add(self, service: str, name: str, zone: str) -> None:
+        host = f"{self.network}.{len(self.instances) + 1}"
+        self.relays.zones[host] = zone
+        target = MeshTarget(host, service, name)
+        target.listed_port = PUBLISHED_TARGET_PORT
+        await target.open()
+        await self.relays.add_relay(host, PUBLISHED_TARGET_PORT, TARGET_PORT)
+        await self.relays.add_relay(host, PEER_PORT, LISTENED_PEER_PORT)
+        instance = ProcessInstance(target, zone, self.folder / f"{name}.ini")
+        self.instances[name] = instance
+        self.write_settings(instance, log_lines_per_s=20)
+        await self.run(name)
+        self.store.put(UPSTREAM_PREFIX + name, target.entry(zone=zone))
+
+    def write_settings(self, instance: ProcessInstance, log_lines_per_s: int) -> None:
+        """Write the settings file of a sidecar."""
+        text = SETTINGS.format(
+            host=instance.target.host,
+            zone=instance.zone,
+            service=instance.target.service_id,
+            outbound=OUTBOUND_PORT,
+            ready=READY_PORT,
+            metrics=METRICS_PORT,
+            peer=PEER_PORT,
+            listened=LISTENED_PEER_PORT,
+            target=PUBLISHED_TARGET_PORT,
+            store=f"{self.store.host}:{PUBLISHED_STORE_PORT}",
+            grace=GRACE_S,
+            lines=log_lines_per_s,
+        )
+        written = instance.settings.with_suffix(".new")
+        written.write_text(text)
+        written.replace(instance.settings)
+
+    async def run(self, name: str) -> None:
+        """Start the process of a sidecar."""
+        instance = self.instances[name]
+        with instance.settings.with_suffix(".log").open("ab") as output:
+            instance.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "gentianthread.commands.sidecar",
+                str(instance.settings),
+                stdout=output,
+                stderr=output,
+            )
+
+    async def wait_ready(self) -> None:
+        """Wait until every sidecar says that it is ready."""
+        for instance in self.instances.values():
+            await until_ready(instance.target.host)
+
+    async def stop(self) -> None:
+        """End all processes and close everything."""
+        for instance in self.instances.values():
+            if instance.process.returncode is None:
+                instance.process.kill()
+            await instance.process.wait()
+        await self.relays.close()
+        for instance in self.instances.values():
+            await instance.target.close()
+        await self.store.close()
+
+
+async def is_ready(host: str) -> bool:
+    """Return whether the sidecar of an instance says that it is ready."""
+    writer = None
+    try:
+        async with asyncio.timeout(1):
+            reader, writer = await asyncio.open_connection(host, READY_PORT)
+            writer.write(b"GET /api/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+            return b" 200 " in await reader.readuntil(b"\r\n")
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return False
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+async def until_ready(host: str) -> None:
+    """Wait until the sidecar of an instance says that it is ready."""
+    while not await is_ready(host):  # noqa: ASYNC110  # The process is asked, it tells nothing.
+        await asyncio.sleep(READY_CHECK_S)
+
+
+class ProcessSoak(Soak):
+    """Play one seed against processes."""
+
+    fleet: ProcessFleet
+
+    def _make_fleet(self, seed: int) -> ProcessFleet:
+        return ProcessFleet(seed)
+
+    async def play(self) -> None:
+        """Start a fleet, let callers and faults at it, and check."""
+        try:
+            await super().play()
+        finally:
+            await self.fleet.stop()
+            if self.broken:
+                self.broken.append(f"logs are in {self.fleet.folder}")
+            else:
+                shutil.rmtree(self.fleet.folder)
+
+    def _kinds(self) -> tuple:
+        return (
+            self._kill,
+            self._stop,
+            self._pause,
+            self._hang_up,
+            self._reset,
+            self._mute,
+            self._deafen,
+            self._slow,
+            self._part,
+            self._drain,
+            self._silence,
+        )
+
+    @asynccontextmanager
+    async def _disturbing(
+        self, name: str, *, graceful: bool = False
+    ) -> AsyncIterator[ProcessInstance | None]:
+        """Hold an instance, and note until when its callers may get no answer."""
+        instance = self.fleet.instances[name]
+        if instance.busy:
+            yield None
+            return
+        instance.busy = True
+        loop = asyncio.get_running_loop()
+        from_s = loop.time()
+        try:
+            yield instance
+            await until_ready(instance.target.host)
+        finally:
+            instance.busy = False
+            span = Span(from_s - SLACK_S, loop.time() + SLACK_S, graceful)
+            instance.disturbed.append(span)
+
+    async def _run_again(self, name: str) -> None:
+        await asyncio.sleep(self.random.uniform(0, 0.4))
+        await self.fleet.run(name)
+
+    async def _kill(self, name: str) -> None:
+        """Kill a sidecar and start another one."""
+        async with self._disturbing(name) as instance:
+            if instance is not None:
+                instance.process.send_signal(signal.SIGKILL)
+                await instance.process.wait()
+                await self._run_again(name)
+
+    async def _stop(self, name: str) -> None:
+        """Stop a sidecar gracefully, sometimes with a second signal, and start another one."""
+        async with self._disturbing(name, graceful=True) as instance:
+            if instance is None:
+                return
+            instance.process.send_signal(signal.SIGTERM)
+            if self.random.random() < 0.3:
+                await asyncio.sleep(self.random.uniform(0, 0.5))
+                if instance.process.returncode is None:
+                    instance.process.send_signal(signal.SIGTERM)
+            try:
+                async with asyncio.timeout(GRACE_S):
+                    await instance.process.wait()
+            except TimeoutError:
+                self.broken.append(f"{name} still ran {GRACE_S} s after SIGTERM")
+                instance.process.kill()
+                await instance.process.wait()
+            if instance.process.returncode != SidecarExit.STOPPED:
+                self.broken.append(f"{name} ended with {instance.process.returncode}")
+            await self._run_again(name)
+
+    async def _pause(self, name: str) -> None:
+        """Pause a process, as a suspended instance does."""
+        async with self._disturbing(name) as instance:
+            if instance is not None:
+                instance.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(self.random.uniform(0.1, 1.5))
+                instance.process.send_signal(signal.SIGCONT)
+
+    async def _hang_up(self, name: str) -> None:
+        """Change the settings of a process, sometimes wrongly, and tell it."""
+        instance = self.fleet.instances[name]
+        if instance.busy:
+            return
+        if self.random.random() < 0.3:
+            instance.settings.write_text("[node]\nhost = nowhere\n")
+            instance.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.1)
+        self.fleet.write_settings(instance, log_lines_per_s=self.random.randint(5, 50))
+        if not instance.busy:
+            instance.process.send_signal(signal.SIGHUP)
+
+    async def _reset(self, name: str) -> None:
+        """Reset the connections of a sidecar to others, to its target and to the store."""
+        self.fleet.relays.reset(self.fleet.instances[name].target.host)
+
+    async def _mute(self, name: str) -> None:
+        """Let the open connections of a sidecar go silent for good; new ones work."""
+        self.fleet.relays.silence(self.fleet.instances[name].target.host)
+
+    async def _deafen(self, name: str) -> None:
+        """Cut the open connections of a sidecar one way for good."""
+        self.fleet.relays.deafen(self.fleet.instances[name].target.host)
+
+    async def _slow(self, name: str) -> None:
+        """Slow the paths between zones, with losses, for a while."""
+        self.fleet.rules.delay_ms, self.fleet.rules.loss = 20.0, 0.02
+        await asyncio.sleep(self.random.uniform(0.2, 0.8))
+        self.fleet.rules.delay_ms, self.fleet.rules.loss = 1.0, 0.0
+
+    async def _part(self, name: str) -> None:
+        """Cut the zones off from each other for a while."""
+        self.fleet.relays.partition("a", "b")
+        await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        self.fleet.relays.heal("a", "b")
+
+    def _is_excused(self, call: Call, runs: int) -> bool:
+        """Return whether the sidecar of a caller was stopped, paused or killed meanwhile."""
+        return any(
+            call.started_s < span.until_s
+            and call.ended_s > span.from_s
+            and not (span.graceful and runs)
+            for span in self.fleet.instances[call.at].disturbed
+        )
+
+
+if __name__ == "__main__":
+    sys.exit(main(ProcessSoak))
--- a/tests/coordination/mesh/soak.py
+++ b/tests/coordination/mesh/soak.py
@@ -24,7 +24,6 @@
     answer_sealed,
     break_off,
     fail,
-    wait_until,
 )
 
 SERVICES = {"catalogue": 3, "orders": 3}
@@ -58,7 +57,9 @@
     status: int = 0
     fields: dict[str, str] = attrs.field(factory=dict)
     answer: bytes = b""
-    took_ms: float = 0.0
+    started_s: float = 0.0
+    ended_s: float = 0.0
+    error: str = ""
     cancelled: bool = False
 
 
@@ -88,7 +89,7 @@
     def __init__(self, seed: int):
         """Prepare a run; `play` starts it."""
         self.random = Random(seed)
-        self.fleet = MeshFleet()
+        self.fleet = self._make_fleet(seed)
         self.calls: list[Call] = []
         self.broken: list[str] = []
         self.ended: set[str] = set()
@@ -97,6 +98,9 @@
         self._tasks: list[asyncio.Task] = []
         self._faulty = True
 
+    def _make_fleet(self, seed: int) -> MeshFleet:
+        return MeshFleet()
+
     async def play(self) -> None:
         """Start a mesh, let callers and faults at it, and check."""
         await self.fleet.start(SERVICES, ZONES)
@@ -133,11 +137,11 @@
     async def _send(self, call: Call, *, leaves: bool = False) -> None:
         self.calls.append(call)
         loop = asyncio.get_running_loop()
-        started_s = loop.time()
+        call.started_s = loop.time()
         writer = None
         try:
             async with asyncio.timeout((CALLER_MS + SLACK_MS) / 1000):
-                host = self.fleet.instances[call.at].sidecar.settings.host
+                host = self.fleet.instances[call.at].target.host
                 reader, writer = await asyncio.open_connection(host, OUTBOUND_PORT)
                 writer.write(_render(call))
                 if leaves:
@@ -149,19 +153,21 @@
                 answer = await reader.readexactly(int(fields.get("Content-Length", 0)))
                 call.status, call.fields, call.answer = int(head[0].split()[1]), fields, answer
         except TimeoutError:
-            self.broken.append(f"{call.request_id} at {call.at}: no answer in its time")
+            call.error = "no answer in its time"
         except (OSError, asyncio.IncompleteReadError) as error:
-            if call.at not in self.ended:
-                self.broken.append(f"{call.request_id} at {call.at}: {error!r}")
+            call.error = repr(error)
         finally:
-            call.took_ms = (loop.time() - started_s) * 1000
+            call.ended_s = loop.time()
             if writer is not None:
                 writer.close()
 
     # Faults.
 
+    def _kinds(self) -> tuple:
+        return (self._restart, self._stop, self._reset, self._drain, self._silence)
+
     async def _fault(self) -> None:
-        kinds = (self._restart, self._stop, self._reset, self._drain, self._silence)
+        kinds = self._kinds()
         kind = self._misbehave if self.random.random() < 0.4 else self.random.choice(kinds)
         await kind(self.random.choice(list(self.fleet.instances)))
 
@@ -224,12 +230,9 @@
 
     async def _check_recovery(self) -> None:
         """Every request succeeds soon after the last fault."""
-        sidecars = [instance.sidecar for instance in self.fleet.instances.values()]
-        wanted = set(self.fleet.instances)
         try:
-            await wait_until(
-                lambda: all(set(one.directory.entries) == wanted for one in sidecars), CALM_S
-            )
+            async with asyncio.timeout(CALM_S):
+                await self.fleet.wait_ready()
         except TimeoutError:
             self.broken.append("a sidecar does not know all upstreams after the faults")
         await asyncio.sleep(CALM_S)
@@ -249,11 +252,19 @@
                 runs[request_id] = runs.get(request_id, 0) + times
             if target.most_running > target.slots:
                 self.broken.append(f"{name} ran {target.most_running} in {target.slots} slots")
+            if any(seen.find(DIALECT.key.lower()) for seen in target.seen):
+                self.broken.append(f"{name} saw the key of a caller")
         for call in self.calls:
             self._check_call(call, runs.get(call.request_id, 0))
 
+    def _is_excused(self, call: Call, runs: int) -> bool:
+        """Return whether a fault allows that a request got no answer."""
+        return call.error != "no answer in its time" and call.at in self.ended
+
     def _check_call(self, call: Call, runs: int) -> None:
         name = f"{call.request_id} {call.method} at {call.at}: {call.status}"
+        if call.error and not self._is_excused(call, runs):
+            self.broken.append(f"{name} {call.error}, ran {runs} times")
         most = 1 if call.method == "POST" else 2
         if runs > most:
             self.broken.append(f"{name}, ran {runs} times")
@@ -280,7 +291,7 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + call.body
 
 
-def main() -> int:
+def main(kind: type[Soak] = Soak) -> int:
     """Play seeds one after the other and return 1 if anything broke."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=10)
@@ -288,10 +299,13 @@
     options = parser.parse_args()
     bad = 0
     for seed in range(options.first, options.first + options.seeds):
-        soak = Soak(seed)
+        soak = kind(seed)
         asyncio.run(soak.play())
         statuses = sorted({call.status for call in soak.calls})
-        print(f"seed={seed} calls={len(soak.calls)} faults={soak.faults} statuses={statuses}")
+        print(
+            f"seed={seed} calls={len(soak.calls)} faults={soak.faults} statuses={statuses}",
+            flush=True,
+        )
         for text in soak.broken:
             print(f"  {text}")
         bad += bool(soak.broken)
--- a/tests/coordination/mesh/test_changes.py
+++ b/tests/coordination/mesh/test_changes.py
@@ -345,7 +345,7 @@
         await self.until(lambda: not caller.peers.reachable(host) or not caller.peers.links())
         self.assertEqual(503, (await self.call("orders-0", "/stock/1")).status)
         self.assertFalse(caller.peers.reachable(host))
-        await self.sidecar("catalogue-0").peers.open(host)
+        await self.sidecar("catalogue-0").peers.open(host, PEER_PORT)
         await self.until(lambda: caller.peers.reachable(host), timeout_s=3)
         self.assertEqual(200, (await self.call("orders-0", "/stock/1")).status)
         await self.stop()
--- a/tests/coordination/mesh/test_entry.py
+++ b/tests/coordination/mesh/test_entry.py
@@ -1,6 +1,8 @@
 import asyncio
 from unittest import mock
 
+from gentianthread.coordination.mesh import process
+
 from .base import MeshTestCase
 
 
@@ -72,3 +74,34 @@
         self.assertEqual((503, 0), (reply.status, entry.running))
         self.assertIn("Retry-After", reply.fields)
         await self.stop()
+
+    async def test_caller_that_stays_at_a_leaving_node_is_refused_truly(self):
+        """Guards against requests that are cut off when the grace period is over.
+
+        Found by seed 3 of the process soak: callers kept using a stopping node until its end.
+        """
+        await self.start({"catalogue": 1, "orders": 1})
+        sidecar = self.sidecar("catalogue-0")
+        self.target("orders-0").work_ms = 300
+        under_way = asyncio.ensure_future(self.call("catalogue-0", "/order/1", method="POST"))
+        await self.until(lambda: self.target("orders-0").running == 1)
+        with mock.patch.object(process, "LEAVE_LEAST_MS", 100.0):
+            leaving = asyncio.ensure_future(process.leave(sidecar, sidecar.clock, 60_000.0))
+            replies = []
+            while not leaving.done():
+                replies.append(await self.call("catalogue-0", "/stock/1"))
+        self.assertEqual(200, (await under_way).status)
+        refused = [reply for reply in replies if reply.status != 200]
+        self.assertEqual({503}, {reply.status for reply in refused})
+        self.assertTrue(all("Retry-After" in reply.fields for reply in refused))
+        ran = self.target("catalogue-0").runs
+        self.assertFalse([reply for reply in refused if reply.request_id in ran])
+        await self.stop()
+
+    async def test_calls_of_work_under_way_pass_at_a_leaving_node(self):
+        """Guards against a graceful stop that fails the request whose calls it refuses."""
+        await self.start({"catalogue": 1, "orders": 1})
+        self.sidecar("catalogue-0").refuse_callers()
+        reply = await self.call("catalogue-0", "/ledger/1", host="inner.example", key=None)
+        self.assertEqual(200, reply.status)
+        await self.stop()
--- a/tests/coordination/mesh/test_peer_link.py
+++ b/tests/coordination/mesh/test_peer_link.py
@@ -65,7 +65,7 @@
         self.links = PeerLinks(
             local, b"", 7000, NoTransport(), self.clock, MemoryMetrics(), Random(1)
         )
-        await self.links.open("10.0.0.1")
+        await self.links.open("10.0.0.1", 7000)
         self.wire = Wire()
         self.link = PeerLink(PEER, self.wire, self.links, dialled=True)
         self.links._add(self.link)
--- a/tests/coordination/mesh/test_process.py
+++ b/tests/coordination/mesh/test_process.py
@@ -1,7 +1,7 @@
 import asyncio
 
 from gentianthread.clock import LoopClock
-from gentianthread.coordination.mesh.process import leave
+from gentianthread.coordination.mesh.process import LEAVE_LEAST_MS, leave
 
 from ...base import VirtualTimeTestCase
 
@@ -22,6 +22,10 @@
         self.draining = True
         self.told.append(("drain", round(self.clock.now_ms())))
 
+    def refuse_callers(self):
+        if ("refuse", LEAVE_LEAST_MS) not in self.told:
+            self.told.append(("refuse", round(self.clock.now_ms())))
+
     @property
     def busy(self):
         return self.clock.now_ms() < self.busy_until_ms
@@ -37,7 +41,7 @@
     async def test_target_drains_last(self):
         """Guards against a target that is idle while its node only waits for callers."""
         told, ended_ms = await self.stop(6_000.0)
-        self.assertEqual([("leave", 0.0), ("drain", 1_800)], told)
+        self.assertEqual([("leave", 0.0), ("drain", 1_800), ("refuse", 2_300)], told)
         self.assertEqual(2_300, ended_ms)
 
     async def test_work_under_way_ends_first_within_the_grace_period(self):
