--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -7,20 +7,21 @@
 
 from ...clock import Clock
 from ...decisions import DecisionLog
-from ...errors import ConnectionLost, PeerUnreachable, TransportError
-from ...events import ATTEMPT_FAILED, TASK_FAILED
+from ...errors import PeerUnreachable, TransportError
+from ...events import ATTEMPT_FAILED
 from ...ids import OrganisationId, ServiceId, UpstreamId
-from ...logs import log
 from ...metrics import Metrics
 from ...protocol.messages_mesh import RunAnswer, RunOutcome, RunRequest
-from ...state.balancer import Balancer, LoadReport
+from ...state.balancer import Balancer
 from ...state.directory import Directory, UpstreamEntry
 from ...state.fleet_plan import HostRoute
 from ...state.overload_level import KnownLevels
 from ...state.retry_window import RetryWindow
 from ...transport.callbacks import Cancellable
+from .outcomes import as_answer, refused
 from .peer_link import OnEnd, PeerLink
 from .peers import PeerLinks
+from .started_forward import StartedForward
 from .target import TargetSide
 
 # Nodes that may refuse one request before it is refused to its caller: asking a third one helps
@@ -190,7 +191,9 @@
             self.called.add(pending.service_id)
         window = self.window(pending.service_id)
         window.record_request(now_ms)
-        run = StartedForward(self, Attempts(pending, window, _no_upstream()), deliver)
+        run = StartedForward(
+            self, Attempts(pending, window, refused("no upstream is left")), deliver
+        )
         run.begin()
         return run
 
@@ -271,7 +274,7 @@
         try:
             result = await self._send(attempts, entry)
         except PeerUnreachable:
-            return self._end_attempt(attempts, entry, _refused("peer is unreachable"))
+            return self._end_attempt(attempts, entry, refused("peer is unreachable"))
         except asyncio.CancelledError:
             self.abandon_attempt(entry)
             raise
@@ -323,7 +326,7 @@
             entry: The upstream of this one.
             result: An answer, or the error of a link.
         """
-        pending, answer = attempts.pending, _as_answer(result)
+        pending, answer = attempts.pending, as_answer(result)
         if answer.outcome is RunOutcome.NOT_SENT:
             self._take_back(attempts)
         elif answer.outcome is RunOutcome.REJECTED:
@@ -398,101 +401,3 @@
             reason=answer.reason or answer.status,
             again=again,
         )
-
-
-_NO_LOAD = LoadReport(0, 0, 0, 0.0, 0.0)
-
-
-def _no_upstream() -> RunAnswer:
-    return _refused("no upstream is left")
-
-
-def _refused(reason: str) -> RunAnswer:
-    return RunAnswer(0, RunOutcome.NOT_SENT, reason, 0, "", b"", False, _NO_LOAD, 0)
-
-
-def _unknown(reason: str) -> RunAnswer:
-    return RunAnswer(0, RunOutcome.UNKNOWN, reason, 0, "", b"", False, _NO_LOAD, 0)
-
-
-def _as_answer(result: RunAnswer | Exception) -> RunAnswer:
-    """Return the outcome of an attempt as an answer; a fault leaves open whether it ran."""
-    if isinstance(result, RunAnswer):
-        return result
-    if isinstance(result, PeerUnreachable):
-        return _refused("link closed")
-    return _unknown(result.problem if isinstance(result, ConnectionLost) else str(result))
-
-
-class StartedForward:
-    """Follow the attempts of one request; only those after the first need a task."""
-
-    def __init__(
-        self, forwarder: Forwarder, attempts: Attempts, deliver: Callable[[RunAnswer], None]
-    ):
-        """Use `Forwarder.start` to create one."""
-        self._forwarder = forwarder
-        self._attempts = attempts
-        self._deliver = deliver
-        self._entry: UpstreamEntry | None = None
-        self._work: Cancellable | None = None
-        self._ended = False
-
-    def begin(self) -> None:
-        """Make the first attempt."""
-        entry = self._entry = self._forwarder.next_upstream(self._attempts)
-        if entry is not None:
-            self._work = self._forwarder.start_attempt(self._attempts, entry, self._end_first)
-        if self._work is None:
-            self._entry = None
-            self._work = asyncio.ensure_future(self._go_on(entry))
-
-    def _end_first(self, result: RunAnswer | Exception) -> None:
-        if self._ended:
-            return
-        entry, self._entry = self._entry, None
-        try:
-            answer = self._forwarder.settle_attempt(self._attempts, entry, result)
-            final = self._forwarder.judge(self._attempts, entry, answer)
-            if final is None:
-                following = self._forwarder.next_upstream(self._attempts)
-                self._work = asyncio.ensure_future(self._go_on(following))
-            else:
-                self._finish(final)
-        except Exception as error:
-            # Raised on, it would end the link and with it the requests of others.
-            self._fail(error)
-
-    async def _go_on(self, entry: UpstreamEntry | None) -> None:
-        """Make the attempts that are left, the first of them at an upstream that was chosen."""
-        forwarder, attempts = self._forwarder, self._attempts
-        try:
-            while entry is not None:
-                answer = await forwarder.attempt(attempts, entry)
-                final = forwarder.judge(attempts, entry, answer)
-                if final is not None:
-                    self._finish(final)
-                    return
-                entry = forwarder.next_upstream(attempts)
-            self._finish(attempts.last)
-        except Exception as error:
-            self._fail(error)
-
-    def _fail(self, error: Exception) -> None:
-        log(TASK_FAILED, task=f"forward {self._attempts.pending.request_id}", error=repr(error))
-        if not self._ended:
-            self._finish(_unknown("fault of the node"))
-
-    def _finish(self, answer: RunAnswer) -> None:
-        # Work and its callback refer to each other; the collector would have to find them.
-        self._ended, self._work = True, None
-        self._deliver(answer)
-
-    def cancel(self) -> None:
-        """Stop the present attempt; nothing is delivered."""
-        if self._ended:
-            return
-        self._ended = True
-        self._work.cancel()
-        if self._entry is not None:
-            self._forwarder.abandon_attempt(self._entry)
