Free closed connections without the garbage collector

Cause: parser and connection refer to each other, so that each closed connection, with its parser and last head, stayed until the collector ran after 20,000 objects.

Change: the reference is dropped when the connection is lost. The test fails before.

--- a/gentianthread/transport/http_pipeline.py
+++ b/gentianthread/transport/http_pipeline.py
@@ -166,6 +166,8 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.transport = None
+        # Parser and connection refer to each other; the collector would have to find them.
+        self._parser = None
         self._listener.connections.discard(self)
         self._closing = True
         self._cancel_pending()
--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -259,6 +259,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the present exchange."""
         self.transport = None
+        # Parser and connection refer to each other; the collector would have to find them.
+        self._parser = None
         self.reusable = False
         self._fail("closed" if exc is None else str(exc))
 
--- a/tests/transport/test_http_pipeline.py
+++ b/tests/transport/test_http_pipeline.py
@@ -1,6 +1,9 @@
 import asyncio
+import gc
+import weakref
 
 from gentianthread.clock import SystemClock
+from gentianthread.standins.mesh import wait_until
 from gentianthread.state.fleet_plan import CallerLimits
 from gentianthread.transport.http_pipeline import PipelineListener, WholeAnswer, in_task
 
@@ -171,3 +174,19 @@
         paths = [(await self.read(reader))[1]["X-Path"] for _ in range(500)]
         self.assertEqual([f"/{number}" for number in range(500)], paths)
         await self.listener.close()
+
+    async def test_closed_connections_need_no_collector(self):
+        """Guards against memory that refused callers fill, each on a connection of its own."""
+        reader, writer = await self.open(self.echo)
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        await self.read(reader)
+        connection = weakref.ref(next(iter(self.listener.connections)))
+        gc.disable()
+        try:
+            writer.close()
+            await wait_until(lambda: not self.listener.connections)
+            await asyncio.sleep(0)
+            self.assertIsNone(connection())
+        finally:
+            gc.enable()
+        await self.listener.close()
