--- a/tests/coordination/mesh/process_soak.py
+++ b/tests/coordination/mesh/process_soak.py
@@ -48,6 +48,14 @@
 # silent is noticed only later.
 SLACK_S = 0.3
 
+# Seeds that failed once, with the cause.
+REGRESSIONS = {
+    1: "an order was sent over a link that had gone silent while it was idle",
+    3: "a stopping sidecar took requests until its grace period was over, and cut them off",
+    6: "as seed 3",
+    100: "silent links stayed in place though new connections worked",
+}
+
 SETTINGS = """
 [node]
 host = {host}
@@ -364,4 +372,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(ProcessSoak))
+    sys.exit(main(ProcessSoak, REGRESSIONS))
--- a/tests/coordination/mesh/soak.py
+++ b/tests/coordination/mesh/soak.py
@@ -41,6 +41,9 @@
 LAST_CALLS = 40
 PAUSES_S = (0.05, 0.25)
 
+# Seeds that failed once, with the cause.
+REGRESSIONS = {19: "503 three seconds after the last fault; cause not known, see KNOWN-RED.txt"}
+
 # Statuses by which a node says that no upstream has run the request.
 NOT_RUN = frozenset((401, 404, 429, 503))
 
@@ -294,14 +297,23 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + call.body
 
 
-def main(kind: type[Soak] = Soak) -> int:
-    """Play seeds one after the other and return 1 if anything broke."""
+def main(kind: type[Soak] = Soak, regressions: dict[int, str] = REGRESSIONS) -> int:
+    """Play seeds one after the other and return 1 if anything broke.
+
+    Args:
+        kind: What plays a seed.
+        regressions: Seeds that failed once, with the cause.
+    """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--regressions", action="store_true", help="play the seeds that failed")
     options = parser.parse_args()
+    seeds = list(range(options.first, options.first + options.seeds))
+    if options.regressions:
+        seeds = list(regressions)
     bad = 0
-    for seed in range(options.first, options.first + options.seeds):
+    for seed in seeds:
         soak = kind(seed)
         asyncio.run(soak.play())
         statuses = sorted({call.status for call in soak.calls})
@@ -312,7 +324,7 @@
         for text in soak.broken:
             print(f"  {text}")
         bad += bool(soak.broken)
-    print(f"{options.seeds} seeds, {bad} broken")
+    print(f"{len(seeds)} seeds, {bad} broken")
     return 1 if bad else 0
 
 
--- a/tests/coordination/mesh/test_process_soak.py
+++ b/tests/coordination/mesh/test_process_soak.py
@@ -1,8 +1,8 @@
 from ...base import SocketTestCase
 from .process_soak import ProcessSoak
 
-# By hand: `python -m tests.coordination.mesh.process_soak --seeds 50`.
-SEEDS = (0,)
+# By hand: `python -m tests.coordination.mesh.process_soak --seeds 50`, or `--regressions`.
+SEEDS = (0, 3)
 
 
 class TestProcessSoak(SocketTestCase):
