--- a/gentianthread/coordination/mesh/started_forward.py
+++ b/gentianthread/coordination/mesh/started_forward.py
@@ -71,10 +71,11 @@
 
     def _fail(self, error: Exception) -> None:
         log(TASK_FAILED, task=f"forward {self._attempts.pending.request_id}", error=repr(error))
-        if not self._ended:
-            self._finish(unknown("fault of the node"))
+        self._finish(unknown("fault of the node"))
 
     def _finish(self, answer: RunAnswer) -> None:
+        if self._ended:
+            return
         # Work and its callback refer to each other; the collector would have to find them.
         self._ended, self._work = True, None
         self._deliver(answer)
