--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -161,7 +161,7 @@
         """Write down how a request ended and return its answer."""
         self.running -= 1
         took_ms = self.clock.now_ms() - run.started_ms
-        self.metrics.count(_counter_of(reply.status))
+        self.metrics.count(f"entry.status.{reply.status}")
         self.metrics.timing_ms("entry.took_ms", took_ms)
         if reply.reason:
             pending = run.pending
@@ -314,14 +314,3 @@
         shortest_ms, longest_ms = RETRY_AFTER_MS
         wait_ms = least_ms + shortest_ms + (longest_ms - shortest_ms) * self.random.random()
         return EntryReply(status, reason, [(self.dialect.retry_after, f"{wait_ms / 1000:.3f}")])
-
-
-_counters: dict[int, str] = {}
-
-
-def _counter_of(status: int) -> str:
-    """Return the name of the counter of a status."""
-    name = _counters.get(status)
-    if name is None:
-        name = _counters[status] = f"entry.status.{status}"
-    return name
