Fill targets that have few slots

Cause: the node leaves 5% of the slots empty, since some targets slow down when nearly full, and rounded the limit down. A target with two slots ran one request at a time, so that the narrowest service of the large deployment (50 upstreams with two slots each) had half of its capacity, and all kinds of requests lead there. Ruled out: the queue at the node (requests waited while a slot was empty) and the upstreams themselves (at 1.3 times the time when full, two slots complete 1.54 times as much as one). Change: targets with at most four slots are filled.

--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -15,6 +15,7 @@
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
 from ...state.overload_level import LevelControl
+from ...state.usable_slots import usable_slots
 from ...state.work_queue import QueuedWork, WorkQueue
 from ...transport.header_fields import render_fields
 from ...transport.target_connection import TargetRequest, make_request
@@ -26,9 +27,6 @@
 )
 from .started_run import StartedRun
 
-# Fraction of the target's slots that the node fills: some targets slow down when nearly full.
-USABLE_SLOT_FRACTION = 0.95
-
 # Fraction of its remaining time that a request may wait for a slot. Inner calls may wait longer,
 # since refusing them wastes the work that other targets have done before.
 ROOT_WAIT_FRACTION = 0.3
@@ -116,7 +114,7 @@
 
     def _update_limit(self) -> None:
         entry = self.directory.find_by_address(*self.address)
-        self._limit = 1 if entry is None else max(1, int(entry.slots * USABLE_SLOT_FRACTION))
+        self._limit = 1 if entry is None else usable_slots(entry.slots)
         self._dispatch(self.clock.now_ms())
 
     def limit(self) -> int:
