Let two nodes watch the store, and start the others from peers

Cause: the store charges for every call, and the calls grew with the fleet. At the start each node read the configuration and all pages and watched until its zone was listed (about eight calls a node), six zones had a watcher each, and in an outage all nodes called every 0.15 to 0.7 s. Change: state/feed_plan.py chooses the watchers (the heads of two zones) and whom each node follows; a starting node reads one page that may be outdated, only to find nodes to follow, so that nothing outdated is put in force. States carry the age of the store's last answer, which is right over any number of nodes. Nodes without a feed call the store in the order of their positions and then at a rate that is bounded for each zone.

Found on the way: a node that restarts does not know what was removed before its first read, and its followers kept an upstream that had left. It now sends all documents to such followers. The test failed first. Found by a test that failed once (lapsed entries kept): a node that makes its first call after an outage did not know that there had been one; the states of its sources now tell it. With a test without network.

--- a/gentianthread/coordination/mesh/feeds.py
+++ b/gentianthread/coordination/mesh/feeds.py
@@ -1,13 +1,14 @@
-"""Distribute document changes from one watching node per availability zone to the others.
+"""Distribute document changes from the few nodes that watch the store to all others.
 
-The store charges for every call, and a change ends the watches of all waiting nodes. Therefore one
-node of each zone, chosen by rendezvous hashing, watches the store and forwards changes to the zone,
-where traffic is free. Each node also receives the known revision from the watcher of another zone.
-A node that receives neither feed watches the store itself.
+`state.feed_plan` chooses the watchers and whom each node follows. Every node knows how long ago the
+store last answered one of the nodes that its changes come through. A node for which this was too
+long ago calls the store itself, and tells its sources about the answers.
 """
 
 from collections.abc import Callable
 
+import attrs
+
 from ...clock import Clock
 from ...errors import PeerUnreachable
 from ...events import FEED_CHANGED
@@ -21,33 +22,49 @@
     FollowFeed,
 )
 from ...state.directory import Directory
-from ...state.rendezvous import choose
+from ...state.feed_plan import FeedPlan, plan_feeds
 from ...transport.metadata_store import Document
 from .peer_link import PeerLink
 from .peers import PeerLinks
 
-# Interval at which watchers send their state and followers choose their watchers.
+# Interval at which watchers send their state and nodes choose whom they follow.
 FEED_INTERVAL_MS = 400.0
 
-# A feed is lost after this time without a state message. A watcher cut off from the store reports
-# it within 1.4 s and an unreachable watcher is noticed after 0.8 s; the allowed delay is 2 s.
-FEED_TIMEOUT_MS = 700.0
-
 # Maximum duration of one watch by a watcher, so that it soon detects an unresponsive store.
 WATCHER_MAX_WAIT_MS = 700.0
 
-# A watcher reports that it is out of touch when the store's last answer is older than this.
-STORE_CONTACT_MS = 1_000.0
+# A feed is lost if the store's last known answer is older. While all is well it is at most as old
+# as a watch and an interval between states take together; the allowed delay of a change is 2 s.
+CONTACT_MAX_AGE_MS = 1_400.0
 
-# Time after startup during which a node waits for its feed instead of watching the store.
+# Time after startup during which a node waits for its feed instead of calling the store.
 STARTUP_WAIT_MS = 1_200.0
 
+# Time for which a node that took over goes on watching after its last loss of the feeds.
+DEPUTY_MS = 3_000.0
+
+# Age that is reported while no answer of the store is known.
+NO_CONTACT_AGE_MS = 3_600_000.0
+
+
+@attrs.define
+class _Contact:
+    """Store the last state of a node that is followed or that took over.
+
+    Attributes:
+        store_answered_ms: When the store answered, as far as that node knows.
+        received_ms: When the state arrived.
+    """
+
+    store_answered_ms: float
+    received_ms: float
+
 
 class DocumentFeeds:
-    """Follow the watcher of the local zone, or act as that watcher.
+    """Receive changes from other nodes, forward them, and decide whether to call the store.
 
     Attributes:
-        watching: Whether this node watches the store for its zone.
+        plan: This node's part; see `state.feed_plan`.
     """
 
     def __init__(
@@ -58,7 +75,7 @@
         peers: PeerLinks,
         revision: Callable[[], int],
         store_answered_ms: Callable[[], float],
-        changed_after: Callable[[int], list[Document]],
+        changed_after: Callable[[int], list[Document] | None],
         lapsing: Callable[[], bool],
         clock: Clock,
     ):
@@ -71,7 +88,8 @@
             peers: Links to the other nodes.
             revision: Returns the revision of the known documents.
             store_answered_ms: Returns when the store last answered this node.
-            changed_after: Returns the documents changed after a revision, including removals.
+            changed_after: Returns the documents changed after a revision, including removals, or
+                None if not all removals since then are known.
             lapsing: Returns whether missing entries may soon be listed again after an outage.
             clock: Clock for intervals and timeouts.
         """
@@ -84,57 +102,96 @@
         self.changed_after = changed_after
         self.lapsing = lapsing
         self.clock = clock
-        self.watching = True
-        self.started_ms = clock.now_ms()
+        self.plan = FeedPlan()
+        # Answers followers that lack more than the known changes; the follower sets it.
+        self.send_documents: Callable[[PeerLink], None] = lambda link: None
+        self._started_ms = clock.now_ms()
+        self._deputy_until_ms = float("-inf")
+        # Nodes of an outdated page of entries, used until the directory has entries.
+        self._startup_hosts: dict[AvailabilityZoneId, list[str]] = {}
+        # Nodes for which the plan was made.
+        self._planned_hosts: dict[AvailabilityZoneId, set[str]] = {}
         # The last revision sent to each follower; None for followers that receive only the state.
         self._followers: dict[PeerLink, int | None] = {}
-        self._sources: tuple[str, ...] = ()
         self._source_links: dict[str, PeerLink] = {}
-        self._last_state_ms: dict[str, float] = {}
+        self._contacts: dict[PeerLink, _Contact] = {}
+
+    @property
+    def watching(self) -> bool:
+        """Return whether this node watches the store for others."""
+        return self.plan.watching or self.clock.now_ms() < self._deputy_until_ms
 
     async def run(self) -> None:
-        """Choose and follow watchers, and send the state to followers, until cancelled."""
+        """Choose and follow sources, and send the state to followers, until cancelled."""
         while True:
             await self.clock.sleep_ms(FEED_INTERVAL_MS)
-            if self.revision():
-                self._choose_sources()
-                await self._follow_sources()
+            await self.refresh()
+            if self.watching or self.store_answered_ms() >= self._contact_ms():
                 self.send_state()
 
+    async def refresh(self) -> None:
+        """Choose the sources by the nodes that are known now, and follow them."""
+        self._choose_sources()
+        await self._follow_sources()
+
+    async def start_with(self, hosts_by_zone: dict[AvailabilityZoneId, list[str]]) -> None:
+        """Follow nodes of a possibly outdated list until the directory has entries.
+
+        Args:
+            hosts_by_zone: Addresses of nodes by availability zone.
+        """
+        self._startup_hosts = hosts_by_zone
+        await self.refresh()
+
     def is_lost(self) -> bool:
-        """Return whether this node must watch the store because it receives no feed."""
+        """Return whether no node that this one follows was recently answered by the store."""
         now_ms = self.clock.now_ms()
-        if now_ms - self.started_ms < STARTUP_WAIT_MS:
+        if now_ms - self._started_ms < STARTUP_WAIT_MS:
             return False
-        return not any(self._is_live(host, now_ms) for host in self._sources)
+        return now_ms - max(self.store_answered_ms(), self._contact_ms()) > CONTACT_MAX_AGE_MS
 
-    def _is_live(self, host: str, now_ms: float) -> bool:
-        link = self._source_links.get(host)
-        if link is None or link.closed:
-            return False
-        return now_ms - self._last_state_ms.get(host, float("-inf")) <= FEED_TIMEOUT_MS
+    def is_outage_reported(self) -> bool:
+        """Return whether a node that sends its state reports that the store does not answer."""
+        self._contact_ms()
+        oldest_ms = self.clock.now_ms() - CONTACT_MAX_AGE_MS
+        return any(contact.store_answered_ms < oldest_ms for contact in self._contacts.values())
+
+    def _contact_ms(self) -> float:
+        """Return when the store last answered a node that sends its state to this one."""
+        now_ms = self.clock.now_ms()
+        newest_ms = float("-inf")
+        for link, contact in list(self._contacts.items()):
+            if link.closed or now_ms - contact.received_ms > CONTACT_MAX_AGE_MS:
+                del self._contacts[link]
+            else:
+                newest_ms = max(newest_ms, contact.store_answered_ms)
+        return newest_ms
 
     def _choose_sources(self) -> None:
-        """Choose the watcher of the local zone and that of one other zone."""
-        hosts_by_zone: dict[AvailabilityZoneId, list[str]] = {}
-        for entry in self.directory.entries.values():
-            if entry.host == self.host or self.peers.reachable(entry.host):
-                hosts_by_zone.setdefault(entry.availability_zone, []).append(entry.host)
-        watchers = {zone: choose("watch", hosts) for zone, hosts in hosts_by_zone.items()}
-        local = watchers.pop(self.availability_zone, self.host)
-        remote = choose(self.host, watchers.values())
-        self.watching = local == self.host
-        sources = tuple(host for host in (local, remote) if host not in (None, self.host))
-        if sources != self._sources:
-            log(FEED_CHANGED, sources=", ".join(sources) or "none", watching=self.watching)
-            self._sources = sources
-            self._last_state_ms = {
-                host: at for host, at in self._last_state_ms.items() if host in sources
-            }
+        hosts_by_zone = self._reachable_hosts()
+        if hosts_by_zone == self._planned_hosts:
+            return
+        self._planned_hosts = hosts_by_zone
+        plan = plan_feeds(self.host, self.availability_zone, hosts_by_zone)
+        if (plan.sources, plan.watching) != (self.plan.sources, self.plan.watching):
+            log(FEED_CHANGED, sources=", ".join(plan.sources) or "none", watching=plan.watching)
+        if plan.sources != self.plan.sources:
             self._source_links.clear()
+        self.plan = plan
+
+    def _reachable_hosts(self) -> dict[AvailabilityZoneId, set[str]]:
+        hosts_by_zone: dict[AvailabilityZoneId, set[str]] = {}
+        for entry in self.directory.entries.values():
+            hosts_by_zone.setdefault(entry.availability_zone, set()).add(entry.host)
+        if not hosts_by_zone:
+            hosts_by_zone = {zone: set(hosts) for zone, hosts in self._startup_hosts.items()}
+        return {
+            zone: {host for host in hosts if host == self.host or self.peers.reachable(host)}
+            for zone, hosts in hosts_by_zone.items()
+        }
 
     async def _follow_sources(self) -> None:
-        for index, host in enumerate(self._sources):
+        for index, host in enumerate(self.plan.sources):
             try:
                 link = await self.peers.link_to(host)
             except PeerUnreachable:
@@ -142,17 +199,29 @@
                 continue
             if self._source_links.get(host) is not link:
                 self._source_links[host] = link
-                takes_changes = index == 0 and not self.watching
+                takes_changes = index == 0 and not self.plan.watching
                 link.post(FollowFeed(self.revision(), takes_changes))
 
     def send_state(self) -> None:
-        """Send the known revision to all followers, and whether the store answers this node."""
-        in_touch = self.clock.now_ms() - self.store_answered_ms() < STORE_CONTACT_MS
+        """Send the known revision and the age of the store's last answer to all followers."""
+        state = self._state()
         for link in list(self._followers):
             if link.closed:
                 del self._followers[link]
             else:
-                link.post(FeedState(self.revision(), in_touch))
+                link.post(state)
+
+    def _state(self) -> FeedState:
+        age_ms = self.clock.now_ms() - max(self.store_answered_ms(), self._contact_ms())
+        return FeedState(self.revision(), min(age_ms, NO_CONTACT_AGE_MS))
+
+    def take_over(self) -> None:
+        """Watch the store for the sources after it answered this node while they had no contact."""
+        self._deputy_until_ms = self.clock.now_ms() + DEPUTY_MS
+        for link in self._source_links.values():
+            if not link.closed:
+                self._followers.setdefault(link, None)
+        self.send_state()
 
     def send_changes(self) -> None:
         """Send new changes to the followers that receive them; called after each change."""
@@ -162,29 +231,36 @@
                 self._send_changes_to(link, sent_revision)
 
     def _send_changes_to(self, link: PeerLink, base: int) -> None:
+        self._followers[link] = self.revision()
+        changed = self.changed_after(base)
+        if changed is None:
+            self.send_documents(link)
+            return
         changes = tuple(
-            DocumentChange(document.key, document.data, document.revision)
-            for document in self.changed_after(base)
+            DocumentChange(document.key, document.data, document.revision) for document in changed
         )
-        self._followers[link] = self.revision()
         link.post(DocumentChanges(base, self.revision(), changes, self.lapsing()))
 
     def on_follow(self, link: PeerLink, request: FollowFeed) -> None:
-        """Register a follower and send it the changes it lacks."""
+        """Register a follower and send it the changes it lacks, and the state."""
         self._followers[link] = request.revision if request.takes_changes else None
         if request.takes_changes and request.revision < self.revision():
             self._send_changes_to(link, request.revision)
+        link.post(self._state())
 
     def on_state(self, link: PeerLink, state: FeedState) -> None:
-        """Record the state of a watcher."""
-        if state.in_touch and link.host in self._sources:
-            self._last_state_ms[link.host] = self.clock.now_ms()
-        else:
-            self._last_state_ms.pop(link.host, None)
+        """Record the state of a source or of a node that took over, and forward the news."""
+        now_ms = self.clock.now_ms()
+        was_lost = self.is_lost()
+        self._contacts[link] = _Contact(now_ms - state.store_age_ms, now_ms)
+        # Watchers that follow each other must not answer every state with one of their own.
+        from_source = link.host == next(iter(self.plan.sources), None)
+        if was_lost != self.is_lost() or (from_source and not self.watching):
+            self.send_state()
         if state.revision < self.revision():
-            # A watcher that the store refuses learns of newer documents from its followers.
+            # A node that the store refuses learns of newer documents from its followers.
             link.post(self.peers.make_probe(reply=True))
 
     def request_documents(self, link: PeerLink) -> None:
-        """Request all documents from a watcher whose changes start after the known revision."""
+        """Request all documents from a node whose changes start after the known revision."""
         link.post(DocumentsWanted(self.revision()))
--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -14,7 +14,7 @@
     STORE_REGAINED,
     UPSTREAM_CHANGED,
 )
-from ...ids import UpstreamId
+from ...ids import AvailabilityZoneId, UpstreamId
 from ...logs import log
 from ...metrics import Metrics
 from ...protocol.messages_mesh import (
@@ -54,6 +54,10 @@
 # Interval at which a node that follows a feed checks that the feed is alive.
 FEED_CHECK_MS = 100.0
 
+# Initial and maximum interval at which a starting node looks for other nodes in the store; it
+# doubles on each try, with jitter.
+SAMPLE_INTERVAL_RANGE_MS = (200.0, 1_200.0)
+
 # Delay before newer documents are fetched from a peer; usually the node's own watch or feed
 # delivers them first.
 PEER_FETCH_DELAY_MS = 500.0
@@ -105,14 +109,19 @@
         self.documents: dict[str, Document] = {}
         self.feeds: DocumentFeeds | None = None
         self.store_answered_ms = float("-inf")
-        # Revisions at which documents were removed, for followers that lack the removal.
+        # Revisions at which documents were removed, for followers that lack the removal, and the
+        # revision of the first read, before which removals are not known.
         self._removed_revisions: dict[str, int] = {}
+        self._removals_known_from = 0
+        # Whether this node has lost its feeds and called the store since.
+        self._called_without_feed = False
         self._watch: asyncio.Future | None = None
         # A peer that knows a newer revision, that revision, and when it was first reported.
         self._newer_peer: tuple[PeerLink, int, float] | None = None
         self._outage_started_ms: float | None = None
         self._outage_ended_ms = float("-inf")
         self._backoff_ms = BACKOFF_RANGE_MS[0]
+        self._sample_interval_ms = SAMPLE_INTERVAL_RANGE_MS[0]
 
     async def run(self) -> None:
         """Follow the store or a feed until cancelled."""
@@ -133,15 +142,12 @@
             self._fetch_from_peer()
 
     async def _follow_once(self) -> None:
+        if not await self._is_own_call_due():
+            return
         if not self.revision:
             await self._read_all()
             return
-        if self.feeds is not None and not self.feeds.watching and not self.feeds.is_lost():
-            await self.clock.sleep_ms(FEED_CHECK_MS)
-            return
-        wait_ms = WATCH_MAX_WAIT_MS
-        if self.feeds is not None and self.feeds.watching:
-            wait_ms = WATCHER_MAX_WAIT_MS
+        wait_ms = WATCH_MAX_WAIT_MS if self.feeds is None else WATCHER_MAX_WAIT_MS
         self.metrics.count("store.calls")
         self._watch = asyncio.ensure_future(self.store.watch(self.revision, wait_ms))
         # `on_documents` cancels only the watch; cancelling this task must cancel the watch as well.
@@ -158,6 +164,55 @@
         if read.documents:
             await self.clock.sleep_ms(BATCH_DELAY_MS)
 
+    async def _is_own_call_due(self) -> bool:
+        """Return whether this node must call the store, after waiting a little if it need not."""
+        feeds = self.feeds
+        if feeds is None or feeds.watching:
+            return True
+        if not self.revision and not (feeds.plan.sources and feeds.is_lost()):
+            await self._look_for_nodes()
+            return False
+        if not feeds.is_lost():
+            self._note_feed_return()
+            await self.clock.sleep_ms(FEED_CHECK_MS)
+            return False
+        if feeds.is_outage_reported():
+            # This node's first call may come after the outage, and must know of it then.
+            self._note_outage("reported by the nodes that this one follows")
+        if feeds.plan.position == 0:
+            return True
+        if self._called_without_feed:
+            delay_ms = feeds.plan.next_call_delay_ms(self.random.random())
+        else:
+            delay_ms = feeds.plan.first_call_delay_ms()
+        while delay_ms > 0:
+            step_ms = min(FEED_CHECK_MS, delay_ms)
+            await self.clock.sleep_ms(step_ms)
+            delay_ms -= step_ms
+            if not feeds.is_lost() or feeds.watching:
+                return False
+        self._called_without_feed = True
+        return True
+
+    async def _look_for_nodes(self) -> None:
+        """Find nodes to follow in a page of the store; their feeds bring all documents."""
+        self.metrics.count("store.sampled")
+        page = await self.store.sample_entries()
+        hosts_by_zone: dict[AvailabilityZoneId, list[str]] = {}
+        for document in page.documents:
+            try:
+                entry = self.reader.upstream(self.reader.upstream_id(document.key), document.data)
+            except DocumentError as error:
+                log(DOCUMENT_REFUSED, key=document.key, revision=page.revision, problem=str(error))
+                continue
+            hosts_by_zone.setdefault(entry.availability_zone, []).append(entry.host)
+        await self.feeds.start_with(hosts_by_zone)
+        if not self.feeds.watching:
+            await self.clock.sleep_ms(self._sample_interval_ms * (0.5 + self.random.random()))
+            self._sample_interval_ms = min(
+                SAMPLE_INTERVAL_RANGE_MS[1], self._sample_interval_ms * 2
+            )
+
     async def _read_all(self) -> None:
         try:
             self.metrics.count("store.calls")
@@ -169,26 +224,41 @@
         self._apply_snapshot(read, "store")
 
     async def _back_off(self, error: PlatformUnavailable) -> None:
-        if self._outage_started_ms is None:
-            self._outage_started_ms = self.clock.now_ms()
-            version = None if self.plan is None else self.plan.version
-            log(STORE_LOST, problem=str(error), version=version)
-            self.store_answered_ms = float("-inf")
-            if self.feeds is not None:
-                self.feeds.send_state()
+        self._note_outage(str(error))
         delay_ms = self._backoff_ms * (0.5 + self.random.random())
         self._backoff_ms = min(BACKOFF_RANGE_MS[1], self._backoff_ms * 2)
         await self.clock.sleep_ms(delay_ms)
 
+    def _note_outage(self, problem: str) -> None:
+        if self._outage_started_ms is not None:
+            return
+        self._outage_started_ms = self.clock.now_ms()
+        version = None if self.plan is None else self.plan.version
+        log(STORE_LOST, problem=problem, version=version)
+        self.store_answered_ms = float("-inf")
+        if self.feeds is not None:
+            self.feeds.send_state()
+
     def _note_store_answer(self) -> None:
         now_ms = self.clock.now_ms()
+        without_feed = self.feeds is not None and not self.feeds.watching and self.feeds.is_lost()
         self.store_answered_ms = now_ms
         self._backoff_ms = BACKOFF_RANGE_MS[0]
+        if without_feed:
+            self.feeds.take_over()
         if self._outage_started_ms is not None:
             log(STORE_REGAINED, away_ms=now_ms - self._outage_started_ms)
             self._outage_started_ms = None
             self._outage_ended_ms = now_ms
 
+    def _note_feed_return(self) -> None:
+        """Record that the store answers a node that this one follows."""
+        self._called_without_feed = False
+        self._backoff_ms = BACKOFF_RANGE_MS[0]
+        if self._outage_started_ms is not None:
+            log(STORE_REGAINED, away_ms=self.clock.now_ms() - self._outage_started_ms)
+            self._outage_started_ms = None
+
     @property
     def lapsing(self) -> bool:
         """Return whether the store returned so recently that missing entries may reappear."""
@@ -196,6 +266,8 @@
 
     def _apply_snapshot(self, read: StoreRead, source: str) -> None:
         """Replace the known documents by a complete read."""
+        if not self.revision:
+            self._removals_known_from = read.revision
         documents_by_key = {document.key: document for document in read.documents}
         for key in [key for key in self.documents if key not in documents_by_key]:
             if self.documents[key].revision <= read.revision:
@@ -219,8 +291,17 @@
         if lapsing and not self.lapsing:
             self._outage_ended_ms = self.clock.now_ms()
 
-    def changed_after(self, revision: int) -> list[Document]:
-        """Return the documents that changed after a revision, including removals."""
+    def changed_after(self, revision: int) -> list[Document] | None:
+        """Return the documents that changed after a revision, including removals.
+
+        Args:
+            revision: The revision; 0 if nothing is known, so that no removal matters.
+
+        Returns:
+            The documents, or None if removals after the revision may be unknown.
+        """
+        if 0 < revision < self._removals_known_from:
+            return None
         changed = [document for document in self.documents.values() if document.revision > revision]
         removed = [
             Document(key, None, at) for key, at in self._removed_revisions.items() if at > revision
@@ -232,6 +313,8 @@
         if message.base > self.revision and self.feeds is not None:
             self.feeds.request_documents(link)
         elif message.revision > self.revision:
+            if not self.revision:
+                self._removals_known_from = message.revision
             self._note_store_return(message.lapsing)
             documents = tuple(
                 Document(change.key, change.data, change.revision) for change in message.changes
@@ -323,8 +406,11 @@
 
     def on_documents_wanted(self, link: PeerLink, request: DocumentsWanted) -> None:
         """Send all documents to a peer with an older revision."""
-        if self.revision <= request.revision:
-            return
+        if self.revision > request.revision:
+            self.send_documents(link)
+
+    def send_documents(self, link: PeerLink) -> None:
+        """Send all documents to a peer."""
         copies = tuple(
             DocumentCopy(document.key, document.data, document.revision)
             for document in self.documents.values()
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -140,6 +140,7 @@
             clock,
         )
         self.follower.feeds = self.feeds
+        self.feeds.send_documents = self.follower.send_documents
         self.balancer = Balancer(settings.availability_zone, clock.now_ms, random)
         self.levels = KnownLevels(random)
         self.retry_windows: dict[ServiceId, RetryWindow] = {}
--- a/gentianthread/platform/store.py
+++ b/gentianthread/platform/store.py
@@ -90,6 +90,12 @@
                 return StoreRead(tuple(documents), revision)
             after = page_documents[-1].key
 
+    async def sample_entries(self) -> StoreRead:
+        """Read the first page of entries, which the store may answer from an outdated copy."""
+        page = await self._get(CALL_RANGE, {"prefix": UPSTREAM_PREFIX, "allow_stale": "1"})
+        documents = tuple(_document(item) for item in _list(page, "items"))
+        return StoreRead(documents, _revision(page))
+
     async def watch(self, revision: int, wait_ms: float) -> StoreRead:
         """Wait for changes to any item."""
         query = {"prefix": WATCH_PREFIX, "after": str(revision), "wait_ms": str(int(wait_ms))}
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -171,7 +171,7 @@
 @message(108)
 @attrs.frozen
 class FollowFeed:
-    """Subscribe to the state of a node that watches the store.
+    """Subscribe to the state of another node.
 
     Attributes:
         revision: Revision that the sender knows.
@@ -185,15 +185,15 @@
 @message(109)
 @attrs.frozen
 class FeedState:
-    """Report the state of a node that watches the store.
+    """Report what a node knows of the store to the nodes that follow it.
 
     Attributes:
         revision: Revision that the node knows.
-        in_touch: Whether the store has answered the node recently.
+        store_age_ms: Time since the store last answered the node or one that it follows.
     """
 
     revision: int
-    in_touch: bool
+    store_age_ms: float
 
 
 @message(110)
--- a/gentianthread/transport/metadata_store.py
+++ b/gentianthread/transport/metadata_store.py
@@ -74,6 +74,14 @@
             PlatformUnavailable: The store failed or did not respond in time.
         """
 
+    @abstractmethod
+    async def sample_entries(self) -> StoreRead:
+        """Return some entries of upstreams, possibly outdated, at a lower price than a full read.
+
+        Raises:
+            PlatformUnavailable: The store failed or did not respond in time.
+        """
+
     @abstractmethod
     async def watch(self, revision: int, wait_ms: float) -> StoreRead:
         """Wait for changes.
--- /dev/null
+++ b/tests/coordination/mesh/follower_fleet.py
@@ -0,0 +1,278 @@
+"""Run document followers over links in memory, on virtual time, beside a store that counts."""
+
+import asyncio
+from random import Random
+
+import attrs
+
+from gentianthread.clock import LoopClock
+from gentianthread.coordination.mesh.feeds import DocumentFeeds
+from gentianthread.coordination.mesh.follower import DocumentFollower
+from gentianthread.errors import PeerUnreachable, PlatformUnavailable
+from gentianthread.ids import UpstreamId
+from gentianthread.metrics import MemoryMetrics
+from gentianthread.protocol.messages_mesh import (
+    DocumentChanges,
+    Documents,
+    DocumentsWanted,
+    FeedState,
+    FollowFeed,
+    Probe,
+)
+from gentianthread.state.directory import Directory, UpstreamEntry
+from gentianthread.transport.metadata_store import (
+    Document,
+    DocumentKind,
+    DocumentReader,
+    MetadataStore,
+    StoreRead,
+)
+
+PLAN_KEY = "plan"
+PAGE_ENTRIES = 50
+STALE_CALL_PRICE = 0.1
+LINK_DELAY_S = 0.002
+
+
+@attrs.frozen
+class Version:
+    """Stand in for a plan, of which only the version matters here."""
+
+    version: int
+
+
+class Reader(DocumentReader):
+    """Decode entries of the form `host zone` and plans that are a version."""
+
+    def kind(self, key):
+        return DocumentKind.PLAN if key == PLAN_KEY else DocumentKind.UPSTREAM
+
+    def upstream_id(self, key):
+        return UpstreamId(key)
+
+    def plan(self, data):
+        return Version(int(data))
+
+    def upstream(self, upstream_id, data):
+        host, zone = data.decode().split()
+        return UpstreamEntry(upstream_id, "catalogue", host, 1, zone, 1)
+
+
+class CountingStore:
+    """Hold documents and add up the price of the calls.
+
+    Attributes:
+        charged: Calls so far; a read that may be outdated counts as `STALE_CALL_PRICE`.
+        down: Whether all calls fail.
+        refused: Hosts whose calls fail.
+    """
+
+    def __init__(self):
+        self.charged = 0.0
+        self.down = False
+        self.refused = set()
+        self.revision = 1
+        self.items = {}
+        self.events = []
+        self.changed = asyncio.Event()
+
+    def put(self, key, data):
+        self.revision += 1
+        if data is None:
+            self.items.pop(key)
+        else:
+            self.items[key] = Document(key, data, self.revision)
+        self.events.append(Document(key, data, self.revision))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class Client(MetadataStore):
+    """Call a `CountingStore` from one host."""
+
+    def __init__(self, store, host):
+        self.store = store
+        self.host = host
+
+    @classmethod
+    def connect(cls, host, port, source_address):
+        raise NotImplementedError
+
+    async def _charge(self, price=1.0):
+        self.store.charged += price
+        await asyncio.sleep(0.004)
+        if self.store.down or self.host in self.store.refused:
+            raise PlatformUnavailable("call", "status 503")
+
+    async def read_all(self):
+        entries = [item for key, item in self.store.items.items() if key != PLAN_KEY]
+        for _ in range(2 + len(entries) // PAGE_ENTRIES):
+            await self._charge()
+        return StoreRead(tuple(self.store.items.values()), self.store.revision)
+
+    async def sample_entries(self):
+        await self._charge(STALE_CALL_PRICE)
+        entries = [item for key, item in self.store.items.items() if key != PLAN_KEY]
+        return StoreRead(tuple(entries[:PAGE_ENTRIES]), self.store.revision)
+
+    async def watch(self, revision, wait_ms):
+        await self._charge()
+        end_s = asyncio.get_running_loop().time() + wait_ms / 1000
+        while True:
+            found = tuple(event for event in self.store.events if event.revision > revision)
+            if found:
+                return StoreRead(found, found[-1].revision)
+            try:
+                async with asyncio.timeout_at(end_s):
+                    await self.store.changed.wait()
+            except TimeoutError:
+                return StoreRead((), self.store.revision)
+
+    async def close(self):
+        pass
+
+
+class MemoryLink:
+    """Deliver messages to another node of the fleet."""
+
+    def __init__(self, fleet, local, host):
+        self.fleet = fleet
+        self.local = local
+        self.host = host
+        self._nodes = (fleet.nodes.get(local), fleet.nodes.get(host))
+
+    @property
+    def closed(self):
+        return (self.fleet.nodes.get(self.local), self.fleet.nodes.get(self.host)) != self._nodes
+
+    def post(self, message):
+        self.fleet.messages += 1
+        asyncio.get_running_loop().call_later(LINK_DELAY_S, self._deliver, message)
+
+    def _deliver(self, message):
+        if not self.closed:
+            node = self.fleet.nodes[self.host]
+            node.receive(node.peers.link(self.local), message)
+
+
+class MemoryPeers:
+    """Open links to the nodes of the fleet that run."""
+
+    def __init__(self, fleet, host):
+        self.fleet = fleet
+        self.host = host
+        self.links = {}
+
+    def reachable(self, host):
+        return host in self.fleet.nodes
+
+    async def link_to(self, host):
+        await asyncio.sleep(LINK_DELAY_S * 4)
+        if host not in self.fleet.nodes:
+            raise PeerUnreachable(UpstreamId(host))
+        return self.link(host)
+
+    def link(self, host):
+        """Return the link to a running node; one that restarted gets a new link."""
+        link = self.links.get(host)
+        if link is None or link.closed:
+            link = self.links[host] = MemoryLink(self.fleet, self.host, host)
+        return link
+
+    def make_probe(self, reply):
+        return Probe(self.fleet.nodes[self.host].follower.revision, False, reply)
+
+
+class FollowerNode:
+    """Run one follower with its feeds."""
+
+    def __init__(self, fleet, host, zone):
+        clock = LoopClock()
+        directory = Directory(clock.now_ms)
+        self.peers = MemoryPeers(fleet, host)
+        self.follower = DocumentFollower(
+            Client(fleet.store, host), Reader(), directory, clock, MemoryMetrics(), fleet.random
+        )
+        self.feeds = DocumentFeeds(
+            host,
+            zone,
+            directory,
+            self.peers,
+            lambda: self.follower.revision,
+            lambda: self.follower.store_answered_ms,
+            self.follower.changed_after,
+            lambda: self.follower.lapsing,
+            clock,
+        )
+        self.follower.feeds = self.feeds
+        self.feeds.send_documents = self.follower.send_documents
+        self.directory = directory
+        self.tasks = [
+            asyncio.ensure_future(work)
+            for work in (self.follower.run(), self.follower.maintain(), self.feeds.run())
+        ]
+
+    def receive(self, link, message):
+        if isinstance(message, FeedState):
+            self.feeds.on_state(link, message)
+            self.follower.note_peer_revision(link, message.revision)
+        elif isinstance(message, FollowFeed):
+            self.feeds.on_follow(link, message)
+        elif isinstance(message, DocumentChanges):
+            self.follower.on_changes(link, message)
+        elif isinstance(message, Documents):
+            self.follower.on_documents(link, message)
+        elif isinstance(message, DocumentsWanted):
+            self.follower.on_documents_wanted(link, message)
+        elif isinstance(message, Probe):
+            self.follower.note_peer_revision(link, message.revision)
+
+
+class FollowerFleet:
+    """Run the followers of a whole fleet.
+
+    Attributes:
+        nodes: Running nodes by host.
+        messages: Messages between nodes so far.
+    """
+
+    def __init__(self, size, zones, seed=1):
+        self.store = CountingStore()
+        self.random = Random(seed)
+        self.nodes = {}
+        self.messages = 0
+        self.zone_by_host = {
+            f"10.{place % zones}.0.{place}": f"zone-{place % zones}" for place in range(size)
+        }
+
+    def list_all(self, version=1):
+        """Publish a plan and the entries of all hosts."""
+        self.store.put(PLAN_KEY, str(version).encode())
+        for host, zone in self.zone_by_host.items():
+            self.store.put(f"up-{host}", f"{host} {zone}".encode())
+
+    def start(self, *hosts):
+        """Start the nodes of some hosts, or of all."""
+        for host in hosts or self.zone_by_host:
+            self.nodes[host] = FollowerNode(self, host, self.zone_by_host[host])
+
+    async def stop(self, *hosts):
+        """Stop the nodes of some hosts, or of all."""
+        stopped = [self.nodes.pop(host) for host in hosts or list(self.nodes)]
+        for node in stopped:
+            for task in node.tasks:
+                task.cancel()
+        await asyncio.gather(
+            *(task for node in stopped for task in node.tasks), return_exceptions=True
+        )
+
+    def ready(self):
+        """Return the number of nodes that are ready."""
+        return sum(node.follower.ready.is_set() for node in self.nodes.values())
+
+    def versions(self):
+        """Return the plan versions that the nodes use."""
+        return {
+            node.follower.plan.version if node.follower.plan else None
+            for node in self.nodes.values()
+        }
--- /dev/null
+++ b/tests/coordination/mesh/test_store_calls.py
@@ -0,0 +1,142 @@
+"""Pattern: a fleet of any size follows a store that charges for every call."""
+
+import asyncio
+
+from gentianthread.coordination.mesh.feeds import WATCHER_MAX_WAIT_MS
+
+from ...base import VirtualTimeTestCase
+from .follower_fleet import FollowerFleet
+
+# Calls of a whole calm day, and of the worst one, that the users' price leaves room for.
+CALM_DAY_CALLS = 200
+WORST_DAY_CALLS = 350
+
+# Duration of a day with the time before its traffic, and of the part of it that is measured.
+DAY_S = 42.0
+MEASURED_S = 2.8
+
+# Delay within which a change must be in force, and a node ready after its start.
+CHANGE_LIMIT_S = 2.0
+
+
+class TestStoreCalls(VirtualTimeTestCase):
+    async def run_fleet(self, size, zones=6):
+        fleet = FollowerFleet(size, zones)
+        fleet.list_all()
+        fleet.start()
+        await asyncio.sleep(2)
+        self.assertEqual(size, fleet.ready())
+        return fleet
+
+    async def test_calm_day_costs_the_same_at_every_size_but_for_the_start(self):
+        """Guards against calls that grow with the fleet, such as eight for the start of a node."""
+        charged = {}
+        for size in (30, 195, 675):
+            fleet = await self.run_fleet(size)
+            at_start = fleet.store.charged
+            self.assertLessEqual(at_start, 0.2 * size + 40)
+            await asyncio.sleep(MEASURED_S)
+            charged[size] = fleet.store.charged - at_start
+            day = at_start + charged[size] * DAY_S / MEASURED_S
+            self.assertLessEqual(day, CALM_DAY_CALLS + 0.2 * (size - 195))
+            await fleet.stop()
+        self.assertLessEqual(charged[675], charged[30] + 3)
+
+    async def test_entries_that_appear_after_the_nodes_cost_little(self):
+        """Guards against nodes that all watch the store until their zones are listed."""
+        fleet = FollowerFleet(195, 6)
+        fleet.start()
+        await asyncio.sleep(0.5)
+        fleet.list_all()
+        await asyncio.sleep(4)
+        self.assertEqual(195, fleet.ready())
+        self.assertLessEqual(fleet.store.charged, CALM_DAY_CALLS / 2)
+        await fleet.stop()
+
+    async def test_day_with_outage_and_two_restarts_of_all(self):
+        """Guards against an outage or a restart of all in which each node calls in a loop."""
+        fleet = await self.run_fleet(195)
+        hosts = list(fleet.nodes)
+        for _ in range(2):
+            await fleet.stop()
+            fleet.start(*hosts)
+            await asyncio.sleep(CHANGE_LIMIT_S)
+            self.assertEqual(195, fleet.ready())
+        fleet.store.down = True
+        await asyncio.sleep(4.5)
+        fleet.store.put("plan", b"2")
+        fleet.store.down = False
+        await asyncio.sleep(CHANGE_LIMIT_S)
+        self.assertEqual({2}, fleet.versions())
+        rest_of_day_s = DAY_S - asyncio.get_running_loop().time()
+        watches = 2 * rest_of_day_s * 1_000 / WATCHER_MAX_WAIT_MS
+        self.assertLessEqual(fleet.store.charged + watches, WORST_DAY_CALLS)
+        await fleet.stop()
+
+    async def test_change_arrives_while_the_store_refuses_a_third_of_the_nodes(self):
+        """Guards against zones that miss changes because the store refuses their watchers."""
+        fleet = await self.run_fleet(195)
+        hosts = sorted(fleet.nodes)
+        watchers = [host for host, node in fleet.nodes.items() if node.feeds.plan.watching]
+        fleet.store.refused = set(hosts[::3]) | set(watchers)
+        await asyncio.sleep(3)
+        fleet.store.put("plan", b"2")
+        await asyncio.sleep(CHANGE_LIMIT_S)
+        self.assertEqual({2}, fleet.versions())
+        await fleet.stop()
+
+    async def test_change_right_after_the_loss_of_both_watchers(self):
+        """Guards against a fleet that goes on without changes after its watchers are gone."""
+        fleet = await self.run_fleet(195)
+        watchers = [host for host, node in fleet.nodes.items() if node.feeds.plan.watching]
+        self.assertEqual(2, len(watchers))
+        await fleet.stop(*watchers)
+        fleet.store.put("plan", b"2")
+        await asyncio.sleep(CHANGE_LIMIT_S)
+        self.assertEqual({2}, fleet.versions())
+        await fleet.stop()
+
+
+class TestRemovals(VirtualTimeTestCase):
+    async def test_entry_that_lapsed_in_an_outage_is_kept_by_nodes_that_did_not_call(self):
+        """Guards against a service without upstreams after an outage in which entries lapsed.
+
+        A node that first calls the store after the outage must know that there was one.
+        """
+        fleet = FollowerFleet(6, 1)
+        fleet.list_all()
+        fleet.store.put("up-lapsed", b"10.0.9.9 zone-0")
+        fleet.start()
+        await asyncio.sleep(2)
+        fleet.store.down = True
+        await asyncio.sleep(1.0)
+        fleet.store.put("up-lapsed", None)
+        fleet.store.down = False
+        await asyncio.sleep(1.2)
+        kept = ["up-lapsed" in node.directory.entries for node in fleet.nodes.values()]
+        self.assertEqual([True] * 6, kept)
+        await fleet.stop()
+
+    async def test_restarted_head_passes_on_removals_from_before_its_start(self):
+        """Guards against an upstream that has left and stays in use after a node's restart.
+
+        A node that starts reads the documents as they are, so it does not know what was removed
+        before. A follower that missed the removal got the later changes only and kept the entry.
+        """
+        fleet = FollowerFleet(3, 1)
+        fleet.list_all()
+        fleet.store.put("up-left", b"10.0.9.9 zone-0")
+        fleet.start()
+        await asyncio.sleep(2)
+        head = next(host for host, node in fleet.nodes.items() if node.feeds.plan.watching)
+        followers = [node for host, node in fleet.nodes.items() if host != head]
+        # Only the restarted head sees the store, so that nobody learns of the removal from it.
+        fleet.store.refused = {host for host in fleet.nodes if host != head}
+        await fleet.stop(head)
+        fleet.store.put("up-left", None)
+        fleet.start(head)
+        await asyncio.sleep(3)
+        self.assertEqual(
+            [False, False], ["up-left" in node.directory.entries for node in followers]
+        )
+        await fleet.stop()
