Bound what a target sends without end, and restart failed background tasks

Looked for with tests; these could happen: interim responses without end (each one complete, so that none reached the limit of a head), a late copy of another answer without end, trailer fields and chunk extensions without end, and bodies on many connections at once, each below its own limit of 64 MB, which together exceed the memory of the instance (200 MB) and end the process. Ruled out: a head without end (bounded before), the time (each exchange ends with its request). Change: limits for bytes before a head and for framing; all incomplete bodies of a target share an eighth of the instance's memory (new setting `[limits] memory_mb`), and the connection with the longest one is closed. A late copy that is longer than a head no longer fails the answer after it. Four of the tests failed first.

--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any
 
@@ -60,6 +61,13 @@
 # drains: a path between zones takes up to about 20 ms, and peers cache upstreams for up to 20 ms.
 PEER_DRAIN_GRACE_MS = 100.0
 
+# Fraction of the memory that incomplete answers of the target may fill. A complete answer is held
+# up to four times while it is joined, encoded and sent.
+RESPONSE_MEMORY_FRACTION = 1 / 8
+
+# Delay before a background task that failed is started again.
+TASK_RESTART_MS = 500.0
+
 
 class Sidecar:
     """Run the listeners, the request path and the background tasks of one sidecar.
@@ -117,6 +125,7 @@
             settings.host,
             # The entry node adds the request id itself; the load is only for nodes.
             removed_fields=(dialect.request_id, dialect.load),
+            memory_limit_bytes=int(settings.memory_mb * 1024 * 1024 * RESPONSE_MEMORY_FRACTION),
         )
         self.target = LocalTarget(
             settings.service_id,
@@ -326,23 +335,27 @@
         await self.peers.open(settings.host, settings.peer_listen_port)
         await self.outbound_listener.open(settings.outbound.host, settings.outbound.port)
         background = (
-            self.follower.run(),
-            self.follower.maintain(),
-            self.feeds.run(),
-            self.rate_sharing.run(),
+            self.follower.run,
+            self.follower.maintain,
+            self.feeds.run,
+            self.rate_sharing.run,
         )
-        for coroutine in background:
-            self._spawn(coroutine)
+        for work in background:
+            self._tasks.append(asyncio.ensure_future(self._keep_running(work)))
         log(
             NODE_STARTED,
             upstream_id=settings.host,
             availability_zone=settings.availability_zone,
         )
 
-    def _spawn(self, coroutine: Any) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.append(task)
-        task.add_done_callback(_report_failure)
+    async def _keep_running(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Run a background task, and start it again after an unexpected error."""
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                log(TASK_FAILED, task=work.__qualname__, error=repr(error))
+            await self.clock.sleep_ms(TASK_RESTART_MS)
 
     def begin_leaving(self) -> None:
         """Fail readiness checks, so that the platform routes callers to other instances."""
@@ -378,8 +391,3 @@
         await self.operator_listener.close()
         await self.store.close()
         log(NODE_STOPPED)
-
-
-def _report_failure(task: asyncio.Task) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log(TASK_FAILED, task=task.get_name(), error=repr(task.exception()))
--- a/gentianthread/sidecar_settings.py
+++ b/gentianthread/sidecar_settings.py
@@ -36,6 +36,7 @@
         log_format: "human" or "json".
         log_level: Lowest level that is logged.
         log_lines_per_s: Maximum number of log lines about single requests per second.
+        memory_mb: Memory that the instance gives the process.
     """
 
     host: str
@@ -57,6 +58,7 @@
     log_format: str
     log_level: str
     log_lines_per_s: int
+    memory_mb: int
 
 
 def read_sidecar_settings(path: Path) -> SidecarSettings:
@@ -104,4 +106,5 @@
         log_format=log.get("form", choice(["human", "json"]), "json"),
         log_level=log.get("level", choice(["debug", "info", "warning", "error"]), "info"),
         log_lines_per_s=sections["limits"].get("log_lines_per_s", integer(1, 100_000), 20),
+        memory_mb=sections["limits"].get("memory_mb", integer(16, 1_000_000), 512),
     )
--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -420,6 +420,7 @@
             log_format="json",
             log_level="error",
             log_lines_per_s=20,
+            memory_mb=512,
         )
 
     async def wait_ready(self) -> None:
--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -22,6 +22,15 @@
 # Longest body of a response; a longer one would fill the memory of the node.
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 
+# Bytes that may come before the head of a response: interim responses and late copies of responses
+# to earlier requests.
+SKIPPED_LIMIT_BYTES = 1024 * 1024
+
+# Bytes of chunk framing and trailer fields that may come with a body: a fixed number, and as many
+# for each byte of the body as chunks of one byte take.
+FRAMING_LIMIT_BYTES = 32 * 1024
+FRAMING_BYTES_PER_BODY_BYTE = 8
+
 # Idle time after which a connection is not reused if the target states no idle timeout.
 DEFAULT_IDLE_LIMIT_MS = 4_000.0
 
@@ -64,6 +73,40 @@
     return TargetRequest(data, method, request_id, timeout_ms)
 
 
+class ResponseMemory:
+    """Limit the bytes of all incomplete bodies together, whatever the number of connections is.
+
+    Attributes:
+        held_bytes: Bytes of incomplete bodies.
+    """
+
+    def __init__(self, limit_bytes: int = BODY_LIMIT_BYTES):
+        """Create the limit.
+
+        Args:
+            limit_bytes: Bytes from which the connection with the longest body is failed.
+        """
+        self.held_bytes = 0
+        self._limit_bytes = limit_bytes
+        self._held_by_connection: dict[TargetConnection, int] = {}
+
+    def add(self, connection: "TargetConnection", count: int) -> "TargetConnection | None":
+        """Count bytes of a body, and return the connection to fail if there are too many.
+
+        Args:
+            connection: The connection on which they came.
+            count: Number of bytes.
+        """
+        held = self._held_by_connection
+        held[connection] = held.get(connection, 0) + count
+        self.held_bytes += count
+        return None if self.held_bytes <= self._limit_bytes else max(held, key=held.__getitem__)
+
+    def release(self, connection: "TargetConnection") -> None:
+        """Forget the bytes of a connection whose response is complete or lost."""
+        self.held_bytes -= self._held_by_connection.pop(connection, 0)
+
+
 class TargetResponse:
     """Store a response while it is parsed.
 
@@ -73,8 +116,10 @@
         body: Chunks of the body.
         has_head: Whether the head is complete.
         complete: Whether the whole response was received.
+        skipped: Whether it belongs to an earlier request.
         keeps_alive: Whether the connection stays open after the response.
         head_bytes: Number of bytes received until the head was complete.
+        rest_bytes: Number of bytes received after that, framing and trailer included.
         body_bytes: Length of the body so far.
     """
 
@@ -86,6 +131,8 @@
         "has_head",
         "head_bytes",
         "keeps_alive",
+        "rest_bytes",
+        "skipped",
         "status",
     )
 
@@ -93,9 +140,9 @@
         self.status = 0
         self.fields = HeaderFields()
         self.body: list[bytes] = []
-        self.has_head = self.complete = False
+        self.has_head = self.complete = self.skipped = False
         self.keeps_alive = True
-        self.head_bytes = self.body_bytes = 0
+        self.head_bytes = self.rest_bytes = self.body_bytes = 0
 
 
 class TargetConnection(asyncio.Protocol):
@@ -111,7 +158,19 @@
         ended_by_close: Whether the current response has no length and ended with the connection.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, request_id_field: str):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        request_id_field: str,
+        memory: ResponseMemory | None = None,
+    ):
+        """Create a connection that is not open yet.
+
+        Args:
+            loop: The event loop.
+            request_id_field: Header field in which the target echoes the request id.
+            memory: Limit that several connections share; one of its own by default.
+        """
         self.transport: asyncio.Transport | None = None
         self.request_count = 0
         self.idle_since_ms = 0.0
@@ -120,12 +179,15 @@
         self.reusable = True
         self.ended_by_close = False
         self._loop = loop
+        self._memory = ResponseMemory() if memory is None else memory
         self._request_id_field = request_id_field.lower()
         self._on_result: Callable[[TargetResponse | Exception], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._request: TargetRequest | None = None
         self._parser: HttpResponseParser | None = None
         self._response = TargetResponse()
+        # Bytes of this exchange that came before the head of its response.
+        self._skipped_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable keep-alive probes."""
@@ -150,6 +212,7 @@
         self._request = request
         self._parser, self._response = HttpResponseParser(self), TargetResponse()
         self._on_result = on_result
+        self._skipped_bytes = 0
         self.request_count += 1
         # asyncio.timeout would need a task.
         self._timer = self._loop.call_later(request.timeout_ms / 1000, self._finish, TimeoutError())
@@ -158,6 +221,7 @@
     def abandon_exchange(self) -> None:
         """Stop waiting for the current response without calling `on_result`."""
         self._on_result = None
+        self._memory.release(self)
         if self._timer is not None:
             self._timer.cancel()
 
@@ -193,9 +257,13 @@
             self.abort()
             return
         response = self._response
-        if not response.has_head:
-            # The parser buffers an incomplete field without reporting its size.
-            response.head_bytes += len(data)
+        # The parser buffers an incomplete field without reporting its size.
+        if response.has_head:
+            response.rest_bytes += len(data)
+        else:
+            self._skipped_bytes += len(data)
+            if not response.skipped:
+                response.head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
@@ -205,10 +273,26 @@
                 return
         if self._response.complete:
             self._finish(self._response)
-        elif not self._response.has_head and self._response.head_bytes > HEAD_LIMIT_BYTES:
-            self._fail("head too long")
-        elif self._response.body_bytes > BODY_LIMIT_BYTES:
-            self._fail("answer too long")
+            return
+        problem = self._exceeded_limit()
+        if problem:
+            self._fail(problem)
+
+    def _exceeded_limit(self) -> str:
+        """Return which limit the incomplete response exceeds, or an empty string."""
+        response = self._response
+        if not response.has_head:
+            if response.head_bytes > HEAD_LIMIT_BYTES and not response.skipped:
+                return "head too long"
+            if self._skipped_bytes > SKIPPED_LIMIT_BYTES:
+                return "too many bytes before the answer"
+            return ""
+        if response.body_bytes > BODY_LIMIT_BYTES:
+            return "answer too long"
+        framing_bytes = response.rest_bytes - response.body_bytes
+        if framing_bytes > FRAMING_LIMIT_BYTES + FRAMING_BYTES_PER_BODY_BYTE * response.body_bytes:
+            return "framing or trailer too long"
+        return ""
 
     # Callbacks of the parser.
 
@@ -233,6 +317,7 @@
         echoed_id = response.fields.first.get(self._request_id_field)
         if echoed_id is not None and echoed_id != self._request.request_id:
             self.reusable = False
+            response.skipped = True
             return
         response.has_head = True
         response.keeps_alive = self._parser.should_keep_alive()
@@ -245,6 +330,9 @@
         if response.has_head and not response.complete:
             response.body.append(data)
             response.body_bytes += len(data)
+            longest = self._memory.add(self, len(data))
+            if longest is not None:
+                longest.give_up("bodies of the target fill the memory")
 
     def on_message_complete(self) -> None:
         """Complete the response, or discard a skipped one."""
@@ -274,6 +362,15 @@
         self.reusable = False
         self._fail("closed" if exc is None else str(exc))
 
+    def give_up(self, problem: str) -> None:
+        """Fail the current exchange and close the connection.
+
+        Args:
+            problem: Why, for the error of the exchange.
+        """
+        self._response.body.clear()
+        self._fail(problem)
+
     def _fail(self, problem: str) -> None:
         self.abort()
         self._finish(ConnectionLost("target", problem))
--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -11,7 +11,13 @@
 from ..state.idle_limit import MIN_IDLE_MS, IdleLimit
 from .http_names import HOP_BY_HOP
 from .http_pipeline import BufferedResponse
-from .target_connection import TargetConnection, TargetRequest, TargetResponse
+from .target_connection import (
+    BODY_LIMIT_BYTES,
+    ResponseMemory,
+    TargetConnection,
+    TargetRequest,
+    TargetResponse,
+)
 
 # Fraction of the idle timeout stated by the target for which an idle connection is reused.
 KEEP_ALIVE_FRACTION = 0.8
@@ -69,6 +75,7 @@
         source_address: str | None = None,
         removed_fields: Iterable[str] = (),
         dial_timeout_ms: float = DIAL_TIMEOUT_MS,
+        memory_limit_bytes: int = BODY_LIMIT_BYTES,
     ):
         """Create an empty pool.
 
@@ -81,6 +88,7 @@
             source_address: Local IP address of the connections, or None for any.
             removed_fields: Names of header fields to remove from responses.
             dial_timeout_ms: Timeout for opening a connection.
+            memory_limit_bytes: Limit of the incomplete bodies of all connections together.
         """
         self.host = host
         self.port = port
@@ -92,6 +100,7 @@
         self._removed_fields = _REMOVED_FIELDS | {name.lower() for name in removed_fields}
         self._local_address = None if source_address is None else (source_address, 0)
         self._dial_timeout_ms = dial_timeout_ms
+        self._memory = ResponseMemory(memory_limit_bytes)
         self._idle: deque[TargetConnection] = deque()
         self._idle_limit = IdleLimit()
 
@@ -247,7 +256,7 @@
         try:
             async with asyncio.timeout(self._dial_timeout_ms / 1000):
                 _, connection = await loop.create_connection(
-                    lambda: TargetConnection(loop, self._request_id_field),
+                    lambda: TargetConnection(loop, self._request_id_field, self._memory),
                     self.host,
                     self.port,
                     local_addr=self._local_address,
--- a/tests/transport/test_target_connection.py
+++ b/tests/transport/test_target_connection.py
@@ -1,7 +1,11 @@
 import asyncio
 
 from gentianthread.errors import ConnectionLost
-from gentianthread.transport.target_connection import TargetConnection, make_request
+from gentianthread.transport.target_connection import (
+    ResponseMemory,
+    TargetConnection,
+    make_request,
+)
 
 from ..base import SocketTestCase
 
@@ -92,3 +96,75 @@
         """Guards against a faulty target that fills the memory of the node."""
         parts = [b"HTTP/1.1 200 OK\r\nX: "] + [b"y" * 4_096] * 20
         self.assertEqual(ConnectionLost, await self.exchange(parts))
+
+    async def test_endless_interim_responses_are_an_error(self):
+        """Guards against a target that sends interim responses without end.
+
+        Each of them is complete, so that none reaches the limit of a head.
+        """
+        parts = [b"HTTP/1.1 100 Continue\r\n\r\n" * 200] * 300
+        self.assertEqual(ConnectionLost, await self.exchange(parts))
+
+    async def test_endless_response_to_another_request_is_an_error(self):
+        """Guards against a late copy of another answer that has no end."""
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+        parts = [head] + [b"1000\r\n" + b"y" * 4_096 + b"\r\n"] * 1_000
+        self.assertEqual(ConnectionLost, await self.exchange(parts))
+
+    async def test_long_late_copy_of_another_response_is_skipped(self):
+        """Guards against a lost answer because a late copy before it is longer than a head."""
+        copy = b"HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 50000\r\n\r\n" + b"y" * 50_000
+        self.assertEqual(
+            (200, b"hello world"), await self.exchange([copy[:40_000], copy[40_000:], WITH_LENGTH])
+        )
+
+    async def test_endless_trailer_is_an_error(self):
+        """Guards against trailer fields without end, in many lines or in one, after a body."""
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+        lines = [head] + [b"X-More: " + b"y" * 100 + b"\r\n"] * 2_000
+        one_line = [head + b"X-More: "] + [b"y" * 4_096] * 100
+        for parts in (lines, one_line):
+            self.assertEqual(ConnectionLost, await self.exchange(parts))
+
+    async def test_chunk_framing_without_end_is_an_error(self):
+        """Guards against chunk extensions without end, which bring no body."""
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5;x="
+        self.assertEqual(ConnectionLost, await self.exchange([head] + [b"y" * 4_096] * 100))
+
+    async def test_body_in_small_chunks_is_complete(self):
+        """Guards against a sound body that is refused because of its framing."""
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        parts = [head] + [b"1\r\ny\r\n"] * 30_000 + [b"0\r\n\r\n"]
+        self.assertEqual((200, b"y" * 30_000), await self.exchange(parts))
+
+
+class TestResponseMemory(SocketTestCase):
+    """Pattern: a target in trouble sends bodies without end on many connections at once."""
+
+    async def test_bodies_of_all_connections_share_one_limit(self):
+        """Guards against a node that is killed for its memory by the bodies of a faulty target."""
+        memory = ResponseMemory(100_000)
+        loop = asyncio.get_running_loop()
+        connections = [TargetConnection(loop, "Request-Id", memory) for _ in range(4)]
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        tasks = []
+        for connection in connections:
+            connection.connection_made(FakeTransport())
+            request = make_request("GET", "/", "", b"", "a", 5_000.0)
+            tasks.append(asyncio.ensure_future(connection.exchange(request)))
+        await asyncio.sleep(0)
+        sound = b"1388\r\n" + b"s" * 5_000 + b"\r\n"
+        endless = b"2710\r\n" + b"y" * 10_000 + b"\r\n"
+        connections[0].data_received(head + sound)
+        for connection in connections[1:]:
+            connection.data_received(head)
+        for _ in range(50):
+            for connection in connections[1:]:
+                if connection.usable:
+                    connection.data_received(endless)
+            self.assertLessEqual(memory.held_bytes, 100_000 + 10_000)
+        connections[0].data_received(sound + b"0\r\n\r\n")
+        ended = await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual(10_000, ended[0].body_bytes)
+        self.assertEqual([ConnectionLost] * 3, [type(error) for error in ended[1:]])
+        self.assertEqual(0, memory.held_bytes)
