--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -40,6 +40,9 @@
 # missing the objective.
 OBJECTIVE_MISSED_FRACTION = 0.6
 
+# Remaining time below which a request without an answer counts as timed out.
+DEADLINE_TOLERANCE_MS = 2.0
+
 _NO_ORGANISATION = OrganisationId("")
 
 # The listener has already read the whole body, and the node sets Content-Length itself.
@@ -331,6 +334,9 @@
         """Return the reply for the outcome of the attempts."""
         if answer.outcome is RunOutcome.ANSWERED:
             return EntryReply(answer.status, "", [], answer.body, answer.fields)
+        if pending.deadline_ms - self.clock.now_ms() < DEADLINE_TOLERANCE_MS:
+            # The node beside the target stops waiting at the same time as this one.
+            return self.timeout_reply(pending)
         if pending.may_have_run:
             return EntryReply(502, "outcome unknown")
         return self._unavailable(answer.reason)
--- a/tests/coordination/mesh/test_entry.py
+++ b/tests/coordination/mesh/test_entry.py
@@ -67,6 +67,31 @@
         writer.close()
         await self.stop()
 
+    async def test_timeout_at_the_target_that_arrives_first_is_a_timeout(self):
+        """Guards against a 502 for a request whose time is over.
+
+        The node beside the target stops waiting at the same time, and on a busy machine its answer
+        was handled before the timer of the entry.
+        """
+        await self.start({"catalogue": 1, "orders": 1})
+        self.target("orders-0").work_ms = 400
+        entry = self.sidecar("catalogue-0").entry
+        forward, answers = entry.forwarder.start, []
+
+        def hold_answer(pending, now_ms, deliver):
+            pending.deadline_ms = now_ms + 60
+            return forward(pending, now_ms, lambda answer: answers.append((pending, answer)))
+
+        with mock.patch.object(entry.forwarder, "start", hold_answer):
+            call = asyncio.ensure_future(
+                self.call("catalogue-0", "/order/1", method="POST", Timeout_Ms=2000)
+            )
+            await self.until(lambda: answers)
+            pending, answer = answers[0]
+            self.assertEqual(504, entry.outcome_reply(pending, answer).status)
+        await call
+        await self.stop()
+
     async def test_internal_error_is_not_reported_as_an_invalid_request(self):
         """Guards against a 400 for a valid request when the node's own code fails."""
         await self.start({"catalogue": 1})
