Try one overload level for each service, controlled at the counting node

Cause looked for: an entry of 195 hears of one or two of 78 targets a second and counts the others as 0, so that the level of pricing arrives as nearly nothing and a sixth of the upper runs fail because a call below them is refused. Tries: (a) every node reports the level of its target, the counting node returns the mean for each service and those below it; (b) it returns one level for each service, controlled by the sums of arrivals, completions, utilisation and waits.

(a) refuses while there is room, since a target of two slots has a queue now and then at any load. (b) is better in calm seconds and worse in the first seconds of an overload, where it rises past the rank of important requests: no request has the priority between, so that nothing answers to the level there, and it goes on rising. Next: a level that knows how much demand each priority has, before it is shared by the fleet.

--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -176,6 +176,8 @@
             self.peers,
             self.node_rates,
             self.limit_changes,
+            self.levels,
+            lambda: self.target.take_load(frozenset(self.forwarder.called_services)),
             clock,
         )
         self.entry = Entry(
@@ -321,6 +323,8 @@
                 "level": self.target.control.level,
             },
             "counting": self.rate_sharing.counter_host,
+            "levels": self.levels.fleet_levels,
+            "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
         }
 
     async def start(self) -> None:
