--- a/gentianthread/coordination/mesh/rates.py
+++ b/gentianthread/coordination/mesh/rates.py
@@ -1,7 +1,7 @@
-"""Enforce the rates of organisations and share the overload levels over all nodes of a mesh.
+"""Enforce the rates of organisations over all nodes of a mesh.
 
-One node counts the requests of all nodes. The others report their usage and the load of their
-target to it, and it answers with the organisations near their rates and the level of each service.
+One node counts the requests of all nodes. The others report their usage to it, and it answers with
+the state of each organisation's rate.
 """
 
 from collections.abc import Callable
@@ -9,7 +9,7 @@
 from ...clock import Clock
 from ...errors import PeerUnreachable
 from ...events import COUNTER_CHANGED
-from ...ids import OrganisationId, ServiceId
+from ...ids import OrganisationId
 from ...logs import log
 from ...protocol.messages_mesh import RateStates, UsageReport
 from ...state.directory import Directory
@@ -22,9 +22,7 @@
     RateState,
     Usage,
 )
-from ...state.overload_level import KnownLevels
 from ...state.rendezvous import choose
-from ...state.service_levels import ServiceLevels, TargetLoad
 from .peer_link import PeerLink
 from .peers import PeerLinks
 
@@ -61,8 +59,6 @@
         peers: PeerLinks,
         rates: NodeRates,
         limits: LimitChanges,
-        levels: KnownLevels,
-        target_load: Callable[[], TargetLoad],
         clock: Clock,
     ):
         """Create a coordinator; `run` starts its reports.
@@ -74,8 +70,6 @@
             peers: Links to the other nodes.
             rates: Decides at this node which requests are within the rates.
             limits: Delays lowered rate limits until every node knows them.
-            levels: Stores the levels of the services for this node's entry.
-            target_load: Returns the load of this node's own target since the last call.
             clock: Clock of the report periods.
         """
         self.host = host
@@ -84,10 +78,7 @@
         self.peers = peers
         self.rates = rates
         self.limits = limits
-        self.levels = levels
-        self.target_load = target_load
         self.clock = clock
-        self.service_levels = ServiceLevels()
         self.counter: FleetCounter | None = None
         self.counter_host: str | None = None
         self._unanswered_reports = 0
@@ -111,10 +102,10 @@
         if host != self.counter_host:
             self.counter_host, self._unanswered_reports = host, 0
             log(COUNTER_CHANGED, peer=host)
-        usage, load = self.rates.take_usage(), self.target_load()
+        usage = self.rates.take_usage()
         self._reported = frozenset(usage)
         if host == self.host:
-            self._apply_answer(self._count(self.host, usage, load), self._service_levels())
+            self._apply_answer(self._count(self.host, usage))
             return
         if self._unanswered_reports >= MAX_UNANSWERED_REPORTS:
             self._exclude(host, now_ms)
@@ -125,17 +116,7 @@
             self._exclude(host, now_ms)
             return
         rows = tuple((name, used.admitted, used.demanded) for name, used in usage.items())
-        link.post(
-            UsageReport(
-                rows,
-                load.service_id,
-                load.arrived,
-                load.completed,
-                load.utilisation,
-                load.wait_ms,
-                tuple(load.called_services),
-            )
-        )
+        link.post(UsageReport(rows))
 
     def _exclude(self, host: str, now_ms: float) -> None:
         """Exclude a node that does not answer from the choice for a while."""
@@ -163,24 +144,15 @@
             if organisation.rate_per_s > 0
         }
 
-    def _count(
-        self, source: str, usage: dict[OrganisationId, Usage], load: TargetLoad
-    ) -> RateAnswer:
+    def _count(self, source: str, usage: dict[OrganisationId, Usage]) -> RateAnswer:
         now_ms = self.clock.now_ms()
-        self.service_levels.record(source, load, now_ms)
         if self.counter is None:
             self.counter = FleetCounter(now_ms)
         nodes = len(self.directory.hosts())
         return self.counter.report(source, usage, self._limits(), nodes, now_ms)
 
-    def _service_levels(self) -> dict[ServiceId, float]:
-        plan = self.plan()
-        highest, lowest = (0, 0) if plan is None else plan.priorities
-        return self.service_levels.levels(self.clock.now_ms(), float(lowest - highest))
-
-    def _apply_answer(self, answer: RateAnswer, levels: dict[ServiceId, float]) -> None:
+    def _apply_answer(self, answer: RateAnswer) -> None:
         self._unanswered_reports = 0
-        self.levels.apply_fleet_levels(levels, self.clock.now_ms())
         limits = self._limits()
         self._near_limit = any(
             name in limits
@@ -198,20 +170,11 @@
             report: Its usage since its last report.
         """
         usage = {name: Usage(admitted, demanded) for name, admitted, demanded in report.usage}
-        load = TargetLoad(
-            report.service_id,
-            report.arrived,
-            report.completed,
-            report.utilisation,
-            report.wait_ms,
-            frozenset(report.called_services),
-        )
-        answer = self._count(link.host, usage, load)
+        answer = self._count(link.host, usage)
         rows = tuple(
             (name, state.tokens, state.demand_per_s) for name, state in answer.states.items()
         )
-        levels = tuple(self._service_levels().items())
-        link.post(RateStates(answer.rate_fraction, rows, levels))
+        link.post(RateStates(answer.rate_fraction, rows))
 
     def on_states(self, link: PeerLink, message: RateStates) -> None:
         """Apply the answer of the counting node; answers of other nodes are ignored.
@@ -223,4 +186,4 @@
         if link.host != self.counter_host:
             return
         states = {name: RateState(tokens, demand) for name, tokens, demand in message.states}
-        self._apply_answer(RateAnswer(message.rate_fraction, states), dict(message.levels))
+        self._apply_answer(RateAnswer(message.rate_fraction, states))
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -176,8 +176,6 @@
             self.peers,
             self.node_rates,
             self.limit_changes,
-            self.levels,
-            lambda: self.target.take_load(frozenset(self.forwarder.called_services)),
             clock,
         )
         self.entry = Entry(
@@ -323,8 +321,6 @@
                 "level": self.target.control.level,
             },
             "counting": self.rate_sharing.counter_host,
-            "levels": self.levels.fleet_levels,
-            "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
         }
 
     async def start(self) -> None:
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -15,7 +15,6 @@
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
 from ...state.overload_level import LevelControl
-from ...state.service_levels import TargetLoad
 from ...state.usable_slots import usable_slots
 from ...state.work_queue import QueuedWork, WorkQueue
 from ...transport.header_fields import render_fields
@@ -110,8 +109,6 @@
         self._unreachable_until_ms = float("-inf")
         self._misdirected_ids: set[UpstreamId] = set()
         self._logged_level = 0.0
-        # Requests since the last report to the counting node.
-        self._arrived = self._completed = 0
         self._limit = 1
         self._subscription = directory.changes.subscribe(lambda _: self._update_limit())
 
@@ -153,7 +150,7 @@
         if reason:
             return self._refuse(request, reason)
         self._update_level(now_ms)
-        self._record_arrival()
+        self.control.record_arrival()
         if self.running < self._limit and not len(self.queue):
             self.running += 1
         else:
@@ -195,7 +192,7 @@
         if run.work is None:
             return None
         self._update_level(now_ms)
-        self._record_arrival()
+        self.control.record_arrival()
         self.running += 1
         return run
 
@@ -271,7 +268,6 @@
     def release_slot(self) -> None:
         """Free the slot of a request that has ended, and give it to the next one in the queue."""
         self.running -= 1
-        self._completed += 1
         self.control.record_completion()
         if len(self.queue):
             self._dispatch(self.clock.now_ms())
@@ -279,46 +275,18 @@
     def _update_level(self, now_ms: float) -> None:
         if not self.control.is_due(now_ms):
             return
-        self.control.observe(
-            self._utilisation(), self._wait_ms(now_ms), now_ms, self.highest_level()
-        )
+        wait_ms = 0.0
+        if len(self.queue):
+            wait_ms = len(self.queue) * self.service_ms / self._limit
+            wait_ms = max(wait_ms, self.queue.oldest_wait_ms(now_ms))
+        utilisation = min(1.0, self.running / self._limit)
+        self.control.observe(utilisation, wait_ms, now_ms, self.highest_level())
         if abs(self.control.level - self._logged_level) >= LOGGED_LEVEL_STEP:
             self._logged_level = self.control.level
             self.decisions.write(
                 LEVEL_CHANGED, service_id=self.service_id, overload_level=self.control.level
             )
 
-    def _utilisation(self) -> float:
-        return min(1.0, self.running / self._limit)
-
-    def _wait_ms(self, now_ms: float) -> float:
-        """Return the queueing time: that of the queue, or that of its oldest request if longer."""
-        if not len(self.queue):
-            return 0.0
-        expected_ms = len(self.queue) * self.service_ms / self._limit
-        return max(expected_ms, self.queue.oldest_wait_ms(now_ms))
-
-    def take_load(self, called_services: frozenset[ServiceId]) -> TargetLoad:
-        """Return the load since the last call, to be reported to the counting node.
-
-        Args:
-            called_services: Services that the target calls.
-        """
-        load = TargetLoad(
-            self.service_id,
-            self._arrived,
-            self._completed,
-            self._utilisation(),
-            self._wait_ms(self.clock.now_ms()),
-            called_services,
-        )
-        self._arrived = self._completed = 0
-        return load
-
-    def _record_arrival(self) -> None:
-        self._arrived += 1
-        self.control.record_arrival()
-
     async def _exchange(
         self, request: RunRequest, started_ms: float, timeout_ms: float
     ) -> RunAnswer:
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -218,25 +218,13 @@
 @message(106)
 @attrs.frozen
 class UsageReport:
-    """Report the requests of organisations, and the load of a target, to the node that counts.
+    """Report the requests of organisations to the node that counts them.
 
     Attributes:
         usage: Organisation, number of admitted requests, number of demanded requests.
-        service_id: Service of the target beside the sender.
-        arrived: Requests that arrived for that target since the last report.
-        completed: Requests that it completed since the last report.
-        utilisation: Fraction of its slots in use, 0 to 1.
-        wait_ms: Its queueing time.
-        called_services: Services that it calls.
     """
 
     usage: tuple[tuple[OrganisationId, int, int], ...]
-    service_id: ServiceId
-    arrived: int
-    completed: int
-    utilisation: float
-    wait_ms: float
-    called_services: tuple[ServiceId, ...]
 
 
 @message(107)
@@ -247,12 +235,10 @@
     Attributes:
         rate_fraction: Fraction of the rates that the counting node grants.
         states: Organisation near its rate, tokens, demand per second.
-        levels: Service and overload level of the service and those that it calls, if above 0.
     """
 
     rate_fraction: float
     states: tuple[tuple[OrganisationId, float, float], ...]
-    levels: tuple[tuple[ServiceId, float], ...]
 
 
 # Nodes with different message definitions refuse links to each other: a request that the peer
--- a/gentianthread/state/overload_level.py
+++ b/gentianthread/state/overload_level.py
@@ -97,16 +97,6 @@
         """Count a request that the target completed."""
         self._completed += 1
 
-    def record_counts(self, arrived: int, completed: int) -> None:
-        """Count several requests at once.
-
-        Args:
-            arrived: Requests that arrived, including those that were refused.
-            completed: Requests that the targets completed.
-        """
-        self._arrived += arrived
-        self._completed += completed
-
     def is_due(self, now_ms: float) -> bool:
         """Return whether an update period has elapsed, so that `observe` would update the level."""
         return now_ms - self._period_started_ms >= self.UPDATE_PERIOD_MS
@@ -173,21 +163,12 @@
 
 
 class KnownLevels:
-    """Store the levels of the services, as the counting node or the upstreams' answers report them.
-
-    The answers are used only while the counting node does not reply: a node of a large fleet hears
-    of too few upstreams to know the level of a service.
-
-    Attributes:
-        fleet_levels: Levels that the counting node last sent, by service.
-    """
+    """Store the levels that answers reported, by service and upstream."""
 
     # A level that no answer has renewed for HOLD_MS decays to 0 over FADE_MS. Requests are then
     # admitted again even if no answer reports the end of the overload.
     HOLD_MS = 500.0
     FADE_MS = 1_500.0
-    # Older levels of the counting node are not used.
-    FLEET_LEVELS_MAX_AGE_MS = 1_200.0
 
     def __init__(self, random: Random):
         """Create an empty store.
@@ -197,17 +178,6 @@
         """
         self._random = random
         self._reported: dict[ServiceId, dict[Hashable, _ReportedLevel]] = {}
-        self.fleet_levels: dict[ServiceId, float] = {}
-        self._fleet_levels_at_ms = float("-inf")
-
-    def apply_fleet_levels(self, levels: dict[ServiceId, float], now_ms: float) -> None:
-        """Store the levels that the counting node computed from those of all targets.
-
-        Args:
-            levels: Level by service; services that are missing refuse nothing.
-            now_ms: Present time in ms.
-        """
-        self.fleet_levels, self._fleet_levels_at_ms = levels, now_ms
 
     def record(
         self, service_id: ServiceId, upstream: Hashable, level: float, now_ms: float
@@ -225,16 +195,13 @@
             reported[upstream] = _ReportedLevel(level, now_ms)
 
     def level(self, service_id: ServiceId, now_ms: float, upstream_count: int) -> float:
-        """Return the level of a service over all its upstreams.
+        """Return the mean level over the upstreams of a service.
 
         Args:
             service_id: The service.
             now_ms: Present time in ms.
-            upstream_count: Number of upstreams; while the counting node does not reply, those
-                without a reported level count as 0.
+            upstream_count: Number of upstreams; those without a reported level count as 0.
         """
-        if now_ms - self._fleet_levels_at_ms <= self.FLEET_LEVELS_MAX_AGE_MS:
-            return self.fleet_levels.get(service_id, 0.0)
         reported = self._reported.get(service_id)
         if not reported:
             return 0.0
--- a/tests/coordination/mesh/test_changes.py
+++ b/tests/coordination/mesh/test_changes.py
@@ -240,8 +240,6 @@
         node = self.sidecar("orders-0")
         unreachable = {self.sidecar(f"catalogue-{place}").settings.host for place in (1, 2)}
         node.peers.reachable = lambda host: host not in unreachable
-        # Without the levels of the counting node, those of the answers apply.
-        node.rate_sharing.plan = lambda: None
         node.forwarder.called_services.add("catalogue")
         # The list of reachable upstreams is cached for 20 ms.
         await asyncio.sleep(0.03)
