--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -321,6 +321,7 @@
                 "level": self.target.control.level,
             },
             "counting": self.rate_sharing.counter_host,
+            "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
         }
 
     async def start(self) -> None:
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -145,6 +145,6 @@
 LINES_LEFT_OUT = _event(714, Level.INFO, "{left_out} log lines left out in the last second")
 LEVEL_CHANGED = _event(715, Level.INFO, "overload level of {service_id} is {overload_level:.2f}")
 FEED_CHANGED = _event(
-    717, Level.INFO, "changes come from {sources}; watching for the zone: {watching}"
+    717, Level.INFO, "changes come from {sources}; watching the store: {watching}"
 )
 HISTORY_LOST = _event(716, Level.INFO, "changes after revision {revision} are lost: {problem}")
