Take removals as unknown before every complete read, not only the first

Found by reading the change on restarted watchers: a complete read after a lost history does not show entries that came and went in between, and a follower that had learnt of one from the other watcher kept it. Such a follower now gets all documents.

--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -110,7 +110,7 @@
         self.feeds: DocumentFeeds | None = None
         self.store_answered_ms = float("-inf")
         # Revisions at which documents were removed, for followers that lack the removal, and the
-        # revision of the first read, before which removals are not known.
+        # revision of the last complete read, before which removals may be unknown.
         self._removed_revisions: dict[str, int] = {}
         self._removals_known_from = 0
         # Whether this node has lost its feeds and called the store since.
@@ -266,8 +266,8 @@
 
     def _apply_snapshot(self, read: StoreRead, source: str) -> None:
         """Replace the known documents by a complete read."""
-        if not self.revision:
-            self._removals_known_from = read.revision
+        # Entries that came and went since the last known revision do not show in the read.
+        self._removals_known_from = max(self._removals_known_from, read.revision)
         documents_by_key = {document.key: document for document in read.documents}
         for key in [key for key in self.documents if key not in documents_by_key]:
             if self.documents[key].revision <= read.revision:
--- a/tests/coordination/mesh/test_store_calls.py
+++ b/tests/coordination/mesh/test_store_calls.py
@@ -140,3 +140,21 @@
             [False, False], ["up-left" in node.directory.entries for node in followers]
         )
         await fleet.stop()
+
+    async def test_complete_read_hides_removals_of_entries_that_were_never_known(self):
+        """Guards against an entry that came and went while a watcher had lost its history.
+
+        A follower that had learnt of it from the other watcher got the later changes only.
+        """
+        fleet = FollowerFleet(1, 1)
+        fleet.list_all()
+        fleet.start()
+        await asyncio.sleep(1)
+        (node,) = fleet.nodes.values()
+        revision_between = fleet.store.revision + 1
+        fleet.store.events.clear()
+        fleet.store.put("up-brief", b"10.0.9.9 zone-0")
+        fleet.store.put("up-brief", None)
+        node.follower._apply_snapshot(await node.follower.store.read_all(), "store")
+        self.assertIsNone(node.follower.changed_after(revision_between))
+        await fleet.stop()
