Read the notice of leaving in errors without a seal

Callers' requests could go on reaching a target that had said that it leaves.

The node beside the target reads notices only in sealed answers, but passes errors without a seal on to the caller, notice included.

Change: leaving is read in each answer that is passed on. A limit is still read only with the seal, as an unsealed error without a limit must not lift it.

Ruled out: rejections, whose notices were read already.

Why it works: what is passed on and what is read are now the same answers.

--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -436,6 +436,9 @@
             return self._answer(RunOutcome.UNKNOWN, "answer is not the target's own")
         if has_seal:
             self.notices.read(request, fields, started_ms)
+        else:
+            # A limit without the seal is not trusted, but leaving is passed on to the caller.
+            self.notices.read_leaving(request, fields, started_ms)
         now_ms = self.clock.now_ms()
         self._record_latency(now_ms - started_ms, now_ms, successful=answer.status < 300)
         self.metrics.count("target.answered")
--- a/gentianthread/coordination/mesh/target_notices.py
+++ b/gentianthread/coordination/mesh/target_notices.py
@@ -133,6 +133,10 @@
         self._read_limit(request.service_id, fields.get(self._limit_field), started_ms)
         if not was_informed:
             self.on_limit_change(False)
+        self.read_leaving(request, fields, started_ms)
+
+    def read_leaving(self, request: RunRequest, fields: dict[str, str], started_ms: float) -> None:
+        """Read only whether the target leaves; see `read` for the arguments."""
         if fields.get(self._leaving_field) == "1":
             self._note_leaving(request, started_ms)
 
--- a/tests/coordination/mesh/test_target_notices.py
+++ b/tests/coordination/mesh/test_target_notices.py
@@ -5,7 +5,7 @@
 from gentianthread.coordination.mesh.target_notices import MISDIRECTED_RETRY_MS
 from gentianthread.platform.documents import UPSTREAM_PREFIX
 from gentianthread.platform.names import DIALECT
-from gentianthread.standins.mesh import answer_sealed, wait_until
+from gentianthread.standins.mesh import answer_sealed, fail, wait_until
 
 from .base import MeshTestCase
 
@@ -75,6 +75,30 @@
         )
         await self.stop()
 
+    async def test_notice_in_an_error_without_a_seal_is_read(self):
+        """Guards against work for a leaving target whose notice only came with an error.
+
+        The error is passed on to the caller with its notice, so the node must act on it.
+        """
+        await self.start({"catalogue": 2, "orders": 1})
+
+        async def fail_without_seal(target, request):
+            answer = await fail(target, request)
+            answer.headers = [field for field in answer.headers if field[0] != DIALECT.seal]
+            return answer
+
+        leaving = self.target("catalogue-0")
+        leaving.leaving = True
+        leaving.behave = fail_without_seal
+        while not leaving.seen:
+            await self.call("orders-0", "/stock/1")
+        before = len(leaving.seen)
+        for caller in ("orders-0", "catalogue-0", "catalogue-1"):
+            for _ in range(10):
+                self.assertEqual(200, (await self.call(caller, "/stock/1")).status)
+        self.assertEqual(before, len(leaving.seen))
+        await self.stop()
+
 
 class TestLateNotices(MeshTestCase):
     async def start_request(self):
