Tie a notice of leaving to a start that is listed after it

Callers' requests could reach a target that had said that it leaves.

An upstream that starts again under its id while the store is away is known by the entry of its previous start. Its notice marked that start; the entry of the present one, read later, took new requests.

Change: the node beside the target remembers when the target got the request that it answered with the last notice. A start of that upstream which is listed later, but began before then, is the one that gave the notice. Both times are those of one instance, so clocks of instances are not compared.

In test_notice_of_a_start_that_is_listed_later_holds_for_it, the upstream was ready again before. Ruled out: a start that begins after the notice, which the test of late notices guards.

Why it works: only the process that runs when a request arrives can answer it.

--- a/gentianthread/clock.py
+++ b/gentianthread/clock.py
@@ -68,5 +68,5 @@
 
 
 def wall_clock_ms() -> int:
-    """Return the Unix time in ms; use it only for start numbers and log lines."""
+    """Return the Unix time in ms; use it only for times of starts and log lines."""
     return time.time_ns() // 1_000_000
--- a/gentianthread/coordination/mesh/target_notices.py
+++ b/gentianthread/coordination/mesh/target_notices.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ...clock import Clock
+from ...clock import Clock, wall_clock_ms
 from ...decisions import DecisionLog
 from ...events import TARGET_LEAVING, TARGET_LIMIT_CHANGED, TARGET_LIMIT_LIFTED
 from ...ids import ServiceId, UpstreamId
@@ -80,6 +80,8 @@
         # Starts in whose place another process answered, with the time until which they are not
         # asked again.
         self._misdirected_until_ms: dict[TargetStart, float] = {}
+        # Upstream that last said that it leaves, and wall clock at which it got that request.
+        self._last_notice: tuple[UpstreamId | None, float] = (None, 0.0)
         self._limit_field = dialect.rate_limit.lower()
         self._leaving_field = dialect.leaving.lower()
         self._clock = clock
@@ -104,6 +106,16 @@
                 if start in self._starts
             }
             self.leaving = None
+            self._check_earlier_notice(self._starts[-1], entry.service_id)
+
+    def _check_earlier_notice(self, start: TargetStart, service_id: ServiceId) -> None:
+        """Mark a start that had said that it leaves before it was listed.
+
+        The target runs on the same instance, so that both read the same wall clock.
+        """
+        noticed_id, asked_at_ms = self._last_notice
+        if start.upstream_id == noticed_id and 0 < start.started_at_ms < asked_at_ms:
+            self._mark_leaving(start, service_id)
 
     def _forget_unknown_start(self, upstream_id: UpstreamId) -> None:
         """Forget a removed upstream that tells no start, as its next start looks the same."""
@@ -190,7 +202,12 @@
         start = self._start_at(request.upstream_id, started_ms)
         if start is None:
             return
+        asked_at_ms = wall_clock_ms() - (self._clock.now_ms() - started_ms)
+        self._last_notice = (request.upstream_id, asked_at_ms)
+        self._mark_leaving(start, request.service_id)
+
+    def _mark_leaving(self, start: TargetStart, service_id: ServiceId) -> None:
         if start is self._starts[-1]:
             self.leaving = start
         if self._directory.mark_leaving(start.upstream_id, start.started_at_ms):
-            log(TARGET_LEAVING, upstream_id=start.upstream_id, service_id=request.service_id)
+            log(TARGET_LEAVING, upstream_id=start.upstream_id, service_id=service_id)
--- a/tests/coordination/mesh/test_target_notices.py
+++ b/tests/coordination/mesh/test_target_notices.py
@@ -167,6 +167,26 @@
             self.assertEqual([], self.ready_upstreams(node))
         await self.stop()
 
+    async def test_notice_of_a_start_that_is_listed_later_holds_for_it(self):
+        """Guards against work for a leaving upstream whose new start the store listed late.
+
+        It started again under its id while the nodes knew only the entry of its previous start.
+        """
+        await self.start({"catalogue": 1, "orders": 1})
+        target = self.target("catalogue-0")
+        target.start_again()
+        entry = target.entry()
+        await asyncio.sleep(0.01)
+        target.leaving = True
+        await self.call("orders-0", "/stock/1")
+        self.list_upstream(entry)
+        await self.wait_listed(entry["born"])
+        self.assertEqual([], self.ready_upstreams("catalogue-0"))
+        await self.call("orders-0", "/stock/2")
+        self.assertEqual([], self.ready_upstreams("orders-0"))
+        self.assertEqual(1, len(target.seen))
+        await self.stop()
+
     async def test_next_start_that_tells_no_start_time_gets_work(self):
         """Guards against an upstream without a start time that stays leaving after a restart."""
         await self.start({"catalogue": 1, "orders": 1})
