Block requests under which several targets have crashed

Cause: retries are bounded for one try of a caller, and what a try has done to targets is forgotten with it. The class of fault is that of a retry bound in one place while the request comes in at all. Ruled out: attempts within a try, of which event 712 shows at most two for each id.

Change: the node beside a target takes connections that are lost while requests run, and a port on which nobody listens 30 ms later, for a crash, unless the target was leaving. It reports fingerprints of the lost requests (organisation, method, path, body) over all its links; other nodes relay what is news along the feeds, and tell it to nodes that begin to follow them. A request that was lost in two crashes is blocked for 3 s, in three for ten minutes, then twice as long after each. Blocked requests get 503 with the remaining time as Retry-After before anything is sent, and are not sent again. An answer of a target ends the block, so that requests which merely ran beside the cause are served again.

Why it works: the cause is lost in each crash and never answered; others are lost in several crashes only by chance, and are answered later.

The messages between sidecars change, so that sidecars of the version before refuse links.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -19,6 +19,7 @@
 from ...transport.header_fields import render_fields
 from ...transport.http_names import HOP_BY_HOP
 from ...transport.http_pipeline import BufferedRequest, BufferedResponse, DeliverResponse
+from .crash_reports import REASON_BLOCKED, CrashReports
 from .forwarding import Forwarder, PendingRequest
 from .started_request import EntryReply, StartedRequest
 
@@ -101,6 +102,7 @@
         service_id: Callable[[], ServiceId],
         directory: Directory,
         forwarder: Forwarder,
+        crash_reports: CrashReports,
         rates: NodeRates,
         limits: LimitChanges,
         levels: KnownLevels,
@@ -117,6 +119,7 @@
             service_id: Returns the service of this node's own target.
             directory: Upstreams that the platform lists.
             forwarder: Sends requests to upstreams.
+            crash_reports: Requests that crash targets.
             rates: Decides which requests are within the rate of their organisation.
             limits: Delays lowered rate limits until every node knows them.
             levels: Overload levels below which root requests are refused.
@@ -130,6 +133,7 @@
         self.service_id = service_id
         self.directory = directory
         self.forwarder = forwarder
+        self.crash_reports = crash_reports
         self.rates = rates
         self.limits = limits
         self.levels = levels
@@ -295,11 +299,15 @@
     def check_admission(self, pending: PendingRequest, now_ms: float) -> EntryReply | None:
         """Return the refusal of a request that is not to be forwarded, or None.
 
-        Requests are refused while the node is leaving, over the rate of their organisation, and
-        under overload of the service.
+        Requests are refused while the node is leaving, while they are blocked since targets crash
+        under them, over the rate of their organisation, and under overload of the service.
         """
         if self.refuses_callers and not pending.inner:
             return self._unavailable("node is leaving")
+        block_ms = self.crash_reports.block_ms(pending)
+        if block_ms:
+            self.crash_reports.log_refusal(pending, pending.request_id, block_ms)
+            return self._refusal(503, REASON_BLOCKED, block_ms)
         if pending.organisation_id:
             rate_wait_ms = self._rate_limit_wait_ms(pending, now_ms)
             if rate_wait_ms is not None:
--- a/gentianthread/coordination/mesh/feeds.py
+++ b/gentianthread/coordination/mesh/feeds.py
@@ -108,6 +108,8 @@
         self.plan = FeedPlan()
         # Answers followers that lack more than the known changes; the follower sets it.
         self.send_documents: Callable[[PeerLink], None] = lambda link: None
+        # Called with each link over which this node and another one begin to follow each other.
+        self.on_neighbour: Callable[[PeerLink], None] = lambda link: None
         self._started_ms = clock.now_ms()
         self._deputy_until_ms = float("-inf")
         # Nodes of an outdated page of entries, used until the directory has entries.
@@ -204,6 +206,7 @@
                 self._source_links[host] = link
                 takes_changes = index == 0 and not self.plan.watching
                 link.post(FollowFeed(self.revision(), takes_changes, self.plan_version()))
+                self.on_neighbour(link)
 
     def send_state(self) -> None:
         """Send the known revision and the age of the store's last answer to all followers."""
@@ -254,6 +257,12 @@
             # The store came back from a copy with an older plan, and the follower read that one.
             self.send_documents(link)
         link.post(self._state())
+        self.on_neighbour(link)
+
+    def neighbours(self) -> list[PeerLink]:
+        """Return a link to each node that this one follows or that follows it."""
+        links = [*self._followers, *self._source_links.values()]
+        return list({link.host: link for link in links if not link.closed}.values())
 
     def on_state(self, link: PeerLink, state: FeedState) -> None:
         """Record the state of a source or of a node that took over, and forward the news."""
--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -18,6 +18,7 @@
 from ...state.overload_level import KnownLevels
 from ...state.retry_window import RetryWindow
 from ...transport.callbacks import Cancellable
+from .crash_reports import CrashReports
 from .outcomes import as_answer, refused_answer
 from .peer_link import OnEnd, PeerLink
 from .peers import PeerLinks
@@ -111,6 +112,7 @@
         levels: KnownLevels,
         peers: PeerLinks,
         local_target: LocalTarget,
+        crash_reports: CrashReports,
         retry_window: Callable[[ServiceId], RetryWindow],
         revision: Callable[[], int],
         clock: Clock,
@@ -125,6 +127,7 @@
             levels: Stores the overload levels that answers report.
             peers: Links to the nodes beside other upstreams.
             local_target: Target of this node.
+            crash_reports: Requests that crash targets.
             retry_window: Returns the retry window of a service.
             revision: Returns the revision of the platform's documents that this node has.
             clock: Clock of deadlines.
@@ -136,6 +139,7 @@
         self.levels = levels
         self.peers = peers
         self.local_target = local_target
+        self.crash_reports = crash_reports
         self.retry_window = retry_window
         self.revision = revision
         self.clock = clock
@@ -241,6 +245,7 @@
             will_retry = attempts.refusals < MAX_REFUSALS
         else:
             will_retry = self._may_retry(pending, answer, attempts.retry_window)
+        will_retry = will_retry and not self.crash_reports.block_ms(pending)
         # The caller gets an answer of a target, even an error, rather than a later node's refusal.
         if attempts.last_answer.outcome is not RunOutcome.ANSWERED:
             attempts.last_answer = answer
@@ -422,6 +427,7 @@
                 # The store may be away and list the upstream as ready for long.
                 self.directory.mark_leaving(answer.load.leaving_id, answer.load.leaving_start_ms)
         if answer.outcome is RunOutcome.ANSWERED:
+            self.crash_reports.record_answer(pending)
             if answer.status in RETRYABLE_STATUSES:
                 self.balancer.record_error_answer(upstream_id)
             else:
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -19,6 +19,7 @@
 from ...metrics_text import HistogramMetrics, format_prometheus
 from ...protocol.dialect import dialects
 from ...protocol.messages_mesh import (
+    CrashReport,
     DocumentChanges,
     Documents,
     DocumentsWanted,
@@ -26,6 +27,7 @@
     FollowFeed,
     Probe,
     RateStates,
+    RequestCleared,
     UsageReport,
 )
 from ...sidecar_settings import SidecarSettings
@@ -45,6 +47,7 @@
 )
 from ...transport.metadata_store import store_adapters
 from ...transport.target_pool import TargetPool
+from .crash_reports import CrashReports
 from .entry import Entry
 from .feeds import DocumentFeeds
 from .follower import DocumentFollower
@@ -134,11 +137,21 @@
             removed_fields=(dialect.request_id, dialect.load),
             memory_limit_bytes=int(settings.memory_mb * 1024 * 1024 * RESPONSE_MEMORY_FRACTION),
         )
+        self.crash_reports = CrashReports(
+            settings.host,
+            self.directory,
+            self.pool,
+            self.peers,
+            clock,
+            self.metrics,
+            random,
+        )
         self.target = LocalTarget(
             settings.service_id,
             (settings.target.host, settings.target.port),
             self.directory,
             self.pool,
+            self.crash_reports,
             dialect,
             clock,
             self.metrics,
@@ -158,6 +171,8 @@
         )
         self.follower.feeds = self.feeds
         self.feeds.send_documents = self.follower.send_documents
+        self.feeds.on_neighbour = self.crash_reports.send_known
+        self.crash_reports.neighbours = self.feeds.neighbours
         self.balancer = Balancer(settings.availability_zone, clock.now_ms, random)
         self.levels = KnownLevels(random)
         self.retry_windows: dict[ServiceId, RetryWindow] = {}
@@ -167,6 +182,7 @@
             self.levels,
             self.peers,
             self.target,
+            self.crash_reports,
             self._retry_window,
             lambda: self.follower.revision,
             clock,
@@ -191,6 +207,7 @@
             lambda: self.settings.service_id,
             self.directory,
             self.forwarder,
+            self.crash_reports,
             self.node_rates,
             self.limit_changes,
             self.levels,
@@ -224,6 +241,8 @@
             DocumentChanges: self.follower.on_changes,
             UsageReport: self.rate_sharing.on_report,
             RateStates: self.rate_sharing.on_states,
+            CrashReport: self.crash_reports.on_report,
+            RequestCleared: self.crash_reports.on_cleared,
         }
         self.directory.changes.subscribe(self._forget_removed)
 
@@ -299,6 +318,8 @@
             "target.stated_limit_per_s", -1 if stated_limit_per_s is None else stated_limit_per_s
         )
         self.metrics.gauge("entry.running", self.entry.running)
+        blocked = self.crash_reports.suspects.blocked_count(self.clock.now_ms())
+        self.metrics.gauge("crashes.blocked_requests", blocked)
         self.metrics.gauge("plan.version", self.follower.plan.version if self.follower.plan else 0)
         self.metrics.gauge("store.era", era_of(self.follower.revision))
         self.metrics.gauge("store.revision", number_of(self.follower.revision))
@@ -335,6 +356,7 @@
                 "level": self.target.control.level,
                 "stated_limit_per_s": self.target.stated_limit.per_s,
             },
+            "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
             "counting": self.rate_sharing.counter_host,
             "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
         }
@@ -402,6 +424,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.peers.close()
+        self.crash_reports.close()
         self.pool.close()
         await self.ready_listener.close()
         await self.operator_listener.close()
--- a/gentianthread/coordination/mesh/started_run.py
+++ b/gentianthread/coordination/mesh/started_run.py
@@ -48,7 +48,7 @@
             if isinstance(result, PooledResponse):
                 self._finish(target.classify_answer(request, result, self._started_ms))
                 return
-            self._finish(target.unknown_answer(result))
+            self._finish(target.unknown_answer(request, result))
         except Exception as error:
             # If it propagated, it would close the connection and never release the slot.
             self._fail(error)
@@ -57,7 +57,7 @@
         """Log an error and answer at once; the peer would otherwise wait until the deadline."""
         log(TASK_FAILED, task=f"run {self._request.request_id}", error=repr(error))
         if not self._ended:
-            self._finish(self._target.unknown_answer(error))
+            self._finish(self._target.unknown_answer(self._request, error))
 
     def _finish(self, answer: RunAnswer) -> None:
         self._ended, self.work = True, None
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -25,6 +25,7 @@
     ReusedConnectionLost,
     TargetPool,
 )
+from .crash_reports import REASON_BLOCKED, CrashReports
 from .started_run import StartedRun
 from .target_notices import TargetNotices
 
@@ -80,6 +81,7 @@
         address: tuple[str, int],
         directory: Directory,
         pool: TargetPool,
+        crash_reports: CrashReports,
         dialect: HttpDialect,
         clock: Clock,
         metrics: Metrics,
@@ -92,6 +94,7 @@
             address: Its IP address and port.
             directory: Upstreams that the platform lists.
             pool: Connections to the target.
+            crash_reports: Requests that crash targets.
             dialect: Names of header fields.
             clock: Clock of deadlines and waiting times.
             metrics: Counts runs and refusals.
@@ -101,6 +104,7 @@
         self.address = address
         self.directory = directory
         self.pool = pool
+        self.crash_reports = crash_reports
         self.dialect = dialect
         self._request_id_field = dialect.request_id.lower()
         self._seal_field = dialect.seal.lower()
@@ -257,6 +261,8 @@
             return "another process has the address"
         if now_ms < self._unreachable_until_ms:
             return "target is gone"
+        if self.crash_reports.block_ms(request):
+            return REASON_BLOCKED
         return ""
 
     async def _wait_for_slot(self, request: RunRequest, now_ms: float, deadline_ms: float) -> str:
@@ -375,7 +381,7 @@
         except DialError as error:
             return self._handle_dial_error(request, error)
         except (ConnectionLost, TimeoutError) as error:
-            return self.unknown_answer(error)
+            return self.unknown_answer(request, error)
         return self.classify_answer(request, pooled, started_ms)
 
     def _record_sent(self) -> None:
@@ -398,9 +404,10 @@
             remaining_ms,
         )
 
-    def unknown_answer(self, error: Exception) -> RunAnswer:
+    def unknown_answer(self, request: RunRequest, error: Exception) -> RunAnswer:
         """Return the answer for a request that was sent and got no response from the target."""
         if isinstance(error, ConnectionLost):
+            self.crash_reports.record_loss(request)
             self.metrics.count("target.lost")
             on_kept = isinstance(error, ReusedConnectionLost)
             outcome = RunOutcome.CONNECTION_LOST if on_kept else RunOutcome.UNKNOWN
@@ -439,6 +446,7 @@
         else:
             # A limit without the seal is not trusted, but leaving is passed on to the caller.
             self.notices.read_leaving(request, fields, started_ms)
+        self.crash_reports.record_answer(request)
         now_ms = self.clock.now_ms()
         self._record_latency(now_ms - started_ms, now_ms, successful=answer.status < 300)
         self.metrics.count("target.answered")
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -163,6 +163,17 @@
     "{sent} were sent in the {period_ms:.0f} ms before",
 )
 TARGET_LEAVING = _event(719, Level.INFO, "target {upstream_id} of {service_id} says that it leaves")
+TARGET_CRASHED = _event(
+    722,
+    Level.WARNING,
+    "target of {upstream_id} crashed, {lost} requests were lost; {blocked} requests are blocked",
+)
+REQUEST_BLOCKED = _event(
+    723,
+    Level.WARNING,
+    "request {request_id}, {method} {target} for {organisation_id}, refused: it was lost in "
+    "{crashes} crashes of targets and is blocked for {block_ms:.0f} ms",
+)
 STORE_RESTORED = _event(
     720,
     Level.WARNING,
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -6,6 +6,7 @@
 
 from ..ids import OrganisationId, ServiceId, UpstreamId
 from ..state.balancer import LoadReport
+from ..state.crash_suspects import RequestFingerprint
 from .codec import fingerprint, message
 
 
@@ -247,6 +248,38 @@
     states: tuple[tuple[OrganisationId, float, float], ...]
 
 
+@message(111)
+@attrs.frozen
+class CrashReport:
+    """Report that a target crashed while it ran requests.
+
+    Attributes:
+        host: Address of the instance of the target.
+        number: Number that the node beside the target gave the crash.
+        upstream_id: The upstream that crashed.
+        age_ms: Time since the crash was noticed.
+        fingerprints: Requests that were lost with it.
+    """
+
+    host: str
+    number: int
+    upstream_id: UpstreamId
+    age_ms: float
+    fingerprints: tuple[RequestFingerprint, ...]
+
+
+@message(112)
+@attrs.frozen
+class RequestCleared:
+    """Report that a target answered a request that was lost in several crashes.
+
+    Attributes:
+        fingerprint: The request.
+    """
+
+    fingerprint: RequestFingerprint
+
+
 # Nodes with different message definitions refuse links to each other: a request that the peer
 # cannot decode would close the link, and its outcome would be unknown although it never ran.
 MESH_VERSION = fingerprint(
@@ -261,4 +294,6 @@
     DocumentChanges,
     UsageReport,
     RateStates,
+    CrashReport,
+    RequestCleared,
 )
--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -223,6 +223,9 @@
         seen_at_s: Times of the event loop at which they came.
         limit: Limit of the request rate that its answers name, or None.
         leaving: Whether its answers say that it leaves.
+        crashes: Number of its crashes.
+        down: Whether it has crashed and does not serve.
+        crash_task: Task of its last crash, which ends when it serves again.
         behave: Answers a request that passed the checks.
     """
 
@@ -241,6 +244,9 @@
         self.seen_at_s: list[float] = []
         self.limit: str | None = None
         self.leaving = False
+        self.crashes = 0
+        self.down = False
+        self.crash_task: asyncio.Task | None = None
         self.behave: Behaviour = answer_sealed
         self.started_at_ms = 0
         self.start_again()
@@ -259,6 +265,16 @@
         """Stop to serve."""
         await self._listener.close()
 
+    async def crash(self, down_s: float) -> None:
+        """End at once with all connections, and serve again later as the next start of its id."""
+        self.crashes += 1
+        self.down = True
+        await self.close()
+        await asyncio.sleep(down_s)
+        self.start_again()
+        await self.open()
+        self.down = False
+
     def entry(self, state: str = "ready", zone: str = "a") -> dict[str, Any]:
         """Return what it writes next to the store."""
         self._writes += 1
@@ -325,6 +341,26 @@
     """Close the connection without an answer, after the request has run."""
 
 
+def crash_on(path: str, down_s: float) -> Behaviour:
+    """Return a behaviour that crashes the target when it runs a request for a path.
+
+    Args:
+        path: Path and query of the requests that crash it.
+        down_s: Time after which it serves again.
+    """
+
+    async def behave(target: MeshTarget, request: BufferedRequest) -> BufferedResponse | None:
+        if request.target != path:
+            return await answer_sealed(target, request)
+        if not target.down:
+            # The connection of this request ends with the others.
+            target.crash_task = asyncio.ensure_future(target.crash(down_s))
+        await asyncio.sleep(down_s)
+        return None
+
+    return behave
+
+
 @attrs.define(eq=False)
 class MeshInstance:
     """Combine the target and the sidecar of one instance."""
--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -230,12 +230,28 @@
         Raises:
             ConnectionLost: The target is gone, so the response may be truncated.
         """
-        await self._clock.sleep_ms(CRASH_DETECTION_MS)
         try:
-            self._add_idle(await self._dial())
+            await self._dial_after_loss()
         except DialError as error:
             raise ConnectionLost("target", "gone after an answer without a length") from error
 
+    async def has_crashed(self) -> bool:
+        """Return whether the target no longer listens on its port, after a connection was lost."""
+        try:
+            await self._dial_after_loss()
+        except DialError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        return False
+
+    async def _dial_after_loss(self) -> None:
+        """Open an idle connection once a crash of the target would show.
+
+        Raises:
+            DialError: No connection could be opened.
+        """
+        await self._clock.sleep_ms(CRASH_DETECTION_MS)
+        self._add_idle(await self._dial())
+
     def _acquire_idle(self, limit_ms: float | None) -> TargetConnection | None:
         now_ms = self._clock.now_ms()
         learned_ms = self._idle_limit.limit_ms(now_ms)
--- a/tests/coordination/mesh/test_started_run.py
+++ b/tests/coordination/mesh/test_started_run.py
@@ -25,7 +25,7 @@
             raise ValueError("internal error")
         return self._answer(RunOutcome.ANSWERED)
 
-    def unknown_answer(self, error):
+    def unknown_answer(self, request, error):
         return self._answer(RunOutcome.UNKNOWN)
 
     def release_slot(self):
--- a/tests/coordination/mesh/test_target_limit.py
+++ b/tests/coordination/mesh/test_target_limit.py
@@ -1,9 +1,11 @@
 import asyncio
 import itertools
+from random import Random
 
 import logbook
 
 from gentianthread.clock import LoopClock
+from gentianthread.coordination.mesh.crash_reports import CrashReports
 from gentianthread.coordination.mesh.target import LocalTarget
 from gentianthread.coordination.mesh.target_notices import LIMIT_LINES_PER_S
 from gentianthread.decisions import DecisionLog
@@ -82,14 +84,19 @@
         directory = Directory(self.clock.now_ms)
         decisions = DecisionLog(self.clock, 1)
         address = ("10.0.0.1", 80)
+        metrics = HistogramMetrics()
+        crash_reports = CrashReports(
+            address[0], directory, self.pool, None, self.clock, metrics, Random(1)
+        )
         self.node = LocalTarget(
             ServiceId("catalogue"),
             address,
             directory,
             self.pool,
+            crash_reports,
             DIALECT,
             self.clock,
-            HistogramMetrics(),
+            metrics,
             decisions,
         )
         zone = AvailabilityZoneId("a")
--- a/tests/transport/test_target_pool.py
+++ b/tests/transport/test_target_pool.py
@@ -181,6 +181,18 @@
         with self.assertRaisesType(ConnectionLost):
             await self.get(pool)
 
+    async def test_only_a_target_that_does_not_listen_has_crashed(self):
+        """Guards against taking a lost connection for a crash, or a crash for a lost connection."""
+        pool = await self.open_pool(OK % b"a")
+        self.assertFalse(await pool.has_crashed())
+        # The connection that was opened for the check serves the next request.
+        self.assertEqual(b"ok", (await self.get(pool)).body)
+        self.assertEqual(1, self.connections)
+        self.server.close()
+        pool.close()
+        self.assertTrue(await pool.has_crashed())
+        self.assertEqual(0, pool.open_connections)
+
     async def test_reset_does_not_complete_a_response(self):
         """Guards against a response without a length that looks complete although it was reset."""
 
