Leave out odd entries of the instance list, and go on reading it

Another operator's report: one odd entry among those of the upstreams ended the machines that read the list, or they stopped following it.

Cause: the class of fault is an error of a parser that is not in the list of those that mean bad input. A list nested too deeply raises RecursionError, which ended the task that reads lists for good, and the node kept the last one. One entry of another form failed the whole list, so that no change was followed while it was there. Ports, addresses and names were not checked at all.

Change: RecursionError counts as bad input, also in the dump that gentianctl reads. Entries are checked one by one; those that cannot be used are left out with a line (event 307), the others hold.

A list that is no JSON at all is still an outage, and the last one stays.

--- a/gentianthread/coordination/instance_list.py
+++ b/gentianthread/coordination/instance_list.py
@@ -9,7 +9,7 @@
 
 from ..clock import Clock, LoopClock
 from ..errors import PlatformUnavailable
-from ..events import LIST_READ_FAILED
+from ..events import LIST_ENTRY_REFUSED, LIST_READ_FAILED
 from ..logs import log
 from ..transport.platforms import InstanceList, Platform
 
@@ -22,6 +22,9 @@
 # Interval until the first list has been read; without it, a node knows only its configured seeds.
 FIRST_RETRY_MS = 500
 
+# Maximum log lines about the entries of one list that cannot be used.
+MAX_LOGGED_PROBLEMS = 10
+
 # Intervals vary by this fraction in both directions.
 _JITTER = 0.2
 
@@ -99,4 +102,6 @@
         self._failing = False
         if instance_list.revision != self._revision:
             self._revision = instance_list.revision
+            for problem in instance_list.problems[:MAX_LOGGED_PROBLEMS]:
+                log(LIST_ENTRY_REFUSED, problem=problem)
             self._list_subject.on_next(instance_list)
--- a/gentianthread/coordination/operations.py
+++ b/gentianthread/coordination/operations.py
@@ -175,5 +175,5 @@
             if response.status != 200:
                 raise PlatformUnavailable("dump", f"status {response.status}")
             return json.loads(await response.read())
-    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+    except (aiohttp.ClientError, TimeoutError, ValueError, RecursionError) as error:
         raise PlatformUnavailable("dump", f"{type(error).__name__}: {error}") from error
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -78,6 +78,7 @@
 )
 NODE_READY = _event(305, Level.INFO, "configuration version {version} is the newest one found")
 LIST_READ_FAILED = _event(306, Level.WARNING, "instance list: {error}")
+LIST_ENTRY_REFUSED = _event(307, Level.WARNING, "instance list: left out {problem}")
 
 # 400: requests
 REQUEST_REFUSED = _event(400, Level.DEBUG, "request {request_id} refused: {reason}")
--- a/gentianthread/transport/platform_http.py
+++ b/gentianthread/transport/platform_http.py
@@ -12,7 +12,9 @@
 """
 
 import asyncio
+import ipaddress
 import json
+import re
 from typing import Any
 from urllib.parse import quote
 
@@ -34,6 +36,14 @@
 # Longest instance list; one with 2,000 instances takes about 250 KB.
 LIST_LIMIT_BYTES = 4_000_000
 
+MAX_PORT = 65_535
+
+# Longest description of an entry that cannot be used, which may quote the entry.
+PROBLEM_LIMIT_CHARS = 200
+
+# Names are sent to other nodes and written to logs; surrogates cannot be encoded.
+_NAME = re.compile("[^\x00-\x1f\x7f\ud800-\udfff]{1,200}")
+
 
 @platforms.register("http")
 class HttpPlatform(Platform):
@@ -82,7 +92,7 @@
         _, _, body = await self._fetch("list", "/instances", {}, 0.0, LIST_LIMIT_BYTES)
         try:
             return _parse_list(json.loads(body))
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             raise PlatformUnavailable(
                 "list", f"malformed instance list: {type(error).__name__}"
             ) from error
@@ -141,19 +151,45 @@
 
 
 def _parse_list(document: Any) -> InstanceList:
-    instances = tuple(
-        ListedInstance(
-            upstream_id=_check_type(item["upstream_id"], str),
-            availability_zone=_check_type(item["availability_zone"], str),
-            host=_check_type(item["host"], str),
-            peer_port=_check_type(item["peer_port"], int),
-            leaving=_check_type(item["leaving"], bool),
-        )
-        for item in document["instances"]
-    )
+    instances: list[ListedInstance] = []
+    problems: list[str] = []
+    for index, item in enumerate(_check_type(document["instances"], list)):
+        try:
+            instances.append(_parse_instance(item))
+        except (ValueError, KeyError, TypeError) as error:
+            problems.append(f"entry {index}: {error!r}"[:PROBLEM_LIMIT_CHARS])
     era = _check_type(document.get("era", 0), int)
     revision = combine_revision(era, _check_type(document["revision"], int))
-    return InstanceList(revision, instances)
+    return InstanceList(revision, tuple(instances), tuple(problems))
+
+
+def _parse_instance(item: Any) -> ListedInstance:
+    return ListedInstance(
+        upstream_id=_check_name(item["upstream_id"]),
+        availability_zone=_check_name(item["availability_zone"]),
+        host=_check_host(item["host"]),
+        peer_port=_check_port(item["peer_port"]),
+        leaving=_check_type(item["leaving"], bool),
+    )
+
+
+def _check_name(value: Any) -> str:
+    if not _NAME.fullmatch(_check_type(value, str)):
+        raise ValueError("expected up to 200 characters, without control characters and surrogates")
+    return value
+
+
+def _check_host(value: Any) -> str:
+    address = ipaddress.ip_address(_check_type(value, str))
+    if address.is_unspecified or address.is_multicast:
+        raise ValueError("expected an IP address of an instance")
+    return value
+
+
+def _check_port(value: Any) -> int:
+    if isinstance(value, bool) or not 0 <= _check_type(value, int) <= MAX_PORT:
+        raise ValueError(f"expected a port up to {MAX_PORT}, or 0 for none")
+    return value
 
 
 def _check_type(value: Any, expected_type: type) -> Any:
--- a/gentianthread/transport/platforms.py
+++ b/gentianthread/transport/platforms.py
@@ -66,10 +66,12 @@
         revision: Number that increases with every change, by which outdated copies are detected;
             an ordered revision of `state.revisions` if the service was restored from a copy.
         instances: The entries.
+        problems: Descriptions of the entries that were left out, as they cannot be used.
     """
 
     revision: int
     instances: tuple[ListedInstance, ...] = ()
+    problems: tuple[str, ...] = attrs.field(default=(), eq=False)
 
 
 class Platform(ABC):
--- a/tests/transport/test_platform_http.py
+++ b/tests/transport/test_platform_http.py
@@ -51,6 +51,80 @@
         self.assertEqual({"127.0.3.9"}, set(source_addresses))
 
 
+GOOD_ENTRY = {
+    "upstream_id": "a",
+    "availability_zone": "z",
+    "host": "10.0.0.1",
+    "peer_port": 8100,
+    "leaving": False,
+}
+
+
+class TestOddInstanceLists(SocketTestCase):
+    async def read(self, entries, *, revision="1"):
+        """Return the list that a service answers with these entries, which are JSON texts."""
+        body = f'{{"revision": {revision}, "instances": [{", ".join(entries)}]}}'.encode()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        platform = HttpPlatform(f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        try:
+            return await platform.list_instances()
+        finally:
+            await platform.close()
+            server.close()
+
+    async def test_odd_entry_leaves_the_others_in_force(self):
+        """Guards against a node that stops following the list because of one foreign entry."""
+        good = json.dumps(GOOD_ENTRY)
+        odd_entries = [
+            "7",
+            "{}",
+            "[" * 500 + "]" * 500,
+            *(
+                json.dumps(GOOD_ENTRY | {field: value})
+                for field, value in (
+                    ("peer_port", 65_536),
+                    ("peer_port", -1),
+                    ("peer_port", True),
+                    ("peer_port", 10**400),
+                    ("host", "instance-9"),
+                    ("host", "a" * 70 + ".example"),
+                    ("host", "0.0.0.0"),
+                    ("upstream_id", ""),
+                    ("upstream_id", "a\ud800"),
+                    ("availability_zone", "a\r\nX: y"),
+                    ("leaving", "no"),
+                )
+            ),
+        ]
+        for odd in odd_entries:
+            instance_list = await self.read([odd, good])
+            self.assertEqual(
+                ["10.0.0.1"], [entry.host for entry in instance_list.instances], odd[:80]
+            )
+            self.assertEqual(1, len(instance_list.problems))
+
+    async def test_unreadable_list_is_an_outage(self):
+        """Guards against a list that ends the task which reads it, so that it is never read again.
+
+        A value nested too deeply makes the parser give up with an error of its own.
+        """
+        for entries, revision in (
+            (["[" * 100_000], "1"),
+            (["[" * 100_000 + "]" * 100_000], "1"),
+            ([json.dumps(GOOD_ENTRY)], "1e999"),
+            ([json.dumps(GOOD_ENTRY)], "9" * 5_000),
+            ([json.dumps(GOOD_ENTRY)], "-1"),
+        ):
+            with self.assertRaisesType(PlatformUnavailable):
+                await self.read(entries, revision=revision)
+
+
 class TestPlatformStandin(SocketTestCase):
     async def test_control(self):
         """Guards against a stand-in that a demonstration cannot control while it is down."""
