Test refusals that are written again, and answers that end in their head

Two reports of other operators: a faulty target wrote an earlier refusal once more on a kept connection, and orders that ran were called not run or ran twice; a target closed in the middle of the head of its answer, and callers got a 200 with an empty or short body.

Neither happens in the sidecar: the new tests pass on the code before.

--- /dev/null
+++ b/tests/coordination/mesh/test_faulty_targets.py
@@ -0,0 +1,154 @@
+import asyncio
+
+from gentianthread.platform.names import DIALECT
+from gentianthread.standins.mesh import TARGET_PORT
+
+from .base import MeshTestCase
+
+
+def request_id_of(head):
+    fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:] if b": " in line)
+    return fields[b"Request-Id"]
+
+
+def render(status, request_id, *fields, body=b"ok"):
+    lines = [b"HTTP/1.1 %d X" % status, b"Content-Length: %d" % len(body), *fields]
+    if request_id is not None:
+        lines.append(b"Request-Id: " + request_id)
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+SEAL = DIALECT.seal.encode() + b": seal"
+NOT_RUN = DIALECT.not_run.encode() + b": 1"
+
+
+class TestFaultyTargets(MeshTestCase):
+    async def start_faulty(self, serve_request):
+        """Start a mesh in which each target answers by a function of the request's head.
+
+        Args:
+            serve_request: Coroutine function of the head, the number of the request on its
+                connection, the writer and the upstream's id; the connection ends if it returns
+                False.
+        """
+        await self.start({"orders": 2, "catalogue": 1})
+        self.ran = []
+        self.servers = []
+        for upstream_id in ("orders-0", "orders-1"):
+            await self.target(upstream_id).close()
+
+            async def serve(reader, writer, upstream_id=upstream_id):
+                number = 0
+                try:
+                    while True:
+                        head = await reader.readuntil(b"\r\n\r\n")
+                        number += 1
+                        if await serve_request(head, number, writer, upstream_id) is False:
+                            break
+                except (asyncio.IncompleteReadError, ConnectionError):
+                    pass
+                finally:
+                    writer.close()
+
+            host = self.target(upstream_id).host
+            self.servers.append(await asyncio.start_server(serve, host, TARGET_PORT))
+
+    async def stop_faulty(self):
+        for server in self.servers:
+            server.close()
+        await self.stop()
+
+    def check(self, reply):
+        """Check that a reply is true, whatever the target did."""
+        runs = self.ran.count(reply.request_id.encode())
+        self.assertLessEqual(runs, 1)
+        self.assertIn(reply.status, (200, 502, 503, 504))
+        if reply.status == 503:
+            self.assertEqual(0, runs)
+        if reply.status == 200:
+            self.assertEqual((1, b"ok"), (runs, reply.body))
+
+    async def test_refusal_written_once_more_is_not_taken_for_that_of_a_later_request(self):
+        """Guards against 'not run' for an order that runs, and against running it twice.
+
+        A faulty target writes an earlier refusal again on a kept connection, while a later request
+        runs there: with the earlier id or without one, alone or before the answer.
+        """
+        for status in (503, 429, 421, 400):
+            for keeps_id in (True, False):
+                for answers in (True, False):
+                    await self.check_repeated_refusal(status, keeps_id, answers)
+
+    async def check_repeated_refusal(self, status, keeps_id, answers):
+        async def serve_request(head, number, writer, upstream_id):
+            request_id = request_id_of(head)
+            if number == 1:
+                writer.refused_id = request_id
+                # After a 421, the node would send nothing more for some time.
+                first_status = 503 if status == 421 else status
+                writer.write(render(first_status, request_id, NOT_RUN))
+                return True
+            self.ran.append(request_id)
+            refused_id = writer.refused_id if keeps_id else None
+            writer.write(render(status, refused_id, NOT_RUN))
+            await asyncio.sleep(0.02)
+            if answers:
+                writer.write(render(200, request_id, SEAL))
+            return answers
+
+        await self.start_faulty(serve_request)
+        for _ in range(6):
+            self.check(await self.call("catalogue-0", "/order/1", method="POST", body=b"x"))
+        self.assertLess(0, len(self.ran))
+        await self.stop_faulty()
+
+    async def test_refusal_written_twice_is_not_taken_for_that_of_the_next_request(self):
+        """Guards against the same with a second refusal that arrives before the next request."""
+
+        async def serve_request(head, number, writer, upstream_id):
+            request_id = request_id_of(head)
+            if number % 2:
+                writer.write(render(503, request_id, NOT_RUN))
+                await asyncio.sleep(0.002 * (number % 5))
+                writer.write(render(503, request_id, NOT_RUN))
+                return
+            self.ran.append(request_id)
+            await asyncio.sleep(0.02)
+            writer.write(render(200, request_id, SEAL))
+
+        await self.start_faulty(serve_request)
+        for _ in range(20):
+            self.check(await self.call("catalogue-0", "/order/1", method="POST", body=b"x"))
+        await self.stop_faulty()
+
+    async def test_answer_that_ends_in_its_head_is_no_success(self):
+        """Guards against a 200 with an empty or short body for an answer without a whole head."""
+        fields = (SEAL, b"Connection: close")
+        whole = (
+            render(200, b"%s", *fields),
+            # Ends with its connection.
+            b"HTTP/1.1 200 X\r\nRequest-Id: %s\r\n" + b"\r\n".join(fields) + b"\r\n\r\n",
+            b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nRequest-Id: %s\r\n"
+            + SEAL
+            + b"\r\n\r\n",
+        )
+        cuts = []
+
+        async def serve_request(head, number, writer, upstream_id):
+            request_id = request_id_of(head)
+            self.ran.append(request_id)
+            answer = whole[self.form].replace(b"%s", request_id)
+            end = answer.index(b"\r\n\r\n") + 3
+            cuts.append(min(end, 1 + self.cut * end // 40))
+            writer.write(answer[: cuts[-1]])
+            return False
+
+        self.form = self.cut = 0
+        await self.start_faulty(serve_request)
+        for self.form in range(len(whole)):
+            for self.cut in range(41):
+                reply = await self.call("catalogue-0", "/order/1", method="POST", body=b"x")
+                self.assertIn(reply.status, (502, 503), cuts[-1])
+                self.check(reply)
+        self.assertLess(100, len(cuts))
+        await self.stop_faulty()
