Play a request that crashes targets in the soak

The soak of one process gets the kind "crashes": callers send one request again and again at all nodes, each target that runs it crashes and is back after 0.5 s, and all other faults go on. It checks the users' rule from what targets ran: at most three runs later than 3 s after the third crash.

The soak of real processes does not play it: its relays go on listening while a target is down.

--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -225,7 +225,7 @@
         leaving: Whether its answers say that it leaves.
         crashes: Number of its crashes.
         down: Whether it has crashed and does not serve.
-        crash_task: Task of its last crash, which ends when it serves again.
+        crash_task: Task of its last crash; see `crash`.
         behave: Answers a request that passed the checks.
     """
 
@@ -265,10 +265,22 @@
         """Stop to serve."""
         await self._listener.close()
 
-    async def crash(self, down_s: float) -> None:
-        """End at once with all connections, and serve again later as the next start of its id."""
-        self.crashes += 1
-        self.down = True
+    def crash(self, down_s: float) -> asyncio.Task:
+        """End with all connections, and serve again later as the next start of its id.
+
+        Args:
+            down_s: Time until it serves again.
+
+        Returns:
+            A task that ends when it serves again.
+        """
+        if not self.down:
+            self.crashes += 1
+            self.down = True
+            self.crash_task = asyncio.ensure_future(self._restart(down_s))
+        return self.crash_task
+
+    async def _restart(self, down_s: float) -> None:
         await self.close()
         await asyncio.sleep(down_s)
         self.start_again()
@@ -341,21 +353,20 @@
     """Close the connection without an answer, after the request has run."""
 
 
-def crash_on(path: str, down_s: float) -> Behaviour:
+def crash_on(path: str, down_s: float, otherwise: Behaviour = answer_sealed) -> Behaviour:
     """Return a behaviour that crashes the target when it runs a request for a path.
 
     Args:
         path: Path and query of the requests that crash it.
         down_s: Time after which it serves again.
+        otherwise: Answers the other requests.
     """
 
     async def behave(target: MeshTarget, request: BufferedRequest) -> BufferedResponse | None:
         if request.target != path:
-            return await answer_sealed(target, request)
-        if not target.down:
-            # The connection of this request ends with the others.
-            target.crash_task = asyncio.ensure_future(target.crash(down_s))
-        await asyncio.sleep(down_s)
+            return await otherwise(target, request)
+        # The connection of this request ends with the others.
+        await asyncio.shield(target.crash(down_s))
         return None
 
     return behave
@@ -517,5 +528,7 @@
         """Close everything."""
         for instance in self.instances.values():
             await instance.sidecar.stop()
+            if instance.target.crash_task is not None:
+                instance.target.crash_task.cancel()
             await instance.target.close()
         await self.store.close()
--- a/tests/coordination/mesh/soak.py
+++ b/tests/coordination/mesh/soak.py
@@ -17,8 +17,9 @@
 from gentianthread.coordination.mesh.sidecar import Sidecar
 from gentianthread.platform.documents import UPSTREAM_PREFIX
 from gentianthread.platform.names import DIALECT
-from gentianthread.standins.mesh import MeshFleet, answer_sealed, break_off, fail
+from gentianthread.standins.mesh import Behaviour, MeshFleet, answer_sealed, break_off, fail
 
+from .crash_faults import CrashFaults
 from .soak_caller import CALLER_SLACK_MS, CALLER_TIMEOUT_MS, Call, Connections, run_within
 from .store_and_limit_faults import NoticePeriod, StoreAndLimitFaults
 
@@ -74,10 +75,12 @@
         instances_per_service: Number of instances of each service; set before `play`.
         violations: Descriptions of the invariants that did not hold.
         recovery_s: Time after the last fault within which every request must succeed.
+        faults_s: Duration of the faults.
         restarted: Names of upstreams whose sidecar was restarted or stopped.
     """
 
     recovery_s = RECOVERY_S
+    faults_s = FAULTS_S
     instances_per_service = INSTANCES_PER_SERVICE
 
     def __init__(self, seed: int):
@@ -114,7 +117,7 @@
     def _injects_faults(self, elapsed_s: float) -> bool:
         successes = sum(call.status == 200 for call in self.calls)
         has_enough_calls = len(self.calls) > MIN_CALLS and successes > MIN_SUCCESSES
-        return elapsed_s < FAULTS_S or (elapsed_s < MAX_FAULTS_S and not has_enough_calls)
+        return elapsed_s < self.faults_s or (elapsed_s < MAX_FAULTS_S and not has_enough_calls)
 
     # Callers.
 
@@ -212,9 +215,13 @@
     async def _misbehave(self, name: str) -> None:
         """Let a target fail, answer late or answer invalidly for a while."""
         target = self.fleet.instances[name].target
-        target.behave = self.random.choice(BEHAVIOURS)
+        target.behave = self._wrap_behaviour(self.random.choice(BEHAVIOURS))
         await asyncio.sleep(self.random.uniform(0.2, 0.8))
-        target.behave = answer_sealed
+        target.behave = self._wrap_behaviour(answer_sealed)
+
+    def _wrap_behaviour(self, behaviour: Behaviour) -> Behaviour:
+        """Return what the targets of this soak do besides a behaviour."""
+        return behaviour
 
     async def _list_as_draining(self, name: str) -> None:
         """List an upstream as draining for a while."""
@@ -292,8 +299,12 @@
         return name in self.restarted
 
 
+class CrashSoak(CrashFaults, Soak):
+    """Play all faults beside a request that crashes the targets that run it."""
+
+
 # Kinds of soaks by the names that select them.
-KINDS = {"faults": Soak, "store-and-limits": StoreAndLimitSoak}
+KINDS = {"faults": Soak, "store-and-limits": StoreAndLimitSoak, "crashes": CrashSoak}
 
 
 def main(kinds: dict[str, type[Soak]] = KINDS, regressions: dict[int, str] = REGRESSIONS) -> int:
--- a/tests/coordination/mesh/test_soak.py
+++ b/tests/coordination/mesh/test_soak.py
@@ -7,7 +7,7 @@
 from gentianthread.standins.mesh import OUTBOUND_PORT, MeshTarget
 
 from ...base import SocketTestCase
-from .soak import MIN_CALLS, MIN_SUCCESSES, Soak, StoreAndLimitSoak, answer_slowly
+from .soak import MIN_CALLS, MIN_SUCCESSES, CrashSoak, Soak, StoreAndLimitSoak, answer_slowly
 from .soak_caller import CALLER_SLACK_MS, CALLER_TIMEOUT_MS, Call
 from .store_and_limit_faults import CONTACT_S, DRAIN_S, NoticePeriod
 
@@ -35,6 +35,10 @@
         """Guards against older plans, and targets left out, after several such faults at once."""
         await self.play(StoreAndLimitSoak)
 
+    async def test_request_that_crashes_targets_breaks_nothing(self):
+        """Guards against one request that crashes target after target while other faults go on."""
+        await self.play(CrashSoak)
+
 
 class TestCallerTimeouts(SocketTestCase):
     def make_call(self, soak):
