Let one node try a request after its first block, and do not retry it

Callers could lose targets to a request that the nodes knew before all of them were killed at once.

Cause: after the kill the request was lost in two crashes, at 12.1 and 13.7 s, and was blocked for 3 s. The block ended on all nodes at the same moment, so that several of them sent it to another target each before the crash of the first one was known; a repeatable request would have been retried as well. The class of fault is that of timers that end together. Ruled out: knowledge that does not reach the nodes (all refuse it until 16.7 s by event 723).

Change: each node draws the end of a block, from once to twice its length; the first block is 2 s. A request that was lost in two crashes is not retried until a target has answered it, also after its block.

Why it works: a crash is known on all nodes within 0.1 s, and the ends of the first block of 13 nodes lie 0.15 s apart on average.

New tests: test_nodes_end_a_block_at_different_times, test_request_is_not_retried_after_its_block.

--- a/gentianthread/coordination/mesh/crash_reports.py
+++ b/gentianthread/coordination/mesh/crash_reports.py
@@ -63,9 +63,9 @@
             peers: Links to the other nodes.
             clock: Clock of the blocks.
             metrics: Counts crashes.
-            random: Source of the numbers of crashes.
+            random: Source of the numbers of crashes and of the jitter of blocks.
         """
-        self.suspects = CrashSuspects()
+        self.suspects = CrashSuspects(random)
         self.neighbours: Callable[[], Iterable[PeerLink]] = list
         self._host = host
         self._directory = directory
--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -245,7 +245,7 @@
             will_retry = attempts.refusals < MAX_REFUSALS
         else:
             will_retry = self._may_retry(pending, answer, attempts.retry_window)
-        will_retry = will_retry and not self.crash_reports.block_ms(pending)
+        will_retry = will_retry and self.crash_reports.suspects.may_retry(pending)
         # The caller gets an answer of a target, even an error, rather than a later node's refusal.
         if attempts.last_answer.outcome is not RunOutcome.ANSWERED:
             attempts.last_answer = answer
--- a/gentianthread/state/crash_suspects.py
+++ b/gentianthread/state/crash_suspects.py
@@ -5,6 +5,7 @@
 and no target ever answers it.
 """
 
+from random import Random
 from typing import NewType, Protocol
 
 import attrs
@@ -15,10 +16,10 @@
 # Hash of what a request asks for and for whom; the same for all its retries, at any node.
 RequestFingerprint = NewType("RequestFingerprint", int)
 
-# Crashes after which a request is blocked for a short time. Other requests that were lost in both
-# crashes by chance then run apart from the one that caused them.
+# Crashes after which a request is blocked for a short time, and not retried any more. Other
+# requests that were lost in both crashes by chance then run apart from the one that caused them.
 MIN_CRASHES = 2
-FIRST_BLOCK_MS = 3_000.0
+FIRST_BLOCK_MS = 2_000.0
 
 # A request that was lost in a single crash is forgotten after this time.
 SUSPICION_MS = 600_000.0
@@ -27,6 +28,10 @@
 LONG_BLOCK_MS = 600_000.0
 MAX_BLOCK_MS = 24 * 3_600_000.0
 
+# Each node prolongs a block by up to this fraction, drawn at random: if the request still crashes
+# targets, the first node that lets it through shows it to the others.
+BLOCK_JITTER = 1.0
+
 # Maximum number of remembered suspects and crashes; the oldest are dropped first. A flood of other
 # crashes must not release blocked requests, so these have a limit of their own.
 MAX_SUSPECTS = 10_000
@@ -93,19 +98,11 @@
 
     crashes: int
     last_crash_ms: float
+    blocked_until_ms: float = float("-inf")
 
     def is_outdated(self, now_ms: float) -> bool:
         return self.crashes < MIN_CRASHES and now_ms - self.last_crash_ms > SUSPICION_MS
 
-    @property
-    def blocked_until_ms(self) -> float:
-        if self.crashes < MIN_CRASHES:
-            return float("-inf")
-        if self.crashes == MIN_CRASHES:
-            return self.last_crash_ms + FIRST_BLOCK_MS
-        doublings = min(self.crashes - MIN_CRASHES - 1, 32)
-        return self.last_crash_ms + min(MAX_BLOCK_MS, LONG_BLOCK_MS * 2**doublings)
-
 
 class CrashSuspects:
     """Count the crashes in which each request was lost, and block those that were lost in several.
@@ -113,11 +110,16 @@
     It is false while there are no suspects, so that requests need no fingerprint then.
     """
 
-    def __init__(self) -> None:
-        """Create an empty record."""
+    def __init__(self, random: Random):
+        """Create an empty record.
+
+        Args:
+            random: Source of the jitter of blocks.
+        """
+        self._random = random
         self._crashes: dict[CrashId, Crash] = {}
         self._suspects: dict[RequestFingerprint, _Suspect] = {}
-        # Suspects of so many crashes that they are or were blocked.
+        # Suspects of so many crashes that they are blocked, or were and were not answered since.
         self._blocked: dict[RequestFingerprint, _Suspect] = {}
 
     def __bool__(self) -> bool:
@@ -147,9 +149,17 @@
             self._suspects[fingerprint] = suspect
             _drop_oldest(self._suspects, MAX_SUSPECTS)
         else:
+            suspect.blocked_until_ms = suspect.last_crash_ms + self._choose_block_ms(suspect)
             self._blocked[fingerprint] = suspect
             _drop_oldest(self._blocked, MAX_BLOCKED)
 
+    def _choose_block_ms(self, suspect: _Suspect) -> float:
+        block_ms = FIRST_BLOCK_MS
+        if suspect.crashes > MIN_CRASHES:
+            doublings = min(suspect.crashes - MIN_CRASHES - 1, 32)
+            block_ms = min(MAX_BLOCK_MS, LONG_BLOCK_MS * 2**doublings)
+        return block_ms * (1 + BLOCK_JITTER * self._random.random())
+
     def clear(self, fingerprint: RequestFingerprint) -> bool:
         """Forget a request that a target has answered.
 
@@ -171,6 +181,10 @@
         suspect = self._blocked.get(fingerprint_request(request))
         return 0.0 if suspect is None else max(0.0, suspect.blocked_until_ms - now_ms)
 
+    def may_retry(self, request: Identifiable) -> bool:
+        """Return whether a request may be retried after a failed attempt."""
+        return not self._blocked or fingerprint_request(request) not in self._blocked
+
     def crash_count(self, request: Identifiable) -> int:
         """Return the crashes in which a request was lost since a target last answered it."""
         fingerprint = fingerprint_request(request)
--- a/tests/coordination/mesh/test_crashes.py
+++ b/tests/coordination/mesh/test_crashes.py
@@ -1,10 +1,9 @@
 import asyncio
 
-import attrs
-
 from gentianthread.clock import SystemClock
 from gentianthread.coordination.mesh.sidecar import Sidecar
 from gentianthread.platform.documents import UPSTREAM_PREFIX
+from gentianthread.protocol.messages_mesh import RunRequest
 from gentianthread.standins.mesh import answer_sealed, break_off, crash_on
 
 from .base import MeshTestCase
@@ -13,16 +12,6 @@
 DOWN_S = 0.15
 
 
-@attrs.frozen
-class Request:
-    """Identify a request of the usual caller."""
-
-    target: str
-    organisation_id: str = "acme"
-    method: str = "GET"
-    body: bytes = b""
-
-
 class TestCrashes(MeshTestCase):
     async def start_crashing(self, services, **options):
         await self.start(services, **options)
@@ -161,6 +150,7 @@
             await self.wait_served()
         await self.until(lambda: self.nodes_that_block() == list(self.fleet.instances))
         reports = self.sidecar("orders-0").crash_reports
-        reports.record_answer(Request(DEADLY))
+        head = (1, "catalogue", "catalogue-0", "acme", 0, False, True, True, 500.0, "a")
+        reports.record_answer(RunRequest(*head, "GET", DEADLY, "", b"", 0))
         await self.until(lambda: not self.nodes_that_block())
         await self.stop()
--- a/tests/coordination/mesh/test_target_notices.py
+++ b/tests/coordination/mesh/test_target_notices.py
@@ -14,6 +14,16 @@
     def limit_of(self, upstream_id):
         return self.sidecar(upstream_id).describe()["target"]["stated_limit_per_s"]
 
+    async def assert_served_by_others(self, leaving):
+        """Check that a target which says that it leaves gets no request after its first one."""
+        while not leaving.seen:
+            await self.call("orders-0", "/stock/1")
+        before = len(leaving.seen)
+        for caller in ("orders-0", "catalogue-0", "catalogue-1"):
+            for _ in range(10):
+                self.assertEqual(200, (await self.call(caller, "/stock/1")).status)
+        self.assertEqual(before, len(leaving.seen))
+
     async def test_limit_of_the_target_shows_in_the_dump(self):
         """Guards against an incident in which nobody can tell which limit a target named."""
         await self.start({"catalogue": 1})
@@ -53,13 +63,7 @@
         leaving = self.target("catalogue-0")
         leaving.leaving = True
         await self.call("catalogue-0", "/stock/1")
-        while not leaving.seen:
-            await self.call("orders-0", "/stock/1")
-        before = len(leaving.seen)
-        for caller in ("orders-0", "catalogue-0", "catalogue-1"):
-            for _ in range(10):
-                self.assertEqual(200, (await self.call(caller, "/stock/1")).status)
-        self.assertEqual(before, len(leaving.seen))
+        await self.assert_served_by_others(leaving)
         await self.stop()
 
     async def test_node_that_passed_on_the_notice_knows_it_while_the_one_beside_forgot(self):
@@ -90,13 +94,7 @@
         leaving = self.target("catalogue-0")
         leaving.leaving = True
         leaving.behave = fail_without_seal
-        while not leaving.seen:
-            await self.call("orders-0", "/stock/1")
-        before = len(leaving.seen)
-        for caller in ("orders-0", "catalogue-0", "catalogue-1"):
-            for _ in range(10):
-                self.assertEqual(200, (await self.call(caller, "/stock/1")).status)
-        self.assertEqual(before, len(leaving.seen))
+        await self.assert_served_by_others(leaving)
         await self.stop()
 
 
--- a/tests/state/test_crash_suspects.py
+++ b/tests/state/test_crash_suspects.py
@@ -1,6 +1,7 @@
 import attrs
 
 from gentianthread.state.crash_suspects import (
+    BLOCK_JITTER,
     FIRST_BLOCK_MS,
     LONG_BLOCK_MS,
     MAX_BLOCK_MS,
@@ -26,10 +27,20 @@
 DEADLY = Request("/deadly")
 
 
+class FixedRandom:
+    """Draw the same number each time."""
+
+    value = 0.0
+
+    def random(self):
+        return self.value
+
+
 class TestCrashSuspects(TestCase):
     def setUp(self):
         super().setUp()
-        self.suspects = CrashSuspects()
+        self.random = FixedRandom()
+        self.suspects = CrashSuspects(self.random)
         self.number = 0
 
     def crash(self, *requests, at_ms=0.0):
@@ -51,6 +62,25 @@
         self.assertEqual(FIRST_BLOCK_MS, self.suspects.block_ms(DEADLY, 100.0))
         self.assertEqual(0, self.suspects.block_ms(DEADLY, 100.0 + FIRST_BLOCK_MS))
 
+    def test_nodes_end_a_block_at_different_times(self):
+        """Guards against nodes that all let a request through at once, each to another target."""
+        self.random.value = 0.5
+        self.crash(DEADLY)
+        self.crash(DEADLY)
+        self.assertEqual(
+            FIRST_BLOCK_MS * (1 + 0.5 * BLOCK_JITTER), self.suspects.block_ms(DEADLY, 0.0)
+        )
+
+    def test_request_is_not_retried_after_its_block(self):
+        """Guards against two further crashes by the first attempt after a block."""
+        self.crash(DEADLY)
+        self.assertTrue(self.suspects.may_retry(DEADLY))
+        self.crash(DEADLY)
+        self.assertFalse(self.suspects.may_retry(DEADLY))
+        self.assertTrue(self.suspects.may_retry(Request("/other")))
+        self.suspects.clear(fingerprint_request(DEADLY))
+        self.assertTrue(self.suspects.may_retry(DEADLY))
+
     def test_each_crash_from_the_third_on_doubles_the_block(self):
         """Guards against a request that goes on crashing targets at a steady rate."""
         blocks_ms = []
@@ -117,7 +147,7 @@
         self.crash(DEADLY, Request("/interrupted"))
         self.crash(DEADLY)
         self.crash(DEADLY)
-        told = CrashSuspects()
+        told = CrashSuspects(self.random)
         for crash in self.suspects.crashes_to_share():
             self.assertEqual((fingerprint_request(DEADLY),), crash.fingerprints)
             told.record_crash(crash)
