Forget blocked requests some time after their blocks

Requests that were lost in two crashes and never came back stayed suspects until 10,000 others had pushed them out, and their crashes were told to each node that began to follow another one.

Change: a suspect is forgotten ten minutes after its last crash or the end of its block. Before, this held for requests that were lost in a single crash only.

New test: test_blocked_request_is_forgotten_some_time_after_its_block, which failed before.

--- a/gentianthread/state/crash_suspects.py
+++ b/gentianthread/state/crash_suspects.py
@@ -21,7 +21,7 @@
 MIN_CRASHES = 2
 FIRST_BLOCK_MS = 2_000.0
 
-# A request that was lost in a single crash is forgotten after this time.
+# A request is forgotten after this time without a crash, counted from the end of its block.
 SUSPICION_MS = 600_000.0
 
 # From the third crash on a request is blocked for long, and twice as long after each further one.
@@ -101,7 +101,7 @@
     blocked_until_ms: float = float("-inf")
 
     def is_outdated(self, now_ms: float) -> bool:
-        return self.crashes < MIN_CRASHES and now_ms - self.last_crash_ms > SUSPICION_MS
+        return now_ms - max(self.last_crash_ms, self.blocked_until_ms) > SUSPICION_MS
 
 
 class CrashSuspects:
@@ -135,13 +135,19 @@
             return False
         self._crashes[crash.crash_id] = crash
         _drop_oldest(self._crashes, MAX_CRASHES)
+        self._forget_outdated(crash.at_ms)
         for fingerprint in set(crash.fingerprints):
             self._record_suspect(fingerprint, crash.at_ms)
         return True
 
+    def _forget_outdated(self, now_ms: float) -> None:
+        for records in (self._suspects, self._blocked):
+            for fingerprint in [name for name in records if records[name].is_outdated(now_ms)]:
+                del records[fingerprint]
+
     def _record_suspect(self, fingerprint: RequestFingerprint, at_ms: float) -> None:
         suspect = self._blocked.pop(fingerprint, None) or self._suspects.pop(fingerprint, None)
-        if suspect is None or suspect.is_outdated(at_ms):
+        if suspect is None:
             suspect = _Suspect(0, at_ms)
         suspect.crashes += 1
         suspect.last_crash_ms = max(suspect.last_crash_ms, at_ms)
--- a/tests/state/test_crash_suspects.py
+++ b/tests/state/test_crash_suspects.py
@@ -134,6 +134,16 @@
         self.crash(DEADLY, at_ms=SUSPICION_MS + 1)
         self.assertEqual(0, self.suspects.block_ms(DEADLY, SUSPICION_MS + 1))
 
+    def test_blocked_request_is_forgotten_some_time_after_its_block(self):
+        """Guards against reports to new nodes that grow with each request that was ever blocked."""
+        for _ in range(3):
+            self.crash(DEADLY)
+        forgotten_ms = LONG_BLOCK_MS + SUSPICION_MS
+        self.crash(Request("/other"), at_ms=forgotten_ms)
+        self.assertFalse(self.suspects.may_retry(DEADLY))
+        self.crash(Request("/other"), at_ms=forgotten_ms + 1)
+        self.assertTrue(self.suspects.may_retry(DEADLY))
+
     def test_flood_of_suspects_does_not_release_a_blocked_request(self):
         """Guards against crashes with many requests under way that end a block."""
         for _ in range(3):
