--- a/tests/coordination/mesh/crash_faults.py
+++ b/tests/coordination/mesh/crash_faults.py
@@ -5,8 +5,8 @@
 from .soak_caller import Call
 
 # Path of the request, and how often the callers send it.
-DEADLY = "/stock/deadly"
-DEADLY_FRACTION = 0.03
+POISON = "/stock/poison"
+POISON_FRACTION = 0.03
 
 # Time after which a crashed target serves again.
 DOWN_S = 0.5
@@ -25,12 +25,12 @@
 
     def _make_call(self) -> Call:
         call = super()._make_call()
-        if self._injecting and self.random.random() < DEADLY_FRACTION:
-            call.method, call.path, call.body = "GET", DEADLY, b""
+        if self._injecting and self.random.random() < POISON_FRACTION:
+            call.method, call.path, call.body = "GET", POISON, b""
         return call
 
     def _wrap_behaviour(self, behaviour: Behaviour) -> Behaviour:
-        return crash_on(DEADLY, DOWN_S, behaviour)
+        return crash_on(POISON, DOWN_S, behaviour)
 
     async def _run_caller(self) -> None:
         for instance in self.fleet.instances.values():
@@ -44,10 +44,10 @@
             time_s
             for instance in self.fleet.instances.values()
             for request, time_s in zip(instance.target.seen, instance.target.seen_at_s, strict=True)
-            if request.target == DEADLY
+            if request.target == POISON
         )
         late = [time_s for time_s in runs_s[3:] if time_s > runs_s[2] + CONTACT_S]
         if len(late) > LATE_RETRIES:
             self.violations.append(
-                f"{len(late)} of {len(runs_s)} runs of {DEADLY} came too late after the third"
+                f"{len(late)} of {len(runs_s)} runs of {POISON} came too late after the third"
             )
--- a/tests/coordination/mesh/test_crashes.py
+++ b/tests/coordination/mesh/test_crashes.py
@@ -8,7 +8,7 @@
 
 from .base import MeshTestCase
 
-DEADLY = "/stock/deadly"
+POISON = "/stock/poison"
 DOWN_S = 0.15
 
 
@@ -16,7 +16,7 @@
     async def start_crashing(self, services, **options):
         await self.start(services, **options)
         for upstream_id in self.fleet.instances:
-            self.target(upstream_id).behave = crash_on(DEADLY, DOWN_S)
+            self.target(upstream_id).behave = crash_on(POISON, DOWN_S)
 
     def crashes(self):
         return sum(instance.target.crashes for instance in self.fleet.instances.values())
@@ -42,12 +42,12 @@
         await self.start_crashing({"catalogue": 4, "orders": 2}, zones=("a", "b"))
         callers = list(self.fleet.instances)
         for number in range(30):
-            await self.call(callers[number % len(callers)], DEADLY)
+            await self.call(callers[number % len(callers)], POISON)
             await self.wait_served()
         # At most three retries may reach targets once it has crashed the third one.
         self.assertLessEqual(self.crashes(), 3 + 3)
         self.assertEqual(callers, self.nodes_that_block())
-        reply = await self.call("orders-0", DEADLY)
+        reply = await self.call("orders-0", POISON)
         self.assertEqual(503, reply.status)
         self.assertGreater(float(reply.fields["Retry-After"]), 1)
         await self.stop()
@@ -56,7 +56,7 @@
         """Guards against a request that crashes further targets through a restarted node."""
         await self.start_crashing({"catalogue": 3, "orders": 1})
         for _ in range(3):
-            await self.call("catalogue-0", DEADLY)
+            await self.call("catalogue-0", POISON)
             await self.wait_served()
         instance = self.fleet.instances["orders-0"]
         await instance.sidecar.stop()
@@ -65,7 +65,7 @@
         await self.until(lambda: "orders-0" in self.nodes_that_block())
         await instance.sidecar.follower.ready.wait()
         before = self.crashes()
-        self.assertEqual(503, (await self.call("orders-0", DEADLY)).status)
+        self.assertEqual(503, (await self.call("orders-0", POISON)).status)
         self.assertEqual(before, self.crashes())
         await self.stop()
 
@@ -73,9 +73,9 @@
         """Guards against telling that an order has not run that an attempt has begun to run."""
         await self.start({"orders": 3})
         for upstream_id in self.fleet.instances:
-            self.target(upstream_id).behave = crash_on("/order/deadly", DOWN_S)
+            self.target(upstream_id).behave = crash_on("/order/poison", DOWN_S)
         for _ in range(6):
-            reply = await self.call("orders-0", "/order/deadly", method="POST", body=b"x")
+            reply = await self.call("orders-0", "/order/poison", method="POST", body=b"x")
             runs = sum(
                 instance.target.runs.get(reply.request_id, 0)
                 for instance in self.fleet.instances.values()
@@ -93,7 +93,7 @@
                 asyncio.ensure_future(self.call("catalogue-0", f"/stock/{number}"))
                 for number in range(10)
             ]
-            await self.call("catalogue-1", DEADLY)
+            await self.call("catalogue-1", POISON)
             await asyncio.gather(*interrupted)
             await self.wait_served()
             for number in range(10):
@@ -146,11 +146,11 @@
         """Guards against a request that stays blocked elsewhere although a target answers it."""
         await self.start_crashing({"catalogue": 2, "orders": 1})
         for _ in range(2):
-            await self.call("catalogue-0", DEADLY)
+            await self.call("catalogue-0", POISON)
             await self.wait_served()
         await self.until(lambda: self.nodes_that_block() == list(self.fleet.instances))
         reports = self.sidecar("orders-0").crash_reports
         head = (1, "catalogue", "catalogue-0", "acme", 0, False, True, True, 500.0, "a")
-        reports.record_answer(RunRequest(*head, "GET", DEADLY, "", b"", 0))
+        reports.record_answer(RunRequest(*head, "GET", POISON, "", b"", 0))
         await self.until(lambda: not self.nodes_that_block())
         await self.stop()
