--- a/review/lib/upstream.py
+++ b/review/lib/upstream.py
@@ -15,7 +15,7 @@
     `size-N` the length of the answer in bytes.
 
     Attributes:
-        begun: Ids of the requests that it began to run.
+        begun, begun_at_s: Ids of the requests that it began to run, and when.
         runs: Id, start and end of each run; times of the event loop.
         draining: Whether answers say that the connection closes.
         read_bytes_per_s: Speed at which bodies are read, or None for full speed.
@@ -26,6 +26,7 @@
         self.service, self.upstream_id, self.zone, self.slots = service, upstream_id, zone, slots
         self.runs = []
         self.begun = []
+        self.begun_at_s = []
         self.draining = False
         self.read_bytes_per_s = None
         self.on_run = on_run or (lambda upstream, request_id, text: None)
@@ -94,6 +95,7 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         self.begun.append(request_id)
+        self.begun_at_s.append(started_s)
         self.on_run(self, request_id, f"begins {method} {path} body={left}")
         digest = hashlib.sha256()
         while left:
