--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,7 +16,7 @@
 JOIN_AFTER_S = 2.3
 # The store has been without impairment for `contact` when it confirms the removals.
 LEAVE_AFTER_S = CONTACT_S + 0.1
-LEAVE_GAP_S = 0.05
+LEAVE_GAP_S = 0.04
 # The leaving upstreams serve for `drain` and a little longer, and then exit.
 SERVES_S = DRAIN_S + 0.12
 TIMEOUT_MS = 6_000
@@ -46,17 +46,17 @@
     fleet = Fleet(record)
     await fleet.open(plan())
     reads = await fleet.add("reads", "reads-0")
-    for index in range(5):
+    for index in range(6):
         await fleet.add("orders", f"orders-{index}", slots=3)
     joiner = await fleet.add("reads", "reads-1", listed=False)
-    leavers = [machine.upstream for machine in fleet.machines[3:5]]
+    leavers = [machine.upstream for machine in fleet.machines[3:6]]
     counts, stop = {}, asyncio.Event()
     removed_s = {}
     try:
         await fleet.start()
         callers = [
             asyncio.ensure_future(send_orders(fleet, machine, stop, counts, record))
-            for machine in (reads, *fleet.machines[3:5])
+            for machine in (reads, *fleet.machines[3:6])
             for _ in range(5)
         ]
         await asyncio.sleep(1.0)
