Learn a newer plan from nodes that only follow others

What callers saw: nothing yet; found while the bound of DRAIN was tested. After the store had come back from an older copy and most nodes had restarted, these could go on with the plan of the copy: removed routes and keys in force again (ROUTE, CONFIG).

Cause: a node with the same revision but an older plan asks for the newer one when a source reports it, and a watcher passes it on when a follower with an older plan subscribes. The opposite direction was missing: a watcher whose follower has the newer plan, and a source whose state names an older plan, were never corrected.

Ruled out: probes between nodes carry only the revision, which is equal here.

Change: a node that is subscribed to with a newer plan requests the documents, and a node that receives a state with an older plan sends them; the receiver applies only the plan then.

Why it works: each pair of nodes that follow each other compares plan versions in both directions, so the newest plan spreads over the whole tree of feeds.

--- a/gentianthread/coordination/mesh/feeds.py
+++ b/gentianthread/coordination/mesh/feeds.py
@@ -256,6 +256,8 @@
         elif 0 < request.plan_version < self.plan_version():
             # The store came back from a copy with an older plan, and the follower read that one.
             self.send_documents(link)
+        elif 0 < self.plan_version() < request.plan_version:
+            self.request_documents(link)
         link.post(self._state())
         self.on_neighbour(link)
 
@@ -276,6 +278,8 @@
         if state.revision <= self.revision() and 0 < self.plan_version() < state.plan_version:
             # The store came back from a copy with an older plan, and this node read that one.
             self.request_documents(link)
+        elif state.revision >= self.revision() and 0 < state.plan_version < self.plan_version():
+            self.send_documents(link)
         if state.revision < self.revision():
             # A node that the store refuses learns of newer documents from its followers.
             link.post(self.peers.make_probe(reply=True))
--- a/tests/coordination/mesh/test_store_restore.py
+++ b/tests/coordination/mesh/test_store_restore.py
@@ -100,6 +100,24 @@
         self.assertEqual({4}, self.fleet.versions())
         await self.fleet.stop()
 
+    async def test_nodes_that_restart_beside_one_follower_learn_its_newer_plan(self):
+        """Guards against an older plan in force because only a node that follows others knows more.
+
+        Restarted nodes that watch or head a zone read the plan of the copy, and asked nobody.
+        """
+        await self.start()
+        await self.restore()
+        await asyncio.sleep(4)
+        survivor = next(
+            host for host, node in self.fleet.nodes.items() if node.feeds.plan.position > 0
+        )
+        hosts = [host for host in self.fleet.nodes if host != survivor]
+        await self.fleet.stop(*hosts)
+        self.fleet.start(*hosts)
+        await asyncio.sleep(6)
+        self.assertEqual({4}, self.fleet.versions())
+        await self.fleet.stop()
+
     async def test_draining_upstream_is_not_ready_again(self):
         """Guards against work for a leaving upstream that the copy lists as ready."""
         await self.start()
