Count the relisting period from the store's return, not from each node's knowledge

Cause: a removal within 2.5 s of the noticed return was kept for 1.9 s from when the node learned of it, plus 0.2 s for the batch, 0.2 s for the check and the way of the message; each message about the outage began a period of its own on the receiver, and the watchers noticed the return up to a long poll (0.7 s) late. No module had the sum.

Ruled out: the feeds and batches alone (0.12 s without the outage) and the queue beside the target, which checks the directory again before it sends.

Change: state/relisting.py has the budget. The revision of the store at its return and the remaining time travel in documents, changes and states. Removals up to that revision stay until the period ends; later ones for 1.3 s at the most. The first call after a failure does not wait, and the backoff ends at 0.4 s in place of 0.7 s, so that the return is noticed within 1 s. A period goes on if the store goes away again within it.

Why it works: the end of the period is one moment at the store for all nodes, at most 3 s after its return, which is when confirmations begin to bind.

A failed try on the way: holding lapsed entries while the store is away by the age of the feed dropped them on 23 of 24 nodes in a second outage, as the feed is lost only 1.4 s after the last answer; prolonging the period at each failure replaced it.

--- a/gentianthread/coordination/mesh/feeds.py
+++ b/gentianthread/coordination/mesh/feeds.py
@@ -23,6 +23,7 @@
 )
 from ...state.directory import Directory
 from ...state.feed_plan import FeedPlan, plan_feeds
+from ...state.relisting import StoreReturn
 from ...transport.metadata_store import Document
 from .peer_link import PeerLink
 from .peers import PeerLinks
@@ -43,6 +44,9 @@
 # Time for which a node that took over goes on watching after its last loss of the feeds.
 DEPUTY_MS = 3_000.0
 
+# Largest error of the time of an answer that another node reports.
+ANSWER_TIME_ERROR_MS = 100.0
+
 # Age that is reported while no answer of the store is known.
 NO_CONTACT_AGE_MS = 3_600_000.0
 
@@ -76,7 +80,7 @@
         revision: Callable[[], int],
         store_answered_ms: Callable[[], float],
         changed_after: Callable[[int], list[Document] | None],
-        lapsing: Callable[[], bool],
+        store_return: Callable[[], StoreReturn],
         plan_version: Callable[[], int],
         clock: Clock,
     ):
@@ -91,7 +95,7 @@
             store_answered_ms: Returns when the store last answered this node.
             changed_after: Returns the documents changed after a revision, including removals, or
                 None if not all removals since then are known.
-            lapsing: Returns whether missing entries may soon be listed again after an outage.
+            store_return: Returns the last return of the store after an outage.
             plan_version: Returns the version of the plan in force, or 0.
             clock: Clock for intervals and timeouts.
         """
@@ -102,7 +106,7 @@
         self.revision = revision
         self.store_answered_ms = store_answered_ms
         self.changed_after = changed_after
-        self.lapsing = lapsing
+        self.store_return = store_return
         self.plan_version = plan_version
         self.clock = clock
         self.plan = FeedPlan()
@@ -161,6 +165,10 @@
         oldest_ms = self.clock.now_ms() - CONTACT_MAX_AGE_MS
         return any(contact.store_answered_ms < oldest_ms for contact in self._contacts.values())
 
+    def is_answered_after(self, time_ms: float) -> bool:
+        """Return whether the store has answered a node that sends its state after a time."""
+        return self._contact_ms() > time_ms + ANSWER_TIME_ERROR_MS
+
     def _contact_ms(self) -> float:
         """Return when the store last answered a node that sends its state to this one."""
         now_ms = self.clock.now_ms()
@@ -220,7 +228,7 @@
     def _state(self) -> FeedState:
         age_ms = self.clock.now_ms() - max(self.store_answered_ms(), self._contact_ms())
         age_ms = min(age_ms, NO_CONTACT_AGE_MS)
-        return FeedState(self.revision(), age_ms, self.plan_version())
+        return FeedState(self.revision(), age_ms, self.plan_version(), self.store_return())
 
     def take_over(self) -> None:
         """Watch the store for the sources after it answered this node while they had no contact."""
@@ -246,7 +254,7 @@
         changes = tuple(
             DocumentChange(document.key, document.data, document.revision) for document in changed
         )
-        link.post(DocumentChanges(base, self.revision(), changes, self.lapsing()))
+        link.post(DocumentChanges(base, self.revision(), changes, self.store_return()))
 
     def on_follow(self, link: PeerLink, request: FollowFeed) -> None:
         """Register a follower and send it the changes it lacks, and the state."""
--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -1,7 +1,9 @@
 """Follow the platform's documents, from the store or, while it is unavailable, from peers."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
+from typing import Any
 
 from ...clock import Clock
 from ...errors import DocumentError, PlatformUnavailable
@@ -26,6 +28,7 @@
 )
 from ...state.directory import Directory, UpstreamEntry
 from ...state.fleet_plan import FleetPlan
+from ...state.relisting import RelistingPeriod, StoreReturn
 from ...state.revisions import era_of, format_revision
 from ...transport.metadata_store import (
     Document,
@@ -43,16 +46,17 @@
 # that went silent.
 WATCH_MAX_WAIT_MS = 15_000.0
 
+# Duration of a watch while the store is away: the first answer tells when it returned, which a
+# longer watch would delay until the next change.
+PROBE_WAIT_MS = 1.0
+
 # Delay after a change, so that changes in quick succession cost one call. It must stay well below
 # the 2 s allowed for acting on a new configuration or a leaving upstream.
 BATCH_DELAY_MS = 200.0
 
-# Initial and maximum delay after a failed call; it doubles on each failure, with jitter.
-BACKOFF_RANGE_MS = (150.0, 700.0)
-
-# Time after a store outage during which missing entries are kept, as they may be listed again soon
-# (see `Directory`).
-RELIST_WINDOW_MS = 2_500.0
+# Initial and maximum delay after a failed call; it doubles on each failure, with jitter of half of
+# it. The maximum is part of `state.relisting.RETURN_LAG_MS`.
+BACKOFF_RANGE_MS = (150.0, 400.0)
 
 # Interval at which a node that follows a feed checks that the feed is alive.
 FEED_CHECK_MS = 100.0
@@ -123,7 +127,7 @@
         # A peer that knows a newer revision, that revision, and when it was first reported.
         self._newer_peer: tuple[PeerLink, int, float] | None = None
         self._outage_started_ms: float | None = None
-        self._outage_ended_ms = float("-inf")
+        self._relisting = RelistingPeriod()
         self._backoff_ms = BACKOFF_RANGE_MS[0]
         self._sample_interval_ms = SAMPLE_INTERVAL_RANGE_MS[0]
 
@@ -154,6 +158,8 @@
             await self._read_all()
             return
         wait_ms = WATCH_MAX_WAIT_MS if self.feeds is None else WATCHER_MAX_WAIT_MS
+        if self._outage_started_ms is not None:
+            wait_ms = PROBE_WAIT_MS
         self.metrics.count("store.calls")
         self._watch = asyncio.ensure_future(self.store.watch(self.revision, wait_ms))
         # `on_documents` cancels only the watch; cancelling this task must cancel the watch as well.
@@ -165,7 +171,7 @@
         if self._watch.cancelled():
             return
         read = self._watch.result()
-        self._note_store_answer()
+        self._note_store_answer(read.revision)
         self._apply_changes(read)
         if read.documents:
             await self.clock.sleep_ms(BATCH_DELAY_MS)
@@ -231,7 +237,7 @@
         except PlatformUnavailable as error:
             await self._back_off(error)
             return
-        self._note_store_answer()
+        self._note_store_answer(read.revision)
         self._apply_snapshot(read, "store")
 
     async def _back_off(self, error: PlatformUnavailable) -> None:
@@ -241,16 +247,21 @@
         await self.clock.sleep_ms(delay_ms)
 
     def _note_outage(self, problem: str) -> None:
-        if self._outage_started_ms is not None:
+        now_ms = self.clock.now_ms()
+        is_first = self._outage_started_ms is None
+        if is_first:
+            self._outage_started_ms = now_ms
+        if self.feeds is None or not self.feeds.is_answered_after(self._outage_started_ms):
+            self._change_relisting(self._relisting.record_failure, now_ms)
+        if not is_first:
             return
-        self._outage_started_ms = self.clock.now_ms()
         version = None if self.plan is None else self.plan.version
         log(STORE_LOST, problem=problem, version=version)
         self.store_answered_ms = float("-inf")
         if self.feeds is not None:
             self.feeds.send_state()
 
-    def _note_store_answer(self) -> None:
+    def _note_store_answer(self, revision: int) -> None:
         now_ms = self.clock.now_ms()
         without_feed = self.feeds is not None and not self.feeds.watching and self.feeds.is_lost()
         self.store_answered_ms = now_ms
@@ -260,7 +271,7 @@
         if self._outage_started_ms is not None:
             log(STORE_REGAINED, away_ms=now_ms - self._outage_started_ms)
             self._outage_started_ms = None
-            self._outage_ended_ms = now_ms
+            self._change_relisting(self._relisting.begin, revision, now_ms)
 
     def _note_feed_return(self) -> None:
         """Record that the store answers a node that this one follows."""
@@ -270,10 +281,19 @@
             log(STORE_REGAINED, away_ms=self.clock.now_ms() - self._outage_started_ms)
             self._outage_started_ms = None
 
-    @property
-    def lapsing(self) -> bool:
-        """Return whether the store returned so recently that missing entries may reappear."""
-        return self.clock.now_ms() - self._outage_ended_ms < RELIST_WINDOW_MS
+    def describe_store_return(self) -> StoreReturn:
+        """Return the last return of the store for messages to other nodes."""
+        return self._relisting.describe(self.clock.now_ms())
+
+    def note_store_return(self, store_return: StoreReturn) -> None:
+        """Take over the relisting period of a node that noticed the return of the store."""
+        self._change_relisting(self._relisting.merge, store_return, self.clock.now_ms())
+
+    def _change_relisting(self, change: Callable[..., None], *arguments: Any) -> None:
+        """Change the relisting period, and keep the entries that stay until its end."""
+        known_end_ms = self._relisting.end_ms
+        change(*arguments)
+        self.directory.postpone_removals(known_end_ms, self._relisting.end_ms)
 
     def _apply_snapshot(self, read: StoreRead, source: str) -> None:
         """Replace the known documents by a complete read."""
@@ -303,7 +323,7 @@
             revision=format_revision(revision),
             source=source,
         )
-        self._outage_ended_ms = self.clock.now_ms()
+        self._change_relisting(self._relisting.begin, revision, self.clock.now_ms())
 
     def _apply_changes(self, read: StoreRead) -> None:
         for document in read.documents:
@@ -314,11 +334,6 @@
         self.revision = max(self.revision, read.revision)
         self._on_update()
 
-    def _note_store_return(self, lapsing: bool) -> None:
-        """Record the end of an outage reported by a peer that saw the store return."""
-        if lapsing and not self.lapsing:
-            self._outage_ended_ms = self.clock.now_ms()
-
     def changed_after(self, revision: int) -> list[Document] | None:
         """Return the documents that changed after a revision, including removals.
 
@@ -340,7 +355,7 @@
         elif message.revision > self.revision:
             if not self.revision:
                 self._removals_known_from = message.revision
-            self._note_store_return(message.lapsing)
+            self.note_store_return(message.store_return)
             documents = tuple(
                 Document(change.key, change.data, change.revision) for change in message.changes
             )
@@ -354,16 +369,18 @@
             self.ready.set()
 
     def _remove_document(self, key: str, revision: int) -> None:
+        now_ms = self.clock.now_ms()
+        kept_until_ms = self._relisting.kept_until_ms(revision, now_ms)
+        lapsed = kept_until_ms > now_ms
         document = self.documents.pop(key, None)
         if document is not None:
-            self._history.record_removal(document, revision, lapsed=self.lapsing)
+            self._history.record_removal(document, revision, lapsed=lapsed)
         if self.reader.kind(key) is DocumentKind.UPSTREAM:
             upstream_id = self.reader.upstream_id(key)
             known = self.directory.entries.get(upstream_id)
             if known is not None:
-                state = "lapsed" if self.lapsing else "gone"
-                self._log_upstream(known, state)
-            self.directory.remove(upstream_id, lapsed=self.lapsing)
+                self._log_upstream(known, "lapsed" if lapsed else "gone")
+            self.directory.remove(upstream_id, kept_until_ms=kept_until_ms)
 
     def _apply_document(self, document: Document, source: str) -> None:
         kind = self.reader.kind(document.key)
@@ -473,7 +490,7 @@
             DocumentCopy(document.key, document.data, document.revision)
             for document in self.documents.values()
         )
-        link.post(Documents(self.revision, copies, self.lapsing))
+        link.post(Documents(self.revision, copies, self.describe_store_return()))
 
     def on_documents(self, link: PeerLink, message: Documents) -> None:
         """Apply the documents of a peer with a newer revision, or else only a newer plan."""
@@ -487,7 +504,7 @@
                     self._apply_document(document, source)
             return
         log(DOCUMENTS_FROM_PEER, revision=format_revision(message.revision), peer=link.host)
-        self._note_store_return(message.lapsing)
+        self.note_store_return(message.store_return)
         self._apply_snapshot(StoreRead(documents, message.revision), source)
         if self._watch is not None:
             # The watch should have delivered these documents before; replace it.
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -165,7 +165,7 @@
             lambda: self.follower.revision,
             lambda: self.follower.store_answered_ms,
             self.follower.changed_after,
-            lambda: self.follower.lapsing,
+            self.follower.describe_store_return,
             lambda: self.follower.plan.version if self.follower.plan else 0,
             clock,
         )
@@ -247,6 +247,7 @@
         self.directory.changes.subscribe(self._forget_removed)
 
     def _on_feed_state(self, link: PeerLink, state: FeedState) -> None:
+        self.follower.note_store_return(state.store_return)
         self.feeds.on_state(link, state)
         self.follower.note_peer_revision(link, state.revision)
 
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -7,6 +7,7 @@
 from ..ids import OrganisationId, ServiceId, UpstreamId
 from ..state.balancer import LoadReport
 from ..state.crash_suspects import RequestFingerprint
+from ..state.relisting import StoreReturn
 from .codec import fingerprint, message
 
 
@@ -155,12 +156,12 @@
     Attributes:
         revision: Revision up to which the documents are complete.
         documents: The documents.
-        lapsing: Whether the store has just recovered, so that removed documents may return soon.
+        store_return: Last return of the store, after which removed documents may be listed again.
     """
 
     revision: int
     documents: tuple[DocumentCopy, ...]
-    lapsing: bool
+    store_return: StoreReturn
 
 
 @attrs.frozen
@@ -197,11 +198,13 @@
         revision: Revision that the node knows.
         store_age_ms: Time since the store last answered the node or one that it follows.
         plan_version: Version of the node's plan; 0 if it has none.
+        store_return: Last return of the store that the node knows.
     """
 
     revision: int
     store_age_ms: float
     plan_version: int
+    store_return: StoreReturn
 
 
 @message(110)
@@ -213,13 +216,13 @@
         base: Revision that the receiver must have to apply the changes.
         revision: Revision that the receiver has afterwards.
         changes: The changes.
-        lapsing: Whether the store has just recovered, so that removed documents may return soon.
+        store_return: Last return of the store, after which removed documents may be listed again.
     """
 
     base: int
     revision: int
     changes: tuple[DocumentChange, ...]
-    lapsing: bool
+    store_return: StoreReturn
 
 
 @message(106)
--- a/gentianthread/state/directory.py
+++ b/gentianthread/state/directory.py
@@ -9,11 +9,6 @@
 
 from ..ids import AvailabilityZoneId, ServiceId, UpstreamId
 
-# Grace period of entries that lapsed while the store was unavailable: living upstreams are listed
-# again within about two seconds of its return.
-RELIST_GRACE_MS = 1_900.0
-
-
 # Maximum number of remembered starts of leaving upstreams; the oldest are dropped first.
 MAX_LEAVING = 10_000
 
@@ -125,18 +120,18 @@
         """Return whether an upstream said that it leaves."""
         return (entry.upstream_id, entry.started_at_ms) in self._leaving
 
-    def remove(self, upstream_id: UpstreamId, *, lapsed: bool = False) -> None:
+    def remove(self, upstream_id: UpstreamId, *, kept_until_ms: float | None = None) -> None:
         """Remove an entry.
 
         Args:
             upstream_id: The upstream.
-            lapsed: Whether the entry lapsed while the store was unavailable. It then stays for
-                `RELIST_GRACE_MS`, since a living upstream is listed again soon.
+            kept_until_ms: Time until which the entry stays, if it may have lapsed while the store
+                was unavailable and be listed again soon; see `state.relisting`.
         """
         if upstream_id not in self.entries:
             return
-        if lapsed:
-            self._removal_due_ms.setdefault(upstream_id, self._now_ms() + RELIST_GRACE_MS)
+        if kept_until_ms is not None and kept_until_ms > self._now_ms():
+            self._removal_due_ms.setdefault(upstream_id, kept_until_ms)
             return
         if not self.entries[upstream_id].started_at_ms:
             # The next start of an upstream that does not tell its start looks the same.
@@ -146,24 +141,29 @@
         self._removal_due_ms.pop(upstream_id, None)
         self._publish_change(upstream_id)
 
+    def postpone_removals(self, due_ms: float, new_due_ms: float) -> None:
+        """Keep the lapsed entries that stay until a time up to a later one."""
+        for upstream_id, removal_due_ms in self._removal_due_ms.items():
+            if removal_due_ms == due_ms:
+                self._removal_due_ms[upstream_id] = new_due_ms
+
     def remove_expired(self) -> None:
-        """Remove the lapsed entries whose grace period has passed."""
+        """Remove the lapsed entries that were not listed again in time."""
         now_ms = self._now_ms()
         for upstream_id in [
             name for name, end_ms in self._removal_due_ms.items() if end_ms <= now_ms
         ]:
             self.remove(upstream_id)
 
-    def replace(self, entries: Iterable[UpstreamEntry], *, lapsed: bool = False) -> None:
+    def replace(self, entries: Iterable[UpstreamEntry]) -> None:
         """Replace all entries by a complete listing.
 
         Args:
             entries: The complete listing.
-            lapsed: Whether missing entries stay for the grace period, see `remove`.
         """
         listed = {entry.upstream_id: entry for entry in entries}
         for upstream_id in [name for name in self.entries if name not in listed]:
-            self.remove(upstream_id, lapsed=lapsed)
+            self.remove(upstream_id)
         for entry in listed.values():
             self.put(entry)
 
--- a/tests/coordination/mesh/follower_fleet.py
+++ b/tests/coordination/mesh/follower_fleet.py
@@ -102,6 +102,12 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def go_down(self):
+        """Fail all calls, also the watches that wait."""
+        self.down = True
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def copy(self):
         """Return a copy of the state, for `restore`."""
         return self.revision, dict(self.items)
@@ -151,6 +157,8 @@
         await self._charge()
         end_s = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
+            if self.store.down:
+                raise PlatformUnavailable("watch", "connection reset")
             if era_of(revision) != era_of(self.store.revision):
                 raise HistoryLost("watch", "restored")
             found = tuple(event for event in self.store.events if event.revision > revision)
@@ -241,7 +249,7 @@
             lambda: self.follower.revision,
             lambda: self.follower.store_answered_ms,
             self.follower.changed_after,
-            lambda: self.follower.lapsing,
+            self.follower.describe_store_return,
             lambda: self.follower.plan.version if self.follower.plan else 0,
             clock,
         )
@@ -255,6 +263,7 @@
 
     def receive(self, link, message):
         if isinstance(message, FeedState):
+            self.follower.note_store_return(message.store_return)
             self.feeds.on_state(link, message)
             self.follower.note_peer_revision(link, message.revision)
         elif isinstance(message, FollowFeed):
--- a/tests/state/test_directory.py
+++ b/tests/state/test_directory.py
@@ -1,9 +1,11 @@
 from gentianthread.clock import ManualClock
 from gentianthread.ids import AvailabilityZoneId, ServiceId, UpstreamId
-from gentianthread.state.directory import RELIST_GRACE_MS, Directory, UpstreamEntry, UpstreamState
+from gentianthread.state.directory import Directory, UpstreamEntry, UpstreamState
 
 from ..base import TestCase
 
+KEPT_MS = 2_000
+
 
 def entry(name, host="10.0.0.1", state=UpstreamState.READY, service="catalogue", started_at_ms=0):
     return UpstreamEntry(
@@ -73,8 +75,8 @@
     def test_lapsed_entry_stays_for_the_grace_period(self):
         """Guards against a service without upstreams after an outage of the store."""
         self.directory.put(entry("a"))
-        self.directory.remove(UpstreamId("a"), lapsed=True)
-        self.clock.advance_ms(RELIST_GRACE_MS - 1)
+        self.directory.remove(UpstreamId("a"), kept_until_ms=self.clock.now_ms() + KEPT_MS)
+        self.clock.advance_ms(KEPT_MS - 1)
         self.directory.remove_expired()
         self.assertEqual(["a"], self.ready())
         self.clock.advance_ms(2)
@@ -84,9 +86,9 @@
     def test_entry_that_is_listed_again_stays(self):
         """Guards against the removal of an upstream that is listed again after an outage."""
         self.directory.put(entry("a"))
-        self.directory.remove(UpstreamId("a"), lapsed=True)
+        self.directory.remove(UpstreamId("a"), kept_until_ms=self.clock.now_ms() + KEPT_MS)
         self.directory.put(entry("a"))
-        self.clock.advance_ms(RELIST_GRACE_MS + 1)
+        self.clock.advance_ms(KEPT_MS + 1)
         self.directory.remove_expired()
         self.assertEqual(["a"], self.ready())
 
