Relay the earlier crashes of a request when it becomes blocked

Cause: a node tells a new neighbour only the crashes of requests that were lost at least twice. A node that starts between the first and the second crash was told nothing at first and then only the second one, so it counted one crash and did not block the request; it could have crashed another target there.

Change: with a crash that blocks a request, the earlier ones of that request are relayed as well; receivers drop those that they know.

Why it works: whoever learns of the second crash now also gets the first from the same neighbour, in whatever order the node and the crashes came.

--- a/gentianthread/coordination/mesh/crash_reports.py
+++ b/gentianthread/coordination/mesh/crash_reports.py
@@ -152,8 +152,15 @@
             now_ms - max(0.0, report.age_ms),
             report.fingerprints,
         )
-        if self._record(crash):
-            self._relay(link, _to_report(crash, now_ms))
+        if not self._record(crash):
+            return
+        self._relay(link, _to_report(crash, now_ms))
+        # A neighbour that has started since was not told of a request that was lost only once.
+        for earlier in self.suspects.crashes_to_share():
+            if earlier.crash_id != crash.crash_id and not set(earlier.fingerprints).isdisjoint(
+                crash.fingerprints
+            ):
+                self._relay(link, _to_report(earlier, now_ms))
 
     def record_answer(self, request: Identifiable) -> None:
         """Record that a target answered a request, so that it is not the cause of a crash."""
