Bound what all nodes admit of an organisation on one answer of the counting node

Cause, by the model of 82 nodes: answers that come late let each node admit on old ones; the counting node forgot what went beyond one second of the rate; one that had started knew nothing; nodes that disagreed about which one counts were granted the rate twice; usage in reports that were lost with a link was counted by nobody.

Change: all nodes together admit half of the allowed excess on one answer, whatever its age; beyond it a node admits its own share and reports at once. The debt is kept for the window. Nodes without an answer start with one request and a fifth of their share of the burst, and ask every 0.1 s. A first report carries the tokens that were left; a last one tells the previous counting node. Unanswered usage of a broken link is reported again, and an answer covers only its own report.

Why it works: the sum of what the counting node does not know is bounded by each node's part, not by the time that an answer takes.

--- a/gentianthread/coordination/mesh/rates.py
+++ b/gentianthread/coordination/mesh/rates.py
@@ -4,6 +4,7 @@
 the state of each organisation's rate.
 """
 
+import asyncio
 from collections.abc import Callable
 
 from ...clock import Clock
@@ -32,6 +33,13 @@
 NEAR_LIMIT_PERIOD_MS = 200.0
 REPORT_PERIOD_MS = 400.0
 
+# Shortest time between two reports of a node that has used up what the last answer allows.
+MIN_REPORT_INTERVAL_MS = 100.0
+
+# Period of reports until the first answer. A node that has started admits only its own share of the
+# rates before it.
+STARTUP_PERIOD_MS = 100.0
+
 # An organisation whose demand exceeds this fraction of its rate is near it.
 NEAR_LIMIT_FRACTION = 0.7
 
@@ -82,30 +90,49 @@
         self.counter: FleetCounter | None = None
         self.counter_host: str | None = None
         self._unanswered_reports = 0
+        # Link of the last report; None if this node counts itself.
+        self._report_link: PeerLink | None = None
         self._excluded_until_ms: dict[str, float] = {}
         self._near_limit = False
+        self._answered = False
+        self._report_early = asyncio.Event()
+        rates.on_answer_used_up = self._report_early.set
         # Organisations of the last report.
         self._reported: frozenset[OrganisationId] = frozenset()
 
     async def run(self) -> None:
         """Report the usage periodically until cancelled."""
         while True:
-            await self.clock.sleep_ms(
-                NEAR_LIMIT_PERIOD_MS if self._near_limit else REPORT_PERIOD_MS
-            )
+            await self._wait_for_next_report()
             if self.plan() is not None:
                 await self._report()
 
+    async def _wait_for_next_report(self) -> None:
+        await self.clock.sleep_ms(MIN_REPORT_INTERVAL_MS)
+        try:
+            async with asyncio.timeout((self._period_ms() - MIN_REPORT_INTERVAL_MS) / 1_000):
+                await self._report_early.wait()
+        except TimeoutError:
+            pass
+        self._report_early.clear()
+
+    def _period_ms(self) -> float:
+        if not self._answered:
+            return STARTUP_PERIOD_MS
+        return NEAR_LIMIT_PERIOD_MS if self._near_limit else REPORT_PERIOD_MS
+
     async def _report(self) -> None:
         now_ms = self.clock.now_ms()
         host = self._choose_counter_host(now_ms)
-        if host != self.counter_host:
+        is_new = host != self.counter_host
+        if is_new:
             self.counter_host, self._unanswered_reports = host, 0
             log(COUNTER_CHANGED, peer=host)
-        usage = self.rates.take_usage()
-        self._reported = frozenset(usage)
         if host == self.host:
-            self._apply_answer(self._count(self.host, usage))
+            if self._report_link is not None:
+                self._settle_unanswered(None)
+            usage = self._take_usage()
+            self._apply_answer(self._count(self.host, usage, self._known_tokens(is_new)))
             return
         if self._unanswered_reports >= MAX_UNANSWERED_REPORTS:
             self._exclude(host, now_ms)
@@ -113,11 +140,37 @@
         try:
             link = await self.peers.link_to(host)
         except PeerUnreachable:
-            self.rates.put_back_usage(usage)
             self._exclude(host, now_ms)
             return
+        # A process that has started again at the same address has counted nothing.
+        is_new = is_new or link is not self._report_link
+        if is_new:
+            self._settle_unanswered(link)
+        usage = self._take_usage()
         rows = tuple((name, used.admitted, used.demanded) for name, used in usage.items())
-        link.post(UsageReport(rows))
+        link.post(UsageReport(rows, tuple(self._known_tokens(is_new).items()), last=False))
+
+    def _take_usage(self) -> dict[OrganisationId, Usage]:
+        usage = self.rates.take_usage()
+        self._reported = frozenset(usage)
+        return usage
+
+    def _settle_unanswered(self, link: PeerLink | None) -> None:
+        """Report usage again that was lost with the last link, as reports now go over another."""
+        previous, self._report_link = self._report_link, link
+        if previous is None:
+            return
+        if previous.closed or previous.silent:
+            self.rates.put_back_unanswered()
+            return
+        self.rates.forget_unanswered()
+        # The nodes may disagree for a moment about which one counts. Each grants only the part of
+        # the rates that belongs to the nodes that report to it.
+        previous.post(UsageReport((), (), last=True))
+
+    def _known_tokens(self, is_new: bool) -> dict[OrganisationId, float]:
+        """Return what a node that begins to count for this one may not know."""
+        return self.rates.known_tokens(self._limits(), self.clock.now_ms()) if is_new else {}
 
     def _exclude(self, host: str, now_ms: float) -> None:
         """Exclude a node that does not answer from the choice for a while."""
@@ -145,15 +198,24 @@
             if organisation.rate_per_s > 0
         }
 
-    def _count(self, source: str, usage: dict[OrganisationId, Usage]) -> RateAnswer:
+    def _count(
+        self,
+        source: str,
+        usage: dict[OrganisationId, Usage],
+        known_tokens: dict[OrganisationId, float],
+    ) -> RateAnswer:
         now_ms = self.clock.now_ms()
         if self.counter is None:
             self.counter = FleetCounter(now_ms)
         nodes = len(self.directory.hosts())
-        return self.counter.report(source, usage, self._limits(), nodes, now_ms)
+        limits = self._limits()
+        if known_tokens:
+            self.counter.merge_known_tokens(known_tokens, limits, nodes, now_ms)
+        return self.counter.report(source, usage, limits, nodes, now_ms)
 
     def _apply_answer(self, answer: RateAnswer) -> None:
         self._unanswered_reports = 0
+        self._answered = True
         limits = self._limits()
         self._near_limit = any(
             name in limits
@@ -170,8 +232,12 @@
             link: Link to that node.
             report: Its usage since its last report.
         """
+        if report.last:
+            if self.counter is not None:
+                self.counter.forget_source(link.host)
+            return
         usage = {name: Usage(admitted, demanded) for name, admitted, demanded in report.usage}
-        answer = self._count(link.host, usage)
+        answer = self._count(link.host, usage, dict(report.known_tokens))
         rows = tuple(
             (name, state.tokens, state.demand_per_s) for name, state in answer.states.items()
         )
@@ -184,7 +250,7 @@
             link: Link that it came on.
             message: States of the organisations near their rates.
         """
-        if link.host != self.counter_host:
+        if link is not self._report_link:
             return
         states = {name: RateState(tokens, demand) for name, tokens, demand in message.states}
         self._apply_answer(RateAnswer(message.rate_fraction, states))
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -232,9 +232,14 @@
 
     Attributes:
         usage: Organisation, number of admitted requests, number of demanded requests.
+        known_tokens: Organisation near its rate, tokens that are left; only in the first report to
+            a node, which may have begun to count.
+        last: Whether the sender reports to another node from now on; it gets no answer then.
     """
 
     usage: tuple[tuple[OrganisationId, int, int], ...]
+    known_tokens: tuple[tuple[OrganisationId, float], ...]
+    last: bool
 
 
 @message(107)
--- a/gentianthread/state/fleet_rate.py
+++ b/gentianthread/state/fleet_rate.py
@@ -6,7 +6,8 @@
 rate allows.
 """
 
-from collections.abc import Mapping
+from collections import deque
+from collections.abc import Callable, Mapping
 from random import Random
 
 import attrs
@@ -40,6 +41,18 @@
     demand_per_s: float
 
 
+# What an organisation may get in any window beyond its rate and burst: a fraction of what these
+# allow, and a number of requests.
+EXCESS_WINDOW_S = 5.0
+EXCESS_FRACTION = 0.25
+EXCESS_SLACK = 20.0
+
+
+def allowed_excess(rate_per_s: float, burst: float) -> float:
+    """Return how many requests beyond its rate and burst an organisation may get in a window."""
+    return EXCESS_FRACTION * (rate_per_s * EXCESS_WINDOW_S + burst) + EXCESS_SLACK
+
+
 # A bucket that holds more than this fraction of its burst is left out of the answers to reports, so
 # that their size depends on the organisations near their rates and not on all of them.
 LISTED_TOKENS_FRACTION = 0.5
@@ -116,8 +129,9 @@
     # Unreachable nodes may admit their own share of the rate. This factor keeps the sum within the
     # 25% over the rate that an organisation may get.
     RATE_FRACTION_FACTOR = 1.15
-    # Lower bound of the tokens, as a multiple of the larger one of rate per second and burst.
-    MIN_TOKENS_FACTOR = -1.0
+    # Lower bound of the tokens, as a multiple of the larger one of rate per second and burst. What
+    # was admitted beyond it would be forgotten within the window that limits the excess.
+    MIN_TOKENS_FACTOR = -EXCESS_WINDOW_S
 
     def __init__(self, now_ms: float):
         """Create a counter without any demand."""
@@ -157,6 +171,32 @@
                 states[name] = RateState(bucket.tokens, bucket.demand_per_s)
         return RateAnswer(rate_fraction, states)
 
+    def forget_source(self, source: str) -> None:
+        """Stop granting the part of the rates of a node that reports to another one."""
+        self._reported_at_ms.pop(source, None)
+
+    def merge_known_tokens(
+        self,
+        known_tokens: Mapping[OrganisationId, float],
+        limits: Mapping[OrganisationId, tuple[float, float]],
+        nodes: int,
+        now_ms: float,
+    ) -> None:
+        """Take over what a node knows from the node that counted before this one.
+
+        Args:
+            known_tokens: Tokens of organisations near their rates.
+            limits: Rate per second and burst of each organisation.
+            nodes: Number of nodes in the fleet.
+            now_ms: Present time in ms.
+        """
+        rate_fraction = self._rate_fraction(nodes, now_ms)
+        for name, tokens in known_tokens.items():
+            if name in limits:
+                bucket = self._refilled_bucket(name, limits[name], rate_fraction, now_ms)
+                least = self.MIN_TOKENS_FACTOR * max(limits[name])
+                bucket.tokens = max(min(bucket.tokens, tokens), least)
+
     def _rate_fraction(self, nodes: int, now_ms: float) -> float:
         for source in [
             name
@@ -174,15 +214,21 @@
         rate_fraction: float,
         now_ms: float,
     ) -> None:
-        bucket = self._buckets.get(name)
-        if bucket is None:
-            bucket = self._buckets[name] = _Bucket(limit[1] * rate_fraction, now_ms)
-        self._refill(bucket, limit, rate_fraction, now_ms)
+        bucket = self._refilled_bucket(name, limit, rate_fraction, now_ms)
         bucket.tokens = max(
             bucket.tokens - node_usage.admitted, self.MIN_TOKENS_FACTOR * max(limit)
         )
         bucket.demand_per_s += node_usage.demanded * 1_000 / self.DEMAND_AVERAGING_MS
 
+    def _refilled_bucket(
+        self, name: OrganisationId, limit: tuple[float, float], rate_fraction: float, now_ms: float
+    ) -> _Bucket:
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = self._buckets[name] = _Bucket(limit[1] * rate_fraction, now_ms)
+        self._refill(bucket, limit, rate_fraction, now_ms)
+        return bucket
+
     def _refill(
         self, bucket: _Bucket, limit: tuple[float, float], rate_fraction: float, now_ms: float
     ) -> None:
@@ -201,20 +247,40 @@
 
     Attributes:
         state: State in the last answer of the counting node, or None if it was not listed.
+        admitted: Requests admitted since the last report.
+        demanded: Requests that arrived since the last report.
+        unanswered: Requests admitted since the last report that was answered.
+        own_demand_per_s: Requests that arrive at this node.
+        own_demand_at_ms: Time of that value.
+        allowance: Random part of a request that the last answer allows in addition to this node's
+            part of the excess, so that parts below one request add up over all nodes.
+        share_tokens: Tokens of this node's own share of the rate; None before the first use.
+        share_refilled_at_ms: Time of that value.
     """
 
     state: RateState | None = None
     admitted: int = 0
     demanded: int = 0
-    unreported: int = 0
+    unanswered: int = 0
     own_demand_per_s: float = 0.0
     own_demand_at_ms: float = 0.0
-    fallback_tokens: float = -1.0
-    fallback_refilled_at_ms: float = 0.0
+    allowance: float = 0.0
+    share_tokens: float | None = None
+    share_refilled_at_ms: float = 0.0
 
 
 class NodeRates:
-    """Decide on one node which requests of an organisation are within its rate."""
+    """Decide on one node which requests of an organisation are within its rate.
+
+    What the counting node does not know yet is bounded at every node by what it may admit on one
+    answer, however late the next one comes. A part of the allowed excess is divided among the
+    nodes; beyond it and the demand that the counting node knows, a node admits its own share of the
+    rate only.
+
+    Attributes:
+        on_answer_used_up: Called when a request would exceed what the last answer allows, so that
+            the usage can be reported early.
+    """
 
     # If the counting node's last answer is older, a node admits its own share of the rate only.
     STATE_MAX_AGE_MS = 1_200.0
@@ -225,9 +291,13 @@
     # bucket has the tokens of this time in reserve, so that requests that can still meet theirs
     # come first.
     MISSED_OBJECTIVE_RESERVE_S = 0.5
-    # Smallest burst of a node without a recent state from the counting node. With the small burst
-    # of its own share, it would refuse one of any two requests that arrive close together.
-    MIN_FALLBACK_CAP = 1.5
+    # Fraction of the allowed excess that all nodes together may admit on one answer.
+    ANSWER_EXCESS_FRACTION = 0.5
+    # Fraction of its share of the burst that a node without an answer admits at once.
+    INITIAL_BURST_FRACTION = 0.2
+    # While the answer is not older, it allows one request at least: at small rates the part of one
+    # node is far less than a request.
+    FRESH_ANSWER_MS = 500.0
 
     def __init__(self, random: Random):
         """Create an empty table of rates.
@@ -235,10 +305,13 @@
         Args:
             random: Source of the random choice of the requests that pass at the limit.
         """
+        self.on_answer_used_up: Callable[[], None] = lambda: None
         self._random = random
         self._estimates: dict[OrganisationId, _Estimate] = {}
         self._answered_at_ms = float("-inf")
         self._rate_fraction = 1.0
+        # Usage in the reports that the counting node has not answered, oldest first.
+        self._unanswered_reports: deque[dict[OrganisationId, Usage]] = deque()
 
     def take(
         self,
@@ -260,7 +333,7 @@
             now_ms: Present time in ms.
             objective_missed: Whether it can no longer meet its latency objective.
         """
-        estimate = self._estimates.setdefault(name, _Estimate(own_demand_at_ms=now_ms))
+        estimate = self._estimate(name, now_ms)
         estimate.demanded += 1
         self._record_own_demand(estimate, now_ms)
         if now_ms - self._answered_at_ms <= self.STATE_MAX_AGE_MS:
@@ -271,13 +344,28 @@
             passes = self._passes_shared_rate(
                 estimate, state, rate_per_s, now_ms, objective_missed=objective_missed
             )
+            if passes and not self._is_allowed_on_answer(
+                estimate, state, rate_per_s, burst, nodes, now_ms
+            ):
+                self.on_answer_used_up()
+                passes = self._passes_own_share(estimate, rate_per_s, burst, nodes, now_ms)
         else:
-            passes = self._passes_fallback_rate(estimate, rate_per_s / nodes, burst / nodes, now_ms)
+            passes = self._passes_own_share(estimate, rate_per_s, burst, nodes, now_ms)
         if passes:
             estimate.admitted += 1
-            estimate.unreported += 1
+            estimate.unanswered += 1
         return passes
 
+    def _estimate(self, name: OrganisationId, now_ms: float) -> _Estimate:
+        estimate = self._estimates.get(name)
+        if estimate is None:
+            estimate = self._estimates[name] = _Estimate(
+                own_demand_at_ms=now_ms,
+                allowance=self._random.random(),
+                share_refilled_at_ms=now_ms,
+            )
+        return estimate
+
     def _record_own_demand(self, estimate: _Estimate, now_ms: float) -> None:
         elapsed_ms = now_ms - estimate.own_demand_at_ms
         estimate.own_demand_per_s *= max(0.0, 1 - elapsed_ms / self.OWN_DEMAND_AVERAGING_MS)
@@ -297,7 +385,7 @@
         # The other nodes admit requests as well; their demand is subtracted until the next state.
         others_per_s = max(0.0, state.demand_per_s - estimate.own_demand_per_s)
         rate = rate_per_s * self._rate_fraction
-        tokens = state.tokens + (rate - others_per_s) * elapsed_s - estimate.unreported
+        tokens = state.tokens + (rate - others_per_s) * elapsed_s - estimate.unanswered
         if objective_missed and state.demand_per_s > rate:
             return tokens >= 1 + rate * self.MISSED_OBJECTIVE_RESERVE_S
         if tokens >= 1:
@@ -305,18 +393,41 @@
         admitted_per_s = max(0.0, rate + min(0.0, tokens) / self.DEBT_RECOVERY_S)
         return self._random.random() * max(rate, state.demand_per_s) < admitted_per_s
 
-    def _passes_fallback_rate(
-        self, estimate: _Estimate, rate_per_s: float, burst: float, now_ms: float
+    def _is_allowed_on_answer(
+        self,
+        estimate: _Estimate,
+        state: RateState,
+        rate_per_s: float,
+        burst: float,
+        nodes: int,
+        now_ms: float,
+    ) -> bool:
+        """Return whether the last answer allows another request, whatever the other nodes do."""
+        excess = self.ANSWER_EXCESS_FRACTION * allowed_excess(rate_per_s, burst)
+        allowed = estimate.allowance + (excess + max(0.0, state.tokens)) / nodes
+        if now_ms - self._answered_at_ms <= self.FRESH_ANSWER_MS:
+            allowed = max(1.0, allowed)
+        return estimate.unanswered + 1 <= allowed
+
+    def _passes_own_share(
+        self, estimate: _Estimate, rate_per_s: float, burst: float, nodes: int, now_ms: float
     ) -> bool:
-        cap = max(self.MIN_FALLBACK_CAP, burst)
-        if estimate.fallback_tokens < 0:
-            estimate.fallback_tokens, estimate.fallback_refilled_at_ms = cap, now_ms
-        elapsed_s = (now_ms - estimate.fallback_refilled_at_ms) / 1_000
-        estimate.fallback_tokens = min(cap, estimate.fallback_tokens + rate_per_s * elapsed_s)
-        estimate.fallback_refilled_at_ms = now_ms
-        if estimate.fallback_tokens < 1:
+        """Return whether a request is within this node's own share of the rate.
+
+        The tokens start at a part of the burst, as nodes may be restarted again and again, and a
+        random part of one request, so that all nodes together admit the rate also where the share
+        of one is a request in many seconds.
+        """
+        cap = max(1.0, burst / nodes)
+        if estimate.share_tokens is None:
+            burst_tokens = self.INITIAL_BURST_FRACTION * burst / nodes
+            estimate.share_tokens = burst_tokens + 1.0
+        elapsed_s = (now_ms - estimate.share_refilled_at_ms) / 1_000
+        estimate.share_tokens = min(cap, estimate.share_tokens + rate_per_s / nodes * elapsed_s)
+        estimate.share_refilled_at_ms = now_ms
+        if estimate.share_tokens < 1:
             return False
-        estimate.fallback_tokens -= 1
+        estimate.share_tokens -= 1
         return True
 
     def catch_up_ms(self, name: OrganisationId, rate_per_s: float) -> float:
@@ -338,20 +449,50 @@
             if estimate.demanded:
                 usage_by_organisation[name] = Usage(estimate.admitted, estimate.demanded)
                 estimate.admitted = estimate.demanded = 0
+        self._unanswered_reports.append(usage_by_organisation)
         return usage_by_organisation
 
-    def put_back_usage(self, usage: dict[OrganisationId, Usage]) -> None:
-        """Count usage again that could not be reported, so that the next report includes it."""
-        for name, used in usage.items():
-            estimate = self._estimates[name]
-            estimate.admitted += used.admitted
-            estimate.demanded += used.demanded
+    def put_back_unanswered(self) -> None:
+        """Count the usage of all unanswered reports again, so that the next report includes it."""
+        for usage in self._unanswered_reports:
+            for name, used in usage.items():
+                estimate = self._estimates[name]
+                estimate.admitted += used.admitted
+                estimate.demanded += used.demanded
+        self._unanswered_reports.clear()
+
+    def forget_unanswered(self) -> None:
+        """Assume that the counting node has received all reports that it has not answered."""
+        while self._unanswered_reports:
+            self._settle(self._unanswered_reports.popleft())
+
+    def known_tokens(
+        self, limits: Mapping[OrganisationId, tuple[float, float]], now_ms: float
+    ) -> dict[OrganisationId, float]:
+        """Return the tokens of organisations near their rates, for a node that begins to count.
+
+        Args:
+            limits: Rate per second and burst of each organisation.
+            now_ms: Present time in ms.
+        """
+        elapsed_s = (now_ms - self._answered_at_ms) / 1_000
+        return {
+            name: min(limits[name][1], estimate.state.tokens + limits[name][0] * elapsed_s)
+            for name, estimate in self._estimates.items()
+            if estimate.state is not None and name in limits
+        }
 
     def apply_answer(self, answer: RateAnswer, now_ms: float) -> None:
-        """Store the answer to a report, which includes the requests admitted before the report."""
+        """Store the answer to the oldest unanswered report."""
         self._answered_at_ms, self._rate_fraction = now_ms, answer.rate_fraction
+        if self._unanswered_reports:
+            self._settle(self._unanswered_reports.popleft())
         for name in answer.states:
-            self._estimates.setdefault(name, _Estimate(own_demand_at_ms=now_ms))
+            self._estimate(name, now_ms)
         for name, estimate in self._estimates.items():
             estimate.state = answer.states.get(name)
-            estimate.unreported = estimate.admitted
+            estimate.allowance = self._random.random()
+
+    def _settle(self, usage: dict[OrganisationId, Usage]) -> None:
+        for name, used in usage.items():
+            self._estimates[name].unanswered -= used.admitted
