Count what answers without end take in memory

What other operators saw: a faulty upstream sent bytes without end, the machine that had called it ran out of memory, and the requests of other clients ended with it (LOST).

Cause here: chunks of a body were kept one by one and counted by their length (over forty times less than a chunk of one byte takes); header and trailer fields had a limit for each connection but none for all; chunks that followed the failure of an exchange in the same read were counted for ever.

Ruled out: endless heads, interim answers, late copies and framing on one connection, which have bounds and tests.

Change: one growing buffer for the body, fields counted with their overhead in the shared limit, nothing counted after the end of an exchange.

Why it works: what is counted is now an upper estimate of what is allocated, and it is shared by all connections of the process.

--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -31,6 +31,9 @@
 FRAMING_LIMIT_BYTES = 32 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 8
 
+# Memory that a header field takes beside its name and value.
+FIELD_OVERHEAD_BYTES = 256
+
 # Idle time after which a connection is not reused if the target states no idle timeout.
 DEFAULT_IDLE_LIMIT_MS = 4_000.0
 
@@ -74,24 +77,24 @@
 
 
 class ResponseMemory:
-    """Limit the bytes of all incomplete bodies together, whatever the number of connections is.
+    """Limit the bytes of all incomplete responses together, for any number of connections.
 
     Attributes:
-        held_bytes: Bytes of incomplete bodies.
+        held_bytes: Bytes of bodies and header fields of incomplete responses.
     """
 
     def __init__(self, limit_bytes: int = BODY_LIMIT_BYTES):
         """Create the limit.
 
         Args:
-            limit_bytes: Bytes from which the connection with the longest body is failed.
+            limit_bytes: Bytes from which the connection with the longest response is failed.
         """
         self.held_bytes = 0
         self._limit_bytes = limit_bytes
         self._held_by_connection: dict[TargetConnection, int] = {}
 
     def add(self, connection: "TargetConnection", count: int) -> "TargetConnection | None":
-        """Count bytes of a body, and return the connection to fail if there are too many.
+        """Count bytes of a response, and return the connection to fail if there are too many.
 
         Args:
             connection: The connection on which they came.
@@ -113,7 +116,7 @@
     Attributes:
         status: HTTP status.
         fields: Header fields.
-        body: Chunks of the body.
+        body: The body so far. Chunks are not kept apart: one of a byte would take over forty.
         has_head: Whether the head is complete.
         complete: Whether the whole response was received.
         skipped: Whether it belongs to an earlier request.
@@ -139,7 +142,7 @@
     def __init__(self) -> None:
         self.status = 0
         self.fields = HeaderFields()
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.has_head = self.complete = self.skipped = False
         self.keeps_alive = True
         self.head_bytes = self.rest_bytes = self.body_bytes = 0
@@ -303,8 +306,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field."""
-        if not self._response.complete:
+        if not self._response.complete and self._on_result is not None:
             self._response.fields.add(name, value)
+            self._count_held(len(name) + len(value) + FIELD_OVERHEAD_BYTES)
 
     def on_headers_complete(self) -> None:
         """Handle a complete head; skip interim responses and responses to an earlier request."""
@@ -328,11 +332,14 @@
         """Add bytes of the body."""
         response = self._response
         if response.has_head and not response.complete:
-            response.body.append(data)
+            response.body += data
             response.body_bytes += len(data)
-            longest = self._memory.add(self, len(data))
-            if longest is not None:
-                longest.give_up("bodies of the target fill the memory")
+            self._count_held(len(data))
+
+    def _count_held(self, count: int) -> None:
+        longest = self._memory.add(self, count)
+        if longest is not None:
+            longest.give_up("responses of the target fill the memory")
 
     def on_message_complete(self) -> None:
         """Complete the response, or discard a skipped one."""
@@ -368,7 +375,7 @@
         Args:
             problem: Why, for the error of the exchange.
         """
-        self._response.body.clear()
+        self._response = TargetResponse()
         self._fail(problem)
 
     def _fail(self, problem: str) -> None:
--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -218,7 +218,7 @@
     def build_response(self, response: TargetResponse, *, is_new: bool) -> PooledResponse:
         """Return a response without the removed header fields."""
         headers = response.fields.without(self._removed_fields)
-        buffered = BufferedResponse(response.status, headers, b"".join(response.body))
+        buffered = BufferedResponse(response.status, headers, bytes(response.body))
         return PooledResponse(buffered, response.fields.first, is_new)
 
     async def _check_alive(self) -> None:
--- a/tests/transport/test_target_connection.py
+++ b/tests/transport/test_target_connection.py
@@ -1,4 +1,5 @@
 import asyncio
+import tracemalloc
 
 from gentianthread.errors import ConnectionLost
 from gentianthread.transport.target_connection import (
@@ -58,7 +59,7 @@
         if task.exception() is not None:
             return type(task.exception())
         response = task.result()
-        return response.status, b"".join(response.body)
+        return response.status, bytes(response.body)
 
     async def test_responses_truncated_anywhere_are_lost(self):
         """Guards against a truncated response that looks complete, for each possible length."""
@@ -168,3 +169,56 @@
         self.assertEqual(10_000, ended[0].body_bytes)
         self.assertEqual([ConnectionLost] * 3, [type(error) for error in ended[1:]])
         self.assertEqual(0, memory.held_bytes)
+
+    async def measure_peak_bytes(self, memory, count, parts):
+        """Pass bytes to new connections until they fail; return the peak of the memory they take.
+
+        Args:
+            memory: Limit that the connections share.
+            count: Number of connections.
+            parts: Bytes for each connection.
+        """
+        connections, tasks = [], []
+        tracemalloc.start()
+        try:
+            for _ in range(count):
+                connection = TargetConnection(asyncio.get_running_loop(), "Request-Id", memory)
+                connection.connection_made(FakeTransport())
+                connections.append(connection)
+                request = make_request("GET", "/", "", b"", "a", 5_000.0)
+                tasks.append(asyncio.ensure_future(connection.exchange(request)))
+                await asyncio.sleep(0)
+                for part in parts:
+                    if connection.usable:
+                        connection.data_received(part)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        for connection in connections:
+            connection.abort()
+            connection.connection_lost(None)
+        ended = await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual({ConnectionLost}, {type(error) for error in ended})
+        self.assertEqual(0, memory.held_bytes)
+        return peak_bytes
+
+    async def test_body_without_end_in_tiny_chunks_stays_within_the_limit(self):
+        """Guards against a node killed for its memory by a body in chunks of one byte.
+
+        Each chunk was kept as an object of its own, which takes over forty times its length.
+        """
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        parts = [head] + [b"1\r\ny\r\n" * 1_000] * 600
+        peak_bytes = await self.measure_peak_bytes(ResponseMemory(500_000), 1, parts)
+        self.assertLessEqual(peak_bytes, 2 * 500_000)
+
+    async def test_fields_of_all_connections_share_the_limit(self):
+        """Guards against a node killed for its memory by heads without end on many connections.
+
+        A head of the longest length with fields of a few bytes takes over a megabyte.
+        """
+        chunked = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for start in (b"HTTP/1.1 200 OK\r\n", chunked + b"0\r\n"):
+            parts = [start + b"a:b\r\n" * 5_000]
+            peak_bytes = await self.measure_peak_bytes(ResponseMemory(500_000), 5, parts)
+            self.assertLessEqual(peak_bytes, 2 * 500_000)
