Pass a refusal of the target to an order's caller only with the target's promise

Cause, by listing the paths that answer "not run" and the event after which each is no longer true (docs/incidents/refused-order.md): a target's 503, 429, 408 or 421 was passed on also without the word that it had not run the request.

Ruled out by reading and by existing tests: refusals before an attempt, failed dials, links closed before a write, cancellations that cross a start, late second refusals.

Change: orders get 502 without the seal in that case; a 421 with a seal is an answer and no rejection. Event 711 lists the attempts, with a limit of its own for such lines.

Why it works: the caller of an order learns "not run" only from a node that sent nothing or from a target that says so.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -23,6 +23,13 @@
 from .forwarding import Forwarder, PendingRequest
 from .started_request import EntryReply, StartedRequest
 
+# Statuses by which callers learn that a request has not run, and send it again.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
+# Maximum log lines per second about requests that were refused after attempts. They have a limit of
+# their own, as refusals before any attempt are far more frequent under overload.
+ATTEMPTED_LINES_PER_S = 50
+
 # Timeout of a request whose caller states none.
 DEFAULT_TIMEOUT_MS = 10_000.0
 
@@ -141,6 +148,7 @@
         self.clock = clock
         self.metrics = metrics
         self.decisions = decisions
+        self._attempted_decisions = DecisionLog(clock, ATTEMPTED_LINES_PER_S)
         self.random = random
         self.running = 0
         self.refuses_callers = False
@@ -189,7 +197,9 @@
         if reply.reason:
             pending = started.pending
             self.metrics.count(f"entry.refused.{reply.reason.replace(' ', '_')}")
-            self.decisions.write(
+            has_attempts = pending is not None and pending.attempts
+            decisions = self._attempted_decisions if has_attempts else self.decisions
+            decisions.write(
                 REQUEST_ENDED,
                 request_id=started.request_id,
                 route="-" if pending is None else pending.route.route_id,
@@ -197,6 +207,7 @@
                 reason=reply.reason,
                 took_ms=took_ms,
                 sent=0 if pending is None else pending.send_count,
+                attempts="; ".join(pending.attempts) if has_attempts else "none",
             )
         reply.headers.append((self.dialect.request_id, started.request_id))
         return BufferedResponse(reply.status, reply.headers, reply.body, reply.fields)
@@ -354,6 +365,9 @@
     def outcome_reply(self, pending: PendingRequest, answer: RunAnswer) -> EntryReply:
         """Return the reply for the outcome of the attempts."""
         if answer.outcome is RunOutcome.ANSWERED:
+            if answer.status in NOT_RUN_STATUSES and not pending.route.repeatable:
+                # The target did not say that it has not run the request, and it may have.
+                return EntryReply(502, f"target answered {answer.status} without a promise")
             return EntryReply(answer.status, "", [], answer.body, answer.fields)
         if pending.deadline_ms - self.clock.now_ms() < DEADLINE_TOLERANCE_MS:
             # The node beside the target stops waiting at the same time as this one.
--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -60,6 +60,7 @@
         objective_missed: Whether it can no longer meet its latency objective.
         send_count: How often it was sent to upstreams.
         may_have_run: Whether an upstream may have run it.
+        attempts: Upstream and outcome of each attempt that has ended without an answer.
     """
 
     route: HostRoute
@@ -76,6 +77,7 @@
     objective_missed: bool = False
     send_count: int = 0
     may_have_run: bool = False
+    attempts: tuple[str, ...] = ()
 
 
 @attrs.define(eq=False)
@@ -238,6 +240,8 @@
         if answer.outcome is RunOutcome.ANSWERED and answer.status not in RETRYABLE_STATUSES:
             return answer
         pending = attempts.pending
+        reason = answer.reason or answer.status
+        pending.attempts += (f"{upstream.upstream_id} {answer.outcome.value} {reason}",)
         if answer.outcome is RunOutcome.CONNECTION_LOST:
             attempts.connection_lost_by = upstream
         if answer.outcome is RunOutcome.NOT_SENT:
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -456,7 +456,10 @@
         return run_answer
 
     def _is_rejection(self, status: int, fields: dict[str, str]) -> bool:
-        return status == MISDIRECTED_REQUEST or self._not_run_field in fields
+        if self._not_run_field in fields:
+            return True
+        # Only an upstream that has run the request seals its answer.
+        return status == MISDIRECTED_REQUEST and self._seal_field not in fields
 
     def _record_latency(self, took_ms: float, now_ms: float, *, successful: bool) -> None:
         self.metrics.timing_ms("target.took_ms", took_ms)
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -136,7 +136,8 @@
 REQUEST_ENDED = _event(
     711,
     Level.INFO,
-    "request {request_id} on {route}: {status} {reason} after {took_ms:.0f} ms, sent {sent}",
+    "request {request_id} on {route}: {status} {reason} after {took_ms:.0f} ms, sent {sent}, "
+    "attempts: {attempts}",
 )
 ATTEMPT_FAILED = _event(
     712, Level.INFO, "request {request_id} at {upstream_id}: {outcome} {reason}, again: {again}"
--- a/tests/coordination/mesh/test_faulty_targets.py
+++ b/tests/coordination/mesh/test_faulty_targets.py
@@ -1,7 +1,7 @@
 import asyncio
 
 from gentianthread.platform.names import DIALECT
-from gentianthread.standins.mesh import TARGET_PORT
+from gentianthread.standins.mesh import TARGET_PORT, plan_document
 
 from .base import MeshTestCase
 
@@ -152,3 +152,36 @@
                 self.check(reply)
         self.assertLess(100, len(cuts))
         await self.stop_faulty()
+
+    async def test_target_answer_that_only_looks_like_a_refusal_is_no_promise(self):
+        """Guards against an order that ran and whose caller is told that it did not.
+
+        A faulty target can answer 503 after the work. Without the field that says so, and for 421
+        with the seal of an answer, the target has not promised anything.
+        """
+        answers = ((503, ()), (503, (SEAL,)), (429, ()), (429, (SEAL,)), (408, ()), (421, (SEAL,)))
+        for status, fields in answers:
+
+            async def answer(head, number, writer, upstream_id, status=status, fields=fields):
+                self.ran.append(request_id_of(head))
+                writer.write(render(status, request_id_of(head), *fields))
+
+            await self.start_faulty(answer)
+            reply = await self.call("catalogue-0", "/order/1", method="POST", body=b"x")
+            self.assertEqual((502, 1), (reply.status, len(self.ran)), (status, fields))
+            self.assertNotIn(DIALECT.seal, reply.fields)
+            await self.stop_faulty()
+
+    async def test_refusal_of_a_read_is_passed_on(self):
+        """Guards against an answer that is replaced although its caller may send it again."""
+
+        async def answer(head, number, writer, upstream_id):
+            writer.write(render(503, request_id_of(head), SEAL))
+
+        await self.start_faulty(answer)
+        plan = plan_document(2)
+        plan["routes"]["order"]["kind"] = "idempotent"
+        await self.publish(2, routes=plan["routes"])
+        reply = await self.call("catalogue-0", "/order/1")
+        self.assertEqual((503, "seal"), (reply.status, reply.fields[DIALECT.seal]))
+        await self.stop_faulty()
