Answer requests before the end of a planned stop

Cause here: a stopping sidecar refuses callers after 2.3 s, but took calls of its own target until its end with their whole time limit, and closed the connections of what was under way at 0.9 of the grace.

Ruled out: callers from outside (refused early enough) and review/3, whose answers are complete and wait for slow readers.

Change: the deadline of new requests is at most 0.1 s before the end of the node; calls are refused as not run when less than 0.5 s is left; what is under way at the end is answered as at its deadline.

Why it works: every request that is taken has a deadline before the process ends, so the usual path answers it, truly as to whether it may have run.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -30,6 +30,12 @@
 # their own, as refusals before any attempt are far more frequent under overload.
 ATTEMPTED_LINES_PER_S = 50
 
+# Time before the end of a stopping node at which its last requests are answered.
+END_MARGIN_MS = 100.0
+
+# A stopping node refuses calls of its target for which less time is left, as they might be cut off.
+MIN_CALL_TIME_MS = 500.0
+
 # Timeout of a request whose caller states none.
 DEFAULT_TIMEOUT_MS = 10_000.0
 
@@ -99,7 +105,8 @@
     """Handle the requests that enter the mesh on this instance.
 
     Attributes:
-        running: Number of requests that have no answer yet.
+        requests: Requests that have no answer yet.
+        ends_at_ms: Time at which a stopping node ends; infinity before.
         refuses_callers: Whether new requests are refused, except those of this node's own target.
     """
 
@@ -150,7 +157,8 @@
         self.decisions = decisions
         self._attempted_decisions = DecisionLog(clock, ATTEMPTED_LINES_PER_S)
         self.random = random
-        self.running = 0
+        self.requests: set[StartedRequest] = set()
+        self.ends_at_ms = float("inf")
         self.refuses_callers = False
         self.service_chooser = WeightedRoundRobin(random)
         # Timeouts of the callers' first attempts, by route.
@@ -173,6 +181,16 @@
             }
         )
 
+    @property
+    def running(self) -> int:
+        """Return the number of requests that have no answer yet."""
+        return len(self.requests)
+
+    def end_requests(self) -> None:
+        """Answer all requests as at their deadline, since the node ends."""
+        for started in list(self.requests):
+            started.expire()
+
     def start(self, request: BufferedRequest, deliver: DeliverResponse) -> Cancellable:
         """Start to handle a request.
 
@@ -190,7 +208,7 @@
 
     def finish(self, started: StartedRequest, reply: EntryReply) -> BufferedResponse:
         """Record how a request ended and return its answer."""
-        self.running -= 1
+        self.requests.discard(started)
         took_ms = self.clock.now_ms() - started.started_ms
         self.metrics.count(f"entry.status.{reply.status}")
         self.metrics.timing_ms("entry.took_ms", took_ms)
@@ -258,7 +276,7 @@
             priority,
             organisation is None and bool(plan.organisations),
             request_id,
-            now_ms + timeout_ms,
+            min(now_ms + timeout_ms, self.ends_at_ms - END_MARGIN_MS),
             request.method,
             request.target,
             request.body,
@@ -313,8 +331,10 @@
         Requests are refused while the node is leaving, while they are blocked since targets crash
         under them, over the rate of their organisation, and under overload of the service.
         """
-        if self.refuses_callers and not pending.inner:
-            return self._unavailable("node is leaving")
+        if self.refuses_callers:
+            may_be_cut_off = self.ends_at_ms - now_ms < MIN_CALL_TIME_MS
+            if may_be_cut_off or not pending.inner:
+                return self._unavailable("node is leaving")
         block_ms = self.crash_reports.block_ms(pending)
         if block_ms:
             self.crash_reports.log_refusal(pending, pending.request_id, block_ms)
--- a/gentianthread/coordination/mesh/process.py
+++ b/gentianthread/coordination/mesh/process.py
@@ -101,6 +101,7 @@
         settings_watch.cancel()
         await stop_gracefully(self.sidecar, self.clock, self.sidecar.settings.grace_ms)
         code = SidecarExitCode.CUT_OFF if self.sidecar.busy else SidecarExitCode.STOPPED
+        self.sidecar.end_requests()
         await self.sidecar.stop()
         return code
 
@@ -153,8 +154,8 @@
         grace_ms: Time after which the platform kills the process.
     """
     started_ms = clock.now_ms()
-    sidecar.begin_leaving()
     max_ms = grace_ms * MAX_LEAVE_FRACTION
+    sidecar.begin_leaving(started_ms + max_ms)
     drain_start_ms = min(DRAIN_START_MS, grace_ms * MAX_DRAIN_START_FRACTION)
     while (elapsed_ms := clock.now_ms() - started_ms) < max_ms:
         if elapsed_ms >= drain_start_ms and not sidecar.draining:
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -396,9 +396,14 @@
                 log(TASK_FAILED, task=work.__qualname__, error=repr(error))
             await self.clock.sleep_ms(TASK_RESTART_MS)
 
-    def begin_leaving(self) -> None:
-        """Fail readiness checks, so that the platform routes callers to other instances."""
+    def begin_leaving(self, ends_at_ms: float) -> None:
+        """Fail readiness checks, so that the platform routes callers to other instances.
+
+        Args:
+            ends_at_ms: Time at which the node ends; new requests are answered before it.
+        """
         self.leaving = True
+        self.entry.ends_at_ms = ends_at_ms
         self.outbound_listener.leaving = True
         log(NODE_LEAVING, running=self.entry.running)
 
@@ -413,6 +418,10 @@
         """Refuse new requests of callers; the calls of requests in flight continue."""
         self.entry.refuses_callers = True
 
+    def end_requests(self) -> None:
+        """Answer the requests of callers that are still in flight at the end of the node."""
+        self.entry.end_requests()
+
     @property
     def busy(self) -> bool:
         """Return whether a request is in flight."""
--- a/gentianthread/coordination/mesh/started_request.py
+++ b/gentianthread/coordination/mesh/started_request.py
@@ -59,7 +59,7 @@
     def begin(self) -> None:
         """Refuse the request, or forward it and start the timer of its deadline."""
         entry, now_ms = self._entry, self.started_ms
-        entry.running += 1
+        entry.requests.add(self)
         try:
             resolved = entry.resolve_request(self._request, self.request_id, now_ms)
             if isinstance(resolved, EntryReply):
@@ -70,7 +70,7 @@
             if refusal is None:
                 resolved.fields = entry.target_fields(self._request, resolved.organisation_id)
                 remaining_s = max(0.0, resolved.deadline_ms - now_ms) / 1000
-                self._timer = self._loop.call_later(remaining_s, self._expire)
+                self._timer = self._loop.call_later(remaining_s, self.expire)
                 self._work = entry.forwarder.start(resolved, now_ms, self._finish_with_answer)
                 return
         except Exception as error:
@@ -85,7 +85,12 @@
         self._timer.cancel()
         self._finish(self._entry.outcome_reply(self.pending, answer))
 
-    def _expire(self) -> None:
+    def expire(self) -> None:
+        """Stop waiting for an upstream and answer the caller."""
+        if self._work is None:
+            # It is being refused already.
+            return
+        self._timer.cancel()
         self._work.cancel()
         self._finish(self._entry.timeout_reply(self.pending))
 
@@ -98,5 +103,5 @@
         self._timer.cancel()
         if self._work is not None:
             self._work.cancel()
-        self._entry.running -= 1
+        self._entry.requests.discard(self)
         self._entry.metrics.count("entry.cancelled")
--- a/tests/coordination/mesh/test_changes.py
+++ b/tests/coordination/mesh/test_changes.py
@@ -267,13 +267,59 @@
         leaving = self.sidecar("catalogue-0")
         call = asyncio.ensure_future(self.call("catalogue-0", "/order/1", method="POST"))
         await self.until(lambda: leaving.entry.running == 1)
-        leaving.begin_leaving()
+        leaving.begin_leaving(float("inf"))
         self.assertTrue(leaving.busy)
         late = await self.call("catalogue-0", "/order/2", method="POST")
         self.assertEqual((200, 200), ((await call).status, late.status))
         await self.until(lambda: not leaving.busy)
         await self.stop()
 
+    async def call_inner(self, at, path, method="GET"):
+        """Send a call as the target of an instance does."""
+        return await self.call(at, path, method=method, host="inner.example", key=None)
+
+    def leave(self, upstream_id, remaining_ms):
+        """Let a node refuse callers that ends some time later."""
+        node = self.sidecar(upstream_id)
+        node.begin_leaving(node.clock.now_ms() + remaining_ms)
+        node.refuse_callers()
+        return node
+
+    async def test_call_that_comes_late_in_a_stop_is_answered_before_the_end(self):
+        """Guards against a call of the target that is taken late and cut off without an answer."""
+        await self.start({"catalogue": 1, "orders": 1})
+        self.target("orders-0").work_ms = 5_000
+        self.leave("catalogue-0", 900)
+        reply = await asyncio.wait_for(self.call_inner("catalogue-0", "/ledger/1"), 0.9)
+        self.assertEqual(504, reply.status)
+        late = await self.call_inner("catalogue-0", "/ledger/2")
+        self.assertEqual((503, 1), (late.status, len(self.target("orders-0").seen)))
+        await self.stop()
+
+    async def test_call_that_can_end_in_a_stop_is_served(self):
+        """Guards against a run of a leaving node's target that fails as its calls are refused."""
+        await self.start({"catalogue": 1, "orders": 1})
+        self.leave("catalogue-0", 2_000)
+        self.assertEqual(200, (await self.call_inner("catalogue-0", "/ledger/1")).status)
+        await self.stop()
+
+    async def test_requests_in_flight_at_the_end_of_a_stop_are_answered(self):
+        """Guards against a closed connection in place of an answer, also for an order that runs."""
+        await self.start({"catalogue": 1, "orders": 1})
+        self.target("orders-0").work_ms = 5_000
+        node = self.sidecar("catalogue-0")
+        calls = [
+            asyncio.ensure_future(self.call("catalogue-0", f"/order/{number}", method="POST"))
+            for number in range(2)
+        ]
+        await self.until(lambda: node.entry.running == 2)
+        self.leave("catalogue-0", 100)
+        node.end_requests()
+        await node.outbound_listener.close()
+        self.assertEqual([504, 504], [(await call).status for call in calls])
+        self.assertEqual(0, node.entry.running)
+        await self.stop()
+
     async def test_leaving_node_still_serves_its_peers(self):
         """Guards against a target that is idle while its node waits for callers to leave.
 
@@ -281,7 +327,7 @@
         node still ran.
         """
         await self.start({"catalogue": 1, "orders": 1})
-        self.sidecar("catalogue-0").begin_leaving()
+        self.sidecar("catalogue-0").begin_leaving(float("inf"))
         await asyncio.sleep(0.05)
         self.assertEqual(200, (await self.call("orders-0", "/stock/1")).status)
         await self.stop()
--- a/tests/coordination/mesh/test_path.py
+++ b/tests/coordination/mesh/test_path.py
@@ -338,6 +338,6 @@
         self.assertEqual(503, await readiness_status())
         self.assertEqual(503, (await self.call("catalogue-0", "/none/")).status)
         sidecar.follower.plan = plan
-        sidecar.begin_leaving()
+        sidecar.begin_leaving(float("inf"))
         self.assertEqual(503, await readiness_status())
         await self.stop()
--- a/tests/coordination/mesh/test_process.py
+++ b/tests/coordination/mesh/test_process.py
@@ -1,7 +1,11 @@
 import asyncio
 
 from gentianthread.clock import LoopClock
-from gentianthread.coordination.mesh.process import MIN_LEAVE_MS, stop_gracefully
+from gentianthread.coordination.mesh.process import (
+    MAX_LEAVE_FRACTION,
+    MIN_LEAVE_MS,
+    stop_gracefully,
+)
 
 from ...base import VirtualTimeTestCase
 
@@ -15,7 +19,8 @@
         self.draining = False
         self.events = []
 
-    def begin_leaving(self):
+    def begin_leaving(self, ends_at_ms):
+        self.ends_at_ms = ends_at_ms
         self.events.append(("leave", self.clock.now_ms()))
 
     def begin_draining(self):
@@ -36,6 +41,7 @@
         """Return the recorded calls and the time at which the stop ended."""
         sidecar = StoppingSidecar(busy_until_ms)
         await stop_gracefully(sidecar, sidecar.clock, grace_ms)
+        self.assertEqual(grace_ms * MAX_LEAVE_FRACTION, sidecar.ends_at_ms)
         return sidecar.events, round(asyncio.get_running_loop().time() * 1000)
 
     async def test_target_drains_last(self):
