Test changes after a silent outage whose last calls get no answer

The test plays outages of 3.3 to 4.5 s on 24 nodes in virtual time, with the time limits of a connection and of an answer, and checks that a change and a removal 3 s after the return are in force on all nodes in 2 s. It passes on the code as it is: the first call after a failure waits for no change, and the backoff ends at 0.4 s.

--- a/tests/coordination/mesh/follower_fleet.py
+++ b/tests/coordination/mesh/follower_fleet.py
@@ -80,12 +80,15 @@
     Attributes:
         charged: Calls so far; a read that may be outdated counts as `STALE_CALL_PRICE`.
         down: Whether all calls fail.
+        silent_s: If not 0, calls get no answer and fail after this time, also those that began in
+            the last moments before the store is back.
         refused: Hosts whose calls fail.
     """
 
     def __init__(self):
         self.charged = 0.0
         self.down = False
+        self.silent_s = 0.0
         self.refused = set()
         self.revision = 1
         self.items = {}
@@ -102,9 +105,9 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def go_down(self):
-        """Fail all calls, also the watches that wait."""
-        self.down = True
+    def go_down(self, silent_s=0.0):
+        """Fail all calls, also the watches that wait; without an answer if a time is given."""
+        self.down, self.silent_s = not silent_s, silent_s
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -138,10 +141,16 @@
 
     async def _charge(self, price=1.0):
         self.store.charged += price
+        await self._fail_if_silent()
         await asyncio.sleep(0.004)
         if self.store.down or self.host in self.store.refused:
             raise PlatformUnavailable("call", "status 503")
 
+    async def _fail_if_silent(self):
+        if self.store.silent_s:
+            await asyncio.sleep(self.store.silent_s)
+            raise PlatformUnavailable("call", "no answer in time")
+
     async def read_all(self):
         entries = [item for key, item in self.store.items.items() if key != PLAN_KEY]
         for _ in range(2 + len(entries) // PAGE_ENTRIES):
@@ -157,6 +166,7 @@
         await self._charge()
         end_s = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
+            await self._fail_if_silent()
             if self.store.down:
                 raise PlatformUnavailable("watch", "connection reset")
             if era_of(revision) != era_of(self.store.revision):
--- a/tests/coordination/mesh/test_drain_bound.py
+++ b/tests/coordination/mesh/test_drain_bound.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from gentianthread.platform.store import CONNECT_TIMEOUT_MS, READ_TIMEOUT_MS
+
 from ...base import VirtualTimeTestCase
-from .follower_fleet import FollowerFleet
+from .follower_fleet import PLAN_KEY, FollowerFleet
 
 # The users' bounds: confirmations bind once the store has been well for `CONTACT_S`, and a request
 # may reach a leaving upstream for `DRAIN_S` after them.
@@ -130,6 +132,23 @@
         await self.check_removal("lapsed")
         await self.fleet.stop()
 
+    async def test_changes_after_a_silent_outage_are_in_force_in_time(self):
+        """Guards against calls from the last moments of a silent outage that are waited for.
+
+        They get no answer although the store is back, and fail only after their time limit.
+        """
+        for silent_s in (CONNECT_TIMEOUT_MS / 1_000, READ_TIMEOUT_MS / 1_000):
+            for duration_s in (3.3, 3.7, 4.1, 4.5):
+                await self.start()
+                self.store.go_down(silent_s=silent_s)
+                await asyncio.sleep(duration_s)
+                self.store.silent_s = 0.0
+                await asyncio.sleep(CONTACT_S)
+                self.store.put(PLAN_KEY, b"2")
+                await self.check_removal("leaver")
+                self.assertEqual({2}, self.fleet.versions())
+                await self.fleet.stop()
+
     async def test_upstream_that_leaves_after_a_second_outage_is_dropped_in_time(self):
         """Guards against relisting periods of two outages that add up."""
         for gap_s in (0.5, 1.5, 2.5, 3.2):
