Count further attempts of a request against the rate of its organisation

Cause: a request was counted when it was admitted. If its first attempt may have run and it was sent again, the second run was reported to nobody, up to the retry budget.

Change: the forwarder reports each further attempt after one that may have run; attempts that the target rejected, or that were not sent, do not count.

Why it works: the counting node now learns of every run of an organisation.

--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -147,6 +147,8 @@
         self.clock = clock
         self.metrics = metrics
         self.decisions = decisions
+        # Called with the organisation of a request that may run again; the sidecar replaces it.
+        self.on_second_run: Callable[[OrganisationId], None] = lambda organisation_id: None
         # Services that this node's own target calls.
         self.called_services: set[ServiceId] = set()
         self._upstream_cache: dict[ServiceId, tuple[float, tuple[UpstreamEntry, ...]]] = {}
@@ -259,6 +261,8 @@
         if answer.outcome is not RunOutcome.NOT_SENT:
             self._log_failure(pending, upstream, answer, will_retry=True)
             attempts.retry_window.record_retry(self.clock.now_ms())
+            if answer.outcome is not RunOutcome.REJECTED:
+                self.on_second_run(pending.organisation_id)
             self.metrics.count("forwarder.repeats")
         return None
 
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -192,6 +192,7 @@
         self.target.dependency_level = self.forwarder.dependency_level
         self.target.highest_level = self._highest_level
         self.node_rates = NodeRates(random)
+        self.forwarder.on_second_run = self.node_rates.record_second_run
         self.limit_changes = LimitChanges()
         self.rate_sharing = RateCoordinator(
             settings.host,
--- a/gentianthread/state/fleet_rate.py
+++ b/gentianthread/state/fleet_rate.py
@@ -356,6 +356,13 @@
             estimate.unanswered += 1
         return passes
 
+    def record_second_run(self, name: OrganisationId) -> None:
+        """Count a further attempt of an admitted request, which may run again."""
+        estimate = self._estimates.get(name)
+        if estimate is not None:
+            estimate.admitted += 1
+            estimate.unanswered += 1
+
     def _estimate(self, name: OrganisationId, now_ms: float) -> _Estimate:
         estimate = self._estimates.get(name)
         if estimate is None:
@@ -446,7 +453,7 @@
         """Return the usage since the last call, to be reported to the counting node."""
         usage_by_organisation = {}
         for name, estimate in self._estimates.items():
-            if estimate.demanded:
+            if estimate.demanded or estimate.admitted:
                 usage_by_organisation[name] = Usage(estimate.admitted, estimate.demanded)
                 estimate.admitted = estimate.demanded = 0
         self._unanswered_reports.append(usage_by_organisation)
--- a/tests/coordination/mesh/test_path.py
+++ b/tests/coordination/mesh/test_path.py
@@ -143,6 +143,21 @@
             self.assertEqual((200, b"catalogue-1"), (reply.status, reply.body.split()[0]))
         await self.stop()
 
+    async def test_request_that_may_run_again_counts_twice_for_its_organisation(self):
+        """Guards against runs above the rate that nobody counts, as they are further attempts."""
+        await self.start({"catalogue": 2})
+        self.target("catalogue-0").behave = fail
+        node = self.sidecar("catalogue-0")
+        counted = []
+        node.forwarder.on_second_run = counted.append
+        await self.call("catalogue-0", "/stock/1")
+        self.assertEqual(["acme"], counted)
+        node.node_rates.take_usage()
+        node.node_rates.take("acme", 100_000, 100_000, 1, node.clock.now_ms())
+        node.node_rates.record_second_run("acme")
+        self.assertEqual(2, node.node_rates.take_usage()["acme"].admitted)
+        await self.stop()
+
     async def test_request_is_resent_if_the_target_closed_a_kept_connection(self):
         """Guards against a failure because the target had closed an idle connection."""
         await self.start({"catalogue": 1, "orders": 1})
