Tell a previous counting node of another one only if its host differs

Cause: a node whose link to the counting node was replaced told the same node over the old link that it reports elsewhere. On two connections that message could come after the next report, and the node's part of the rates was then withheld for up to 0.4 s.

Found by reading the change.

--- a/gentianthread/coordination/mesh/rates.py
+++ b/gentianthread/coordination/mesh/rates.py
@@ -113,6 +113,7 @@
             async with asyncio.timeout((self._period_ms() - MIN_REPORT_INTERVAL_MS) / 1_000):
                 await self._report_early.wait()
         except TimeoutError:
+            # The period has passed.
             pass
         self._report_early.clear()
 
@@ -164,9 +165,10 @@
             self.rates.put_back_unanswered()
             return
         self.rates.forget_unanswered()
-        # The nodes may disagree for a moment about which one counts. Each grants only the part of
-        # the rates that belongs to the nodes that report to it.
-        previous.post(UsageReport((), (), last=True))
+        if previous.host != self.counter_host:
+            # The nodes may disagree for a moment about which one counts. Each grants only the part
+            # of the rates that belongs to the nodes that report to it.
+            previous.post(UsageReport((), (), last=True))
 
     def _known_tokens(self, is_new: bool) -> dict[OrganisationId, float]:
         """Return what a node that begins to count for this one may not know."""
--- a/tests/coordination/mesh/test_rates.py
+++ b/tests/coordination/mesh/test_rates.py
@@ -23,7 +23,8 @@
 
     silent = False
 
-    def __init__(self):
+    def __init__(self, host=""):
+        self.host = host
         self.closed = False
         self.reports = []
 
@@ -45,8 +46,9 @@
         if self.failed_dials:
             self.failed_dials -= 1
             raise PeerUnreachable(UpstreamId(host))
-        if self.links[-1].closed:
+        if self.links[-1].closed or self.links[-1].host not in ("", host):
             self.links.append(ReportingLink())
+        self.links[-1].host = host
         return self.links[-1]
 
 
@@ -99,6 +101,26 @@
         await self.coordinator._report()
         self.assertEqual(((ACME, 5, 5),), self.peers.links[1].reports[0].usage)
 
+    async def test_previous_counting_node_is_told_that_another_one_counts(self):
+        """Guards against two nodes that both grant the rates of the same nodes."""
+        clock = self.start()
+        await self.coordinator._report()
+        for _ in range(3):
+            await self.coordinator._report()
+        self.assertEqual([False] * 4, [r.last for r in self.peers.links[0].reports])
+        # Three reports without an answer exclude the node.
+        await self.coordinator._report()
+        await self.coordinator._report()
+        self.assertEqual([True], [r.last for r in self.peers.links[0].reports if r.last])
+        self.assertEqual([False], [r.last for r in self.peers.links[1].reports][:1])
+        counter = FleetCounter(clock.now_ms())
+        limits = {ACME: (RATE_PER_S, RATE_PER_S)}
+        for source in ("a", "b"):
+            counter.report(source, {}, limits, 2, clock.now_ms())
+        counter.forget_source("a")
+        answer = counter.report("b", {}, limits, 2, clock.now_ms())
+        self.assertAlmostEqual(FleetCounter.RATE_FRACTION_FACTOR / 2, answer.rate_fraction)
+
     async def test_node_that_begins_to_count_learns_the_tokens_that_are_left(self):
         """Guards against a full bucket after each restart of the counting node."""
         clock = self.start()
