--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -387,7 +387,7 @@
         if answer.outcome is RunOutcome.ANSWERED:
             if answer.status in NOT_RUN_STATUSES and not pending.route.repeatable:
                 # The target did not say that it has not run the request, and it may have.
-                return EntryReply(502, f"target answered {answer.status} without a promise")
+                return EntryReply(502, f"target answered {answer.status} and may have run it")
             return EntryReply(answer.status, "", [], answer.body, answer.fields)
         if pending.deadline_ms - self.clock.now_ms() < DEADLINE_TOLERANCE_MS:
             # The node beside the target stops waiting at the same time as this one.
