--- a/gentianthread/state/relisting.py
+++ b/gentianthread/state/relisting.py
@@ -23,7 +23,7 @@
 RELIST_RANGE_MS = (1_900.0, 2_400.0)
 
 # Longest time by which the first answer may lag the return of the store: one delay between calls,
-# and one call that is lost.
+# and one connection that could not be opened. A call whose answer is lost adds its time limit.
 RETURN_LAG_MS = 1_000.0
 
 # Time for which the failure of a call may lag the moment at which the store was away.
