Reserve the loopback network of a test fleet

Cause: the network is derived from the process id modulo 128, and the comment's claim that processes running at the same time have neighbouring ids does not hold when tests, soaks and plays start more than 128 processes meanwhile. Ruled out: a fleet of the same process that was not stopped, as each call takes another number.

A network is now reserved by a bound socket until the process ends, and one that is taken is passed over. The new test binds the socket of the next network as another process would; before, the next call returned that network.

--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import os
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from itertools import count
@@ -40,16 +41,34 @@
 PEER_PORT = 7805
 STORE_PORT = 7806
 
-_networks = count()
+# A process that holds this port at the last address of a network has reserved the network.
+RESERVATION_PORT = 7807
+RESERVATION_HOST_NUMBER = 254
+
+_network_numbers = count()
+_reservations: list[socket.socket] = []
 
 
 def private_network() -> str:
-    """Return the first three numbers of loopback addresses that nobody else uses.
+    """Reserve a network of loopback addresses until this process ends, and return its prefix.
+
+    Each call reserves another network, so that a fleet which was not stopped holds no address of
+    the next one.
 
-    Processes that run at the same time have neighbouring ids, and each call of one gets another
-    network, so that a fleet which was not stopped holds no address of the next one.
+    Returns:
+        The first three numbers of the addresses.
     """
-    return f"127.{64 + os.getpid() % 128}.{next(_networks) % 256}"
+    while True:
+        network = f"127.{64 + os.getpid() % 128}.{next(_network_numbers) % 256}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"{network}.{RESERVATION_HOST_NUMBER}", RESERVATION_PORT))
+        except OSError:
+            # Another process, whose id is the same modulo 128, has reserved this network.
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return network
 
 
 class MeshStore:
