Log rejections and stray answers of the target with their connection

The logs could not tell the copy of a refusal from a refusal: event 711 lists outcomes only, the node beside the target wrote nothing when a target rejects, and answers that are skipped as those of another request were neither counted nor logged.

Event 724 gives, for each rejection of the target, the request, its connection, its number on the connection and the time from the send to the answer; two of them with the same request and connection are two attempts that the wire cannot tell apart. Event 725 and the counter target.stray_answers tell of bytes that belong to no request: an answer with another id, bytes behind an answer, bytes on an idle connection. The connection numbers are those of the pool.

The reason that travels to the entry node stays as it is, since it names a counter there.

--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -27,6 +27,7 @@
 )
 from .crash_reports import REASON_BLOCKED, CrashReports
 from .started_run import StartedRun
+from .target_log import TargetLog
 from .target_notices import TargetNotices
 
 # Fraction of its remaining time that a request may wait for a slot. Inner calls may wait longer,
@@ -112,6 +113,8 @@
         self.clock = clock
         self.metrics = metrics
         self.decisions = decisions
+        self._log = TargetLog(service_id, clock, metrics)
+        pool.on_stray = self._log.record_stray
         self._refuse_peers_from_ms = float("inf")
         self.running = 0
         # The sidecar replaces both once the forwarder exists.
@@ -434,7 +437,7 @@
                 self.notices.record_misdirected(request, started_ms)
             else:
                 self.notices.read(request, fields, started_ms)
-            self.metrics.count("target.rejected")
+            self._log.record_rejection(request, pooled, started_ms)
             return self._answer(RunOutcome.REJECTED, f"target answered {answer.status}")
         has_seal = self._seal_field in fields
         is_final = answer.status >= MIN_FINAL_STATUS
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -176,6 +176,18 @@
     "request {request_id}, {method} {target} for {organisation_id}, refused: it was lost in "
     "{crashes} crashes of targets and is blocked for {block_ms:.0f} ms",
 )
+RUN_REJECTED = _event(
+    724,
+    Level.INFO,
+    "request {request_id} rejected by the target of {upstream_id} with {status} after "
+    "{took_ms:.1f} ms, as request {request_number} on connection {connection}",
+)
+STRAY_ANSWER = _event(
+    725,
+    Level.WARNING,
+    "connection {connection} to the target of {service_id}, after {requests} requests: "
+    "{description}",
+)
 STORE_RESTORED = _event(
     720,
     Level.WARNING,
--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -34,6 +34,11 @@
 # Memory that a header field takes beside its name and value.
 FIELD_OVERHEAD_BYTES = 256
 
+# Descriptions of bytes that belong to no request, for `OnStray`.
+STRAY_OTHER_ID = "an answer with the id of another request"
+STRAY_AFTER_ANSWER = "bytes after a complete answer"
+STRAY_WHILE_IDLE = "bytes while no request was under way"
+
 # Idle time after which a connection is not reused if the target states no idle timeout.
 DEFAULT_IDLE_LIMIT_MS = 4_000.0
 
@@ -148,10 +153,15 @@
         self.head_bytes = self.rest_bytes = self.body_bytes = 0
 
 
+# Called with a connection that received bytes which belong to no request, and what they were.
+OnStray = Callable[["TargetConnection", str], None]
+
+
 class TargetConnection(asyncio.Protocol):
     """Send requests to the target, one at a time.
 
     Attributes:
+        number: Number that its pool gave it.
         transport: Transport of the connection; None before it is made and after it is lost.
         request_count: Number of requests sent.
         idle_since_ms: Time at which the pool made the connection idle.
@@ -166,6 +176,7 @@
         loop: asyncio.AbstractEventLoop,
         request_id_field: str,
         memory: ResponseMemory | None = None,
+        on_stray: OnStray = lambda connection, description: None,
     ):
         """Create a connection that is not open yet.
 
@@ -173,7 +184,9 @@
             loop: The event loop.
             request_id_field: Header field in which the target echoes the request id.
             memory: Limit that several connections share; one of its own by default.
+            on_stray: Called for each response, or piece of one, that belongs to no request.
         """
+        self.number = 0
         self.transport: asyncio.Transport | None = None
         self.request_count = 0
         self.idle_since_ms = 0.0
@@ -183,6 +196,7 @@
         self.ended_by_close = False
         self._loop = loop
         self._memory = ResponseMemory() if memory is None else memory
+        self._on_stray = on_stray
         self._request_id_field = request_id_field.lower()
         self._on_result: Callable[[TargetResponse | Exception], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -256,7 +270,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the current response; abort the connection if none is expected."""
         if self._on_result is None:
-            # The bytes belong to no request.
+            self._on_stray(self, STRAY_WHILE_IDLE)
             self.abort()
             return
         response = self._response
@@ -274,6 +288,8 @@
             if not self._response.complete:
                 self._fail(f"no HTTP answer: {type(error).__name__}")
                 return
+            if isinstance(error, HttpParserError):
+                self._on_stray(self, STRAY_AFTER_ANSWER)
         if self._response.complete:
             self._finish(self._response)
             return
@@ -302,6 +318,7 @@
     def on_message_begin(self) -> None:
         """Mark the connection as not reusable if a response follows a complete one."""
         if self._response.complete:
+            self._on_stray(self, STRAY_AFTER_ANSWER)
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -320,6 +337,7 @@
             return
         echoed_id = response.fields.first.get(self._request_id_field)
         if echoed_id is not None and echoed_id != self._request.request_id:
+            self._on_stray(self, STRAY_OTHER_ID)
             self.reusable = False
             response.skipped = True
             return
--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -14,6 +14,7 @@
 from .http_pipeline import BufferedResponse
 from .target_connection import (
     BODY_LIMIT_BYTES,
+    OnStray,
     ResponseMemory,
     TargetConnection,
     TargetRequest,
@@ -51,12 +52,19 @@
     Attributes:
         response: The response without hop-by-hop fields and the pool's `removed_fields`.
         fields: All header fields of the response by their names in lower case.
-        on_new_connection: Whether its request was the first one on the connection.
+        connection_number: Number of the connection in the pool.
+        request_number: Number of its request on the connection, from 1.
     """
 
     response: BufferedResponse
     fields: dict[str, str]
-    on_new_connection: bool
+    connection_number: int
+    request_number: int
+
+    @property
+    def on_new_connection(self) -> bool:
+        """Return whether its request was the first one on the connection."""
+        return self.request_number == 1
 
 
 class TargetPool:
@@ -67,6 +75,7 @@
     Attributes:
         dialled: Number of connections opened so far.
         open_connections: Number of connections that are open or being opened.
+        on_stray: Called with a connection that received bytes which belong to no request.
     """
 
     def __init__(
@@ -98,6 +107,7 @@
         self.port = port
         self.dialled = 0
         self.open_connections = 0
+        self.on_stray: OnStray = lambda connection, description: None
         self._limit = limit
         self._clock = clock
         self._request_id_field = request_id_field
@@ -164,26 +174,26 @@
     async def _exchange(
         self, connection: TargetConnection, request: TargetRequest
     ) -> PooledResponse:
-        is_new = connection.request_count == 0
         try:
             response = await connection.exchange(request)
         except BaseException:
             self._discard(connection)
             raise
-        return await self.complete(connection, response, is_new=is_new)
+        return await self.complete(connection, response)
 
     async def complete(
-        self, connection: TargetConnection, response: TargetResponse, *, is_new: bool
+        self, connection: TargetConnection, response: TargetResponse
     ) -> PooledResponse:
         """Release a connection and return the response received on it.
 
         Raises:
             ConnectionLost: The response ended with its connection, and the target is gone.
         """
+        pooled = self.build_response(connection, response)
         self.release(connection, response)
         if connection.ended_by_close:
             await self._check_alive()
-        return self.build_response(response, is_new=is_new)
+        return pooled
 
     def release(self, connection: TargetConnection, response: TargetResponse | None) -> None:
         """Make a connection idle, or close it if it cannot serve another request.
@@ -215,11 +225,15 @@
         self._idle_limit.record_loss(idle_ms, now_ms - connection.acquired_at_ms, now_ms)
         return ReusedConnectionLost(error.peer, error.problem)
 
-    def build_response(self, response: TargetResponse, *, is_new: bool) -> PooledResponse:
-        """Return a response without the removed header fields."""
+    def build_response(
+        self, connection: TargetConnection, response: TargetResponse
+    ) -> PooledResponse:
+        """Return the last response of a connection without the removed header fields."""
         headers = response.fields.without(self._removed_fields)
         buffered = BufferedResponse(response.status, headers, bytes(response.body))
-        return PooledResponse(buffered, response.fields.first, is_new)
+        return PooledResponse(
+            buffered, response.fields.first, connection.number, connection.request_count
+        )
 
     async def _check_alive(self) -> None:
         """Check that the target did not crash during a response that ended with its connection.
@@ -276,7 +290,9 @@
         try:
             async with asyncio.timeout(self._dial_timeout_ms / 1000):
                 _, connection = await loop.create_connection(
-                    lambda: TargetConnection(loop, self._request_id_field, self._memory),
+                    lambda: TargetConnection(
+                        loop, self._request_id_field, self._memory, self._report_stray
+                    ),
                     self.host,
                     self.port,
                     local_addr=self._local_address,
@@ -287,8 +303,12 @@
                 raise DialError("target", str(error) or type(error).__name__) from error
             raise
         self.dialled += 1
+        connection.number = self.dialled
         return connection
 
+    def _report_stray(self, connection: TargetConnection, description: str) -> None:
+        self.on_stray(connection, description)
+
     def _add_idle(self, connection: TargetConnection) -> None:
         connection.idle_since_ms = self._clock.now_ms()
         self._idle.append(connection)
@@ -335,8 +355,9 @@
             if self._connection.ended_by_close:
                 self._completion = asyncio.ensure_future(self._complete(result))
                 return
+            pooled = self._pool.build_response(self._connection, result)
             self._pool.release(self._connection, result)
-            self._on_result(self._pool.build_response(result, is_new=False))
+            self._on_result(pooled)
             return
         self._pool.release(self._connection, None)
         self._on_result(self._pool.record_failure(self._connection, result))
@@ -344,7 +365,7 @@
     async def _complete(self, response: TargetResponse) -> None:
         """Report a response that ended with its connection, or its loss if the target crashed."""
         try:
-            pooled = await self._pool.complete(self._connection, response, is_new=False)
+            pooled = await self._pool.complete(self._connection, response)
         except ConnectionLost as error:
             self._on_result(self._pool.record_failure(self._connection, error))
         else:
--- a/tests/coordination/mesh/test_faulty_targets.py
+++ b/tests/coordination/mesh/test_faulty_targets.py
@@ -1,5 +1,8 @@
 import asyncio
 
+import logbook
+
+from gentianthread.events import RUN_REJECTED, STRAY_ANSWER
 from gentianthread.platform.names import DIALECT
 from gentianthread.standins.mesh import TARGET_PORT, plan_document
 
@@ -121,6 +124,46 @@
             self.check(await self.call("catalogue-0", "/order/1", method="POST", body=b"x"))
         await self.stop_faulty()
 
+    async def test_log_tells_the_connection_of_a_refusal_and_of_its_copy(self):
+        """Guards against a record that cannot tell a refusal from the copy of an earlier one.
+
+        The copies come before the next request, with it, and right behind the refusal.
+        """
+
+        async def serve_request(head, number, writer, upstream_id):
+            request_id = request_id_of(head)
+            refusal = render(503, request_id, NOT_RUN)
+            if number == 1:
+                writer.write(refusal)
+                writer.refusal = refusal
+                if self.copies_at_once:
+                    writer.write(refusal)
+                return
+            self.ran.append(request_id)
+            writer.write(writer.refusal)
+            writer.write(render(200, request_id, SEAL))
+
+        for self.copies_at_once in (False, True):
+            await self.start_faulty(serve_request)
+            records = logbook.TestHandler()
+            with records.applicationbound():
+                for _ in range(4):
+                    reply = await self.call("catalogue-0", "/order/1", method="POST", body=b"x")
+                    self.check(reply)
+            refusals, strays = (
+                [
+                    record.extra["fields"]
+                    for record in records.records
+                    if record.extra["number"] == event.number
+                ]
+                for event in (RUN_REJECTED, STRAY_ANSWER)
+            )
+            self.assertEqual((503, 1), (refusals[0]["status"], refusals[0]["request_number"]))
+            connections = {line["connection"] for line in refusals}
+            self.assertTrue(strays)
+            self.assertLessEqual({line["connection"] for line in strays}, connections)
+            await self.stop_faulty()
+
     async def test_answer_that_ends_in_its_head_is_no_success(self):
         """Guards against a 200 with an empty or short body for an answer without a whole head."""
         fields = (SEAL, b"Connection: close")
--- a/tests/coordination/mesh/test_started_run.py
+++ b/tests/coordination/mesh/test_started_run.py
@@ -7,7 +7,7 @@
 
 from ...base import VirtualTimeTestCase
 
-POOLED = PooledResponse(BufferedResponse(200, []), {}, False)
+POOLED = PooledResponse(BufferedResponse(200, []), {}, connection_number=1, request_number=2)
 
 
 class StubTarget:
