Send a request only once on a connection to the target

What callers saw: 503, 'has not run', for an order that ran (rule REFUSED).

Cause: an answer is matched to an exchange by the id of the request alone, and two attempts of one request have the same id. A target that starts again under another id at its address is listed under both ids for up to three heartbeats. The first attempt is refused, the second goes to the other id, so to the same node and pool, which reuse the connection that was used last. A copy of the refusal that arrives there while the second attempt is under way has the expected id, so that the node beside the target reports a rejection, the caller gets the promise and the order runs.

Ruled out: comparing times (a full target refuses at once, a repeated refusal comes at any time), and closing the connection after each refusal (refusals are many under overload, and each new connection costs the target).

Change: a connection remembers the ids that it has carried until the requests cannot be sent again, and the pool passes over connections that have carried a request, in exchange and in start_exchange; if none is left it dials. It holds for all answers, not only refusals: a copy of a 500 would have made a read fail in the same way.

Why it works: a connection on which no earlier attempt of the request was sent cannot hold the copy of an answer to one.

--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -12,6 +12,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from ..errors import ConnectionLost
+from ..state.carried_requests import CarriedRequests
 from .callbacks import settle
 from .header_fields import HeaderFields
 from .sockets import enable_keepalive, is_reset
@@ -164,6 +165,7 @@
         number: Number that its pool gave it.
         transport: Transport of the connection; None before it is made and after it is lost.
         request_count: Number of requests sent.
+        carried: Requests that were sent; an answer does not tell two attempts of one apart.
         idle_since_ms: Time at which the pool made the connection idle.
         acquired_at_ms: Time at which the pool last handed it out.
         keep_alive_ms: Idle time after which it is not reused.
@@ -189,6 +191,7 @@
         self.number = 0
         self.transport: asyncio.Transport | None = None
         self.request_count = 0
+        self.carried = CarriedRequests()
         self.idle_since_ms = 0.0
         self.acquired_at_ms = 0.0
         self.keep_alive_ms = DEFAULT_IDLE_LIMIT_MS
--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -70,7 +70,9 @@
 class TargetPool:
     """Send requests to one target over pooled connections.
 
-    Idle connections are closed rather than exceeding the number that the target accepts.
+    A connection carries a request only once: the target may repeat the answer to an earlier
+    attempt, and the ids in both answers are the same. Idle connections are closed rather than
+    exceeding the number that the target accepts.
 
     Attributes:
         dialled: Number of connections opened so far.
@@ -137,7 +139,7 @@
             TimeoutError: The response was not complete in time; the request may have run.
         """
         deadline_ms = self._clock.now_ms() + request.timeout_ms
-        connection = self._acquire_idle(idle_limit_ms)
+        connection = self._acquire_idle(request, idle_limit_ms)
         if connection is not None:
             try:
                 return await self._exchange(connection, request)
@@ -146,7 +148,9 @@
         async with asyncio.timeout(request.timeout_ms / 1000):
             connection = await self._dial()
         remaining_ms = max(0.0, deadline_ms - self._clock.now_ms())
-        return await self._exchange(connection, attrs.evolve(request, timeout_ms=remaining_ms))
+        request = attrs.evolve(request, timeout_ms=remaining_ms)
+        self._record_carried(connection, request)
+        return await self._exchange(connection, request)
 
     def start_exchange(
         self,
@@ -164,7 +168,7 @@
         Returns:
             The exchange, or None if there is no usable idle connection.
         """
-        connection = self._acquire_idle(idle_limit_ms)
+        connection = self._acquire_idle(request, idle_limit_ms)
         if connection is None:
             return None
         exchange = StartedExchange(self, connection, on_result)
@@ -205,6 +209,9 @@
         if response is None or not response.keeps_alive or not connection.usable:
             self._discard(connection)
             return
+        if connection.carried.is_full(self._clock.now_ms()):
+            self._discard(connection)
+            return
         connection.keep_alive_ms = _parse_keep_alive_ms(
             response.fields.first.get("keep-alive"), connection.keep_alive_ms
         )
@@ -266,8 +273,28 @@
         await self._clock.sleep_ms(CRASH_DETECTION_MS)
         self._add_idle(await self._dial())
 
-    def _acquire_idle(self, limit_ms: float | None) -> TargetConnection | None:
+    def _acquire_idle(
+        self, request: TargetRequest, limit_ms: float | None
+    ) -> TargetConnection | None:
+        """Return the usable connection that was idle for the shortest time, or None.
+
+        Args:
+            request: The request that it is to carry.
+            limit_ms: Longest idle time, or None.
+        """
+        passed_over: list[TargetConnection] = []
         now_ms = self._clock.now_ms()
+        connection = self._pop_idle(now_ms, limit_ms)
+        while connection is not None and request.request_id in connection.carried:
+            passed_over.append(connection)
+            connection = self._pop_idle(now_ms, limit_ms)
+        self._idle.extend(reversed(passed_over))
+        if connection is not None:
+            connection.acquired_at_ms = now_ms
+            self._record_carried(connection, request)
+        return connection
+
+    def _pop_idle(self, now_ms: float, limit_ms: float | None) -> TargetConnection | None:
         learned_ms = self._idle_limit.limit_ms(now_ms)
         while self._idle:
             connection = self._idle[-1]
@@ -278,10 +305,14 @@
                 continue
             if limit_ms is not None and idle_ms > limit_ms:
                 return None
-            connection.acquired_at_ms = now_ms
             return self._idle.pop()
         return None
 
+    def _record_carried(self, connection: TargetConnection, request: TargetRequest) -> None:
+        if request.request_id:
+            now_ms = self._clock.now_ms()
+            connection.carried.add(request.request_id, now_ms + request.timeout_ms, now_ms)
+
     async def _dial(self) -> TargetConnection:
         while self.open_connections >= max(1, self._limit()) and self._idle:
             self._discard(self._idle.popleft())
--- a/tests/transport/test_target_pool.py
+++ b/tests/transport/test_target_pool.py
@@ -7,6 +7,7 @@
 from gentianthread.clock import SystemClock
 from gentianthread.errors import ConnectionLost, DialError
 from gentianthread.standins.mesh import wait_until
+from gentianthread.state.carried_requests import MAX_REMEMBERED
 from gentianthread.transport.event_loop import new_event_loop
 from gentianthread.transport.target_connection import make_request
 from gentianthread.transport.target_pool import (
@@ -142,6 +143,45 @@
         await self.get(pool, "b", NO_RESEND_IDLE_LIMIT_MS)
         self.assertEqual((1, 1), (self.connections, pool.dialled))
 
+    # Guards against the copy of an answer that is taken for that of the next attempt.
+    async def test_connection_carries_a_request_only_once(self):
+        """Guards against two attempts of a request that the id in an answer cannot tell apart."""
+        pool = await self.open_pool(OK % b"a", OK % b"a", OK % b"b", OK % b"a")
+        for name, connections in (("a", 1), ("a", 2), ("b", 2), ("a", 3)):
+            await self.get(pool, name, NO_RESEND_IDLE_LIMIT_MS)
+            self.assertEqual(connections, self.connections)
+        self.assertEqual(3, pool.open_connections)
+
+    async def test_started_exchange_uses_no_connection_that_has_carried_the_request(self):
+        """Guards against the same for requests that are sent without a task."""
+        pool = await self.open_pool(OK % b"a", OK % b"b")
+        await self.get(pool, "a")
+        results = []
+        for name in ("a", "b"):
+            request = make_request("GET", "/", f"Request-Id: {name}\r\n", b"", name, 5_000.0)
+            exchange = pool.start_exchange(request, None, results.append)
+            self.assertEqual(name == "b", exchange is not None)
+        await wait_until(lambda: results)
+        self.assertEqual((200, 1), (results[0].response.status, results[0].connection_number))
+
+    async def test_connections_that_are_passed_over_stay_idle_in_their_order(self):
+        """Guards against connections that leak, or whose idle times are no longer in order."""
+        pool = await self.open_pool(OK % b"a", OK % b"a", OK % b"a", OK % b"b")
+        for _ in range(3):
+            await self.get(pool, "a")
+        idle = list(pool._idle)
+        self.assertEqual([1, 2, 3], [connection.number for connection in idle])
+        await self.get(pool, "b")
+        self.assertEqual((3, idle), (pool.open_connections, list(pool._idle)))
+
+    async def test_connection_that_remembers_too_many_requests_is_closed(self):
+        """Guards against ids that fill the memory, and against forgetting one to make room."""
+        names = [b"%d" % number for number in range(MAX_REMEMBERED + 1)]
+        pool = await self.open_pool(*(OK % name for name in names))
+        for name in names:
+            await self.get(pool, name.decode())
+        self.assertEqual((2, 1), (pool.dialled, pool.open_connections))
+
     async def test_truncated_response_is_an_error(self):
         """Guards against a truncated body that looks complete."""
 
