--- a/tests/coordination/mesh/test_target_limit.py
+++ b/tests/coordination/mesh/test_target_limit.py
@@ -59,7 +59,9 @@
         limit = self.name_limit()
         if limit is not None:
             fields[DIALECT.rate_limit.lower()] = limit
-        return PooledResponse(BufferedResponse(200, []), fields, True)
+        return PooledResponse(
+            BufferedResponse(200, []), fields, connection_number=1, request_number=1
+        )
 
     def most_in_window(self, from_ms):
         """Return the largest number of arrivals in a window that starts after a time."""
