Do not reuse a connection after an answer without a request id

What callers saw in the test: 502 for an order that ran and was answered.

Cause: an answer without an id counts on the first exchange of a connection, where it can belong to no earlier request, and the connection was kept. A late copy of it then came first in a later exchange, and could not be told from the answer to that. No promise was broken, since an answer without an id on a reused connection counts as none; but the caller lost the answer. Same class as the copy of a refusal: what the two travel over does not tell them apart.

Change: a connection is closed after an answer without an id, unless its requests have none, as those to the store. The cost is one connection for each such answer, which the platform's targets send only to requests without an id.

--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -344,6 +344,9 @@
             self.reusable = False
             response.skipped = True
             return
+        if echoed_id is None and self._request.request_id:
+            # A copy of it could not be told from the answer to a later request.
+            self.reusable = False
         response.has_head = True
         response.keeps_alive = self._parser.should_keep_alive()
         if self._request.method == "HEAD":
--- a/tests/coordination/mesh/test_faulty_targets.py
+++ b/tests/coordination/mesh/test_faulty_targets.py
@@ -124,6 +124,32 @@
             self.check(await self.call("catalogue-0", "/order/1", method="POST", body=b"x"))
         await self.stop_faulty()
 
+    # Guards against 502 for a request that runs: the copy of a refusal without an id comes first.
+    async def test_connection_is_not_reused_after_an_answer_without_an_id(self):
+        """Guards against the copy of an answer without an id in place of a later answer."""
+        refusal = render(503, None, NOT_RUN)
+
+        async def serve_request(head, number, writer, upstream_id):
+            request_id = request_id_of(head)
+            if number == 1 and request_id not in self.refused:
+                self.refused.add(request_id)
+                self.refusing.add(writer)
+                writer.write(refusal)
+                return
+            self.ran.append(request_id)
+            if writer in self.refusing:
+                writer.write(refusal)
+            writer.write(render(200, request_id, SEAL))
+
+        self.refused, self.refusing = set(), set()
+        await self.start_faulty(serve_request)
+        for _ in range(5):
+            orders = [self.call("catalogue-0", "/order/1", method="POST") for _ in range(8)]
+            for reply in await asyncio.gather(*orders):
+                self.assertEqual(200, reply.status)
+                self.check(reply)
+        await self.stop_faulty()
+
     async def test_log_tells_the_connection_of_a_refusal_and_of_its_copy(self):
         """Guards against a record that cannot tell a refusal from the copy of an earlier one.
 
