Wait until targets run the requests in the test of the end of a stop

Trace: the test waited until the entry had taken both requests, not until they had been sent; a request that was not sent when its node ends is answered 503, which is true, and the entry then refuses it as not run. The test now waits until the target runs both, so that 504 is the only right answer. The check is the same.

--- a/tests/coordination/mesh/test_changes.py
+++ b/tests/coordination/mesh/test_changes.py
@@ -312,7 +312,7 @@
             asyncio.ensure_future(self.call("catalogue-0", f"/order/{number}", method="POST"))
             for number in range(2)
         ]
-        await self.until(lambda: node.entry.running == 2)
+        await self.until(lambda: len(self.target("orders-0").seen) == 2)
         self.leave("catalogue-0", 100)
         node.end_requests()
         await node.outbound_listener.close()
