Refuse a silent link after the dial that was to replace it failed

What callers saw: an order on a route over a peer that had just failed to answer a probe was sent to that peer all the same, and ended with 502 or 504 in place of another upstream or a 503.

Cause: `link_to` waits for the dial that replaces a silent link and then returned whatever link was registered. Later requests got `PeerUnreachable`, as the failed dial had begun a backoff.

Ruled out: a false promise. The request counted as sent, so that the caller got no 503.

Change: the link is looked up as at the start of `link_to`, where a silent or closed one does not count.

Failed before: test_silent_link_is_not_used_after_the_dial_that_was_to_replace_it_failed

Why it works: `PeerUnreachable` means that nothing was sent, so that the forwarder tries the next upstream.

--- a/gentianthread/coordination/mesh/peers.py
+++ b/gentianthread/coordination/mesh/peers.py
@@ -140,7 +140,8 @@
                 raise PeerUnreachable(UpstreamId(host))
             task = self._dialling[host] = self._spawn(self._dial(host))
         await asyncio.wait([task])
-        link = self._dialled.get(host)
+        # After a failed dial the silent link that it was to replace is still there.
+        link = self.open_link(host)
         if link is None:
             raise PeerUnreachable(UpstreamId(host))
         return link
--- a/tests/coordination/mesh/test_peer_link.py
+++ b/tests/coordination/mesh/test_peer_link.py
@@ -185,6 +185,19 @@
         self.assertEqual(0, self.link.pending_calls)
         await self.links.close()
 
+    async def test_silent_link_is_not_used_after_the_dial_that_was_to_replace_it_failed(self):
+        """Guards against an order that is lost on a link whose peer has just failed to answer.
+
+        The request that waited for the dial got the silent link, while later ones got none.
+        """
+        await self.open()
+        await asyncio.sleep(IDLE_AFTER_MS / 1000 + 0.1)
+        self.assertFalse(await self.link.check_alive())
+        with self.assertRaisesType(PeerUnreachable):
+            await self.links.link_to(PEER)
+        self.assertFalse(self.link.closed)
+        await self.links.close()
+
     async def test_silent_link_is_replaced_and_closed_when_its_calls_have_ended(self):
         """Guards against peers that stay unreachable while new connections to them work.
 
