Take only answers as a sign that a link works in both directions

What callers would see: an order, or the last attempt of another request, is sent over a link on which the peer reads nothing, and ends with 502 or 504.

Cause: an order goes over a link that was quiet for 0.5 s only after a check, but three things that belong to no present exchange passed for one: - any message that was already under way settled the check, also the answer to an earlier probe; - messages that the peer sends by itself, such as its state every 0.4 s, kept the link from being checked, and from being silent, while it was cut in the other direction; - a repeatable request that was sent over an idle link a moment earlier, and the end of a pause of this process, counted as a received message.

Ruled out: a false promise. Such an order counts as sent, so that the caller got no 503.

Change: probes have numbers, which the answer repeats, and a check ends only with the answer to its own probe or a later one. Idleness and silence are measured from answers to requests and probes; the start of a measurement of silence no longer makes an idle link look recently used. A failed check no longer closes a link at once that had been idle for 5 s. Tests that sent a probe as an answer now answer the probe's number; one that made a link idle sets the renamed field.

Left: an answer to a request that was sent before the cut counts when it arrives. Counting from the send would have orders checked again and again at targets that take over 0.5 s, and a late answer to a check replaces the link.

Failed before: test_message_under_way_is_no_answer_to_a_probe, test_messages_of_a_peer_that_reads_nothing_keep_no_link_in_use, test_request_on_an_idle_link_does_not_let_an_order_pass_unchecked. Without the restart of the measurement by a check: test_link_that_was_idle_for_long_may_recover_after_a_failed_check.

Why it works: only what the peer sends after it has read the probe can repeat its number.

--- a/gentianthread/coordination/mesh/feeds.py
+++ b/gentianthread/coordination/mesh/feeds.py
@@ -290,7 +290,7 @@
             self.send_documents(link)
         if state.revision < self.revision():
             # A node that the store refuses learns of newer documents from its followers.
-            link.post(self.peers.make_probe(reply=True))
+            link.post(self.peers.make_probe())
 
     def request_documents(self, link: PeerLink) -> None:
         """Request all documents from a node whose changes start after the known revision."""
--- a/gentianthread/coordination/mesh/peer_link.py
+++ b/gentianthread/coordination/mesh/peer_link.py
@@ -22,10 +22,13 @@
 if TYPE_CHECKING:
     from .peers import PeerLinks
 
-# A link with pending calls sends a probe after receiving nothing for this long.
+# Only answers show that a link works in both directions: if it is cut in one, a peer that reads
+# nothing goes on sending messages of its own.
+
+# A link with pending calls sends a probe after receiving no answer for this long.
 PROBE_AFTER_MS = 250.0
 
-# A link is silent after receiving nothing for this long: it gets no new requests, and repeatable
+# A link is silent after receiving no answer for this long: it gets no new requests, and repeatable
 # ones are retried elsewhere. Route timeouts start at 700 ms, so time is left for the retry.
 SILENT_AFTER_MS = 600.0
 
@@ -33,7 +36,7 @@
 # repeated can still arrive.
 CLOSE_AFTER_MS = 5_000.0
 
-# A link that received nothing for this long may be broken. A request that may not be repeated is
+# A link that received no answer for this long may be broken. A request that may not be repeated is
 # sent over it only after the peer has answered a probe. A round trip between zones takes under
 # 20 ms.
 IDLE_AFTER_MS = 500.0
@@ -89,7 +92,7 @@
         host: Address of the peer's instance.
         dialled: Whether this node opened the connection.
         leaving: Whether the peer announced that it stops.
-        silent: Whether the peer stopped answering probes.
+        silent: Whether the peer stopped answering.
         replaced: Whether a newer link is used instead; pending calls may still end.
         closed: Whether the connection has ended.
     """
@@ -114,26 +117,45 @@
         self._decompressor: Decompressor | None = None
         self._flushing = False
         self._closed_event = asyncio.Event()
-        self._received_ms = owner.clock.now_ms()
+        # When the last answer arrived; the handshake counts as one.
+        self._answered_ms = owner.clock.now_ms()
+        # Since when an answer is missing; starts anew with the first pending call, with the check
+        # of an idle link and after a pause of this process.
+        self._unanswered_since_ms = self._answered_ms
         self._probed_ms = float("-inf")
-        self._next_message: asyncio.Future | None = None
+        self._last_probe = 0
+        # The check that is under way, and the number of its probe.
+        self._check: asyncio.Future | None = None
+        self._checked_probe = 0
 
     def is_idle(self, now_ms: float) -> bool:
-        """Return whether nothing was received for so long that the link may be broken."""
-        return now_ms - self._received_ms > IDLE_AFTER_MS
+        """Return whether no answer was received for so long that the link may be broken."""
+        return now_ms - self._answered_ms > IDLE_AFTER_MS
 
     async def check_alive(self) -> bool:
-        """Probe the peer and return whether it answers in time."""
-        if self._next_message is None or self._next_message.done():
-            self._next_message = asyncio.get_running_loop().create_future()
-            self.post(self._owner.make_probe(reply=False))
+        """Probe the peer and return whether it answers this probe, or a later one, in time."""
+        if self._check is None:
+            self._check = asyncio.get_running_loop().create_future()
+            self._checked_probe = self._send_probe()
+            if not self._calls and not self.silent:
+                self._unanswered_since_ms = self._owner.clock.now_ms()
+        check = self._check
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000):
-                await asyncio.shield(self._next_message)
+                await asyncio.shield(check)
         except TimeoutError:
-            self._mark_silent(self._owner.clock.now_ms() - self._received_ms)
+            if self._check is check:
+                # A later answer to this probe tells nothing about a later request.
+                self._check = None
+            self._mark_silent(self._owner.clock.now_ms() - self._answered_ms)
         return not self.silent and not self.closed
 
+    def _send_probe(self) -> int:
+        """Send a probe and return its number."""
+        self._last_probe += 1
+        self.post(self._owner.make_probe(number=self._last_probe))
+        return self._last_probe
+
     def _mark_silent(self, silence_ms: float) -> None:
         """Stop using the link for new requests, and have the peer dialled again."""
         if self.silent:
@@ -173,7 +195,7 @@
         number = next(self._numbers)
         call = PeerCall(self, number, request.repeatable, on_end)
         if not self._calls:
-            self._received_ms = max(self._received_ms, self._owner.clock.now_ms())
+            self._unanswered_since_ms = self._owner.clock.now_ms()
             self._owner.monitor(self)
         self._calls[number] = call
         request.call = number
@@ -295,12 +317,8 @@
             self._on_connection_end(str(error))
 
     def _on_message(self, message: Any) -> None:
-        self._received_ms = self._owner.clock.now_ms()
-        self.silent = False
-        if self._next_message is not None:
-            settle(self._next_message, None)
-            self._next_message = None
         if isinstance(message, RunAnswer):
+            self._record_answer()
             self._owner.on_revision(self, message.revision)
             call = self._calls.pop(message.call, None)
             if call is not None:
@@ -313,13 +331,27 @@
             if run is not None:
                 run.cancel()
         elif isinstance(message, Probe):
-            self.leaving = message.leaving
-            if not message.reply:
-                self.post(self._owner.make_probe(reply=True))
+            self._on_probe(message)
             self._owner.on_revision(self, message.revision)
         else:
             self._owner.on_message(self, message)
 
+    def _on_probe(self, probe: Probe) -> None:
+        self.leaving = probe.leaving
+        if probe.number:
+            self.post(self._owner.make_probe(answers=probe.number))
+        if not probe.answers:
+            return
+        self._record_answer()
+        if self._check is not None and probe.answers >= self._checked_probe:
+            settle(self._check, None)
+            self._check = None
+
+    def _record_answer(self) -> None:
+        """Record that the peer answered something that this node had sent."""
+        self._answered_ms = self._unanswered_since_ms = self._owner.clock.now_ms()
+        self.silent = False
+
     def _send_answer(self, call: int, answer: RunAnswer) -> None:
         self._runs.pop(call, None)
         answer.call = call
@@ -351,26 +383,26 @@
 
     def reset_silence(self, now_ms: float) -> None:
         """Restart the measurement of silence."""
-        self._received_ms = now_ms
+        self._unanswered_since_ms = now_ms
 
     def check_silence(self, now_ms: float) -> None:
         """Probe an unresponsive peer, then mark the link silent, then close it."""
-        silence_ms = now_ms - self._received_ms
+        silence_ms = now_ms - self._unanswered_since_ms
         if silence_ms > CLOSE_AFTER_MS:
             self._connection.abort()
         elif silence_ms > SILENT_AFTER_MS:
             self._mark_silent(silence_ms)
         if silence_ms > PROBE_AFTER_MS and now_ms - self._probed_ms > PROBE_AFTER_MS:
             self._probed_ms = now_ms
-            self.post(self._owner.make_probe(reply=False))
+            self._send_probe()
 
     def _on_connection_end(self, problem: str) -> None:
         if self.closed:
             return
         self.closed = True
         self._closed_event.set()
-        if self._next_message is not None:
-            settle(self._next_message, None)
+        if self._check is not None:
+            settle(self._check, None)
         self._connection.abort()
         self._fail_calls(list(self._calls.values()), ConnectionLost(self.host, problem))
         for run in list(self._runs.values()):
--- a/gentianthread/coordination/mesh/peers.py
+++ b/gentianthread/coordination/mesh/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -41,7 +42,7 @@
         runner: Runs a request of a peer in a task.
         starter: Starts a request that needs no task; returns None for others.
         handlers: Handlers by message type, called with the link and the message.
-        make_probe: Returns a probe with this node's state.
+        make_probe: Returns a probe with this node's state; takes its `number` and `answers`.
         revision: Returns the revision of the documents that this node knows.
         is_listed: Returns whether the platform lists an upstream at an address.
         is_in_other_zone: Returns whether an address is in another availability zone.
@@ -76,7 +77,7 @@
         self.runner: Runner = _refuse_request
         self.starter: Starter = lambda request, deliver: None
         self.handlers: dict[type, Callable[[PeerLink, Any], None]] = {}
-        self.make_probe: Callable[..., Probe] = lambda reply: Probe(0, False, reply)
+        self.make_probe: Callable[..., Probe] = partial(Probe, 0, False)
         self.revision: Callable[[], int] = lambda: 0
         self.is_listed: Callable[[str], bool] = lambda host: True
         self.is_in_other_zone: Callable[[str], bool] = lambda host: False
@@ -213,7 +214,7 @@
         links[link.host] = link
         self.metrics.count("peers.opened")
         log(PEER_OPENED, peer=link.host)
-        link.post(self.make_probe(reply=True))
+        link.post(self.make_probe())
         link.start()
 
     def on_link_closed(self, link: PeerLink, problem: str) -> None:
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -231,7 +231,7 @@
         self.peers.starter = self.target.start
         self.peers.is_in_other_zone = self._is_in_other_zone
         self.peers.revision = lambda: self.follower.revision
-        self.peers.make_probe = lambda reply: Probe(self.follower.revision, self.draining, reply)
+        self.peers.make_probe = self._make_probe
         self.peers.is_listed = lambda host: host in self.directory.hosts()
         self.peers.on_revision = self.follower.note_peer_revision
         self.peers.handlers = {
@@ -247,6 +247,9 @@
         }
         self.directory.changes.subscribe(self._forget_removed)
 
+    def _make_probe(self, number: int = 0, answers: int = 0) -> Probe:
+        return Probe(self.follower.revision, self.draining, number, answers)
+
     def _on_feed_state(self, link: PeerLink, state: FeedState) -> None:
         self.follower.note_store_return(state.store_return)
         self.feeds.on_state(link, state)
@@ -413,7 +416,7 @@
         self.draining = True
         self.target.refuse_peers(self.clock.now_ms() + PEER_DRAIN_GRACE_MS)
         for link in self.peers.links():
-            link.post(self.peers.make_probe(reply=True))
+            link.post(self.peers.make_probe())
 
     def refuse_callers(self) -> None:
         """Refuse new requests of callers; the calls of requests in flight continue."""
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -112,17 +112,19 @@
 @message(103)
 @attrs.frozen
 class Probe:
-    """Check that the other end is alive, and report the state of the sender.
+    """Check that the other end reads and answers, and report the state of the sender.
 
     Attributes:
         revision: Revision of the platform's documents that the sender knows.
         leaving: Whether the sender is shutting down.
-        reply: Whether this message answers a probe.
+        number: Number of this probe on the link, from 1; 0 if it wants no answer.
+        answers: Number of the probe that this one answers; 0 if it answers none.
     """
 
     revision: int
     leaving: bool
-    reply: bool
+    number: int = 0
+    answers: int = 0
 
 
 @message(104)
--- a/tests/coordination/mesh/follower_fleet.py
+++ b/tests/coordination/mesh/follower_fleet.py
@@ -231,8 +231,8 @@
             link = self.links[host] = MemoryLink(self.fleet, self.host, host)
         return link
 
-    def make_probe(self, reply):
-        return Probe(self.fleet.nodes[self.host].follower.revision, False, reply)
+    def make_probe(self):
+        return Probe(self.fleet.nodes[self.host].follower.revision, False)
 
 
 class FollowerNode:
--- a/tests/coordination/mesh/test_entry.py
+++ b/tests/coordination/mesh/test_entry.py
@@ -142,7 +142,7 @@
         link = self.sidecar("catalogue-0").peers.open_link(self.target("orders-0").host)
         sent = []
         with mock.patch.object(link._connection, "post", sent.append):
-            link._received_ms -= 1_000.0
+            link._answered_ms -= 1_000.0
             reply = await self.call("catalogue-0", "/order/2", method="POST")
         self.assertEqual(200, reply.status)
         self.assertNotIn(reply.request_id.encode(), b"".join(sent))
--- a/tests/coordination/mesh/test_peer_link.py
+++ b/tests/coordination/mesh/test_peer_link.py
@@ -100,6 +100,12 @@
         answer = RunAnswer(number, RunOutcome.ANSWERED, "", 200, "", b"", NO_LOAD, 0)
         self.connection.receive(encode_batch([answer]))
 
+    def answer_probe(self):
+        """Answer the last probe of the link."""
+        messages = [message for data in self.connection.posted for message in decode_batch(data)]
+        number = max(message.number for message in messages if isinstance(message, Probe))
+        self.connection.receive(encode_batch([Probe(0, False, 0, number)]))
+
     async def test_silent_link_fails_only_repeatable_requests(self):
         """Guards against requests that wait for a peer that does not answer at all."""
         await self.open()
@@ -149,7 +155,7 @@
         call = self.call(True)
         for _ in range(20):
             await asyncio.sleep(0.3)
-            self.connection.receive(encode_batch([Probe(0, False, True)]))
+            self.answer_probe()
         self.assertEqual((False, True), (call.done(), self.links.reachable(PEER)))
         call.cancel()
         await self.links.close()
@@ -176,7 +182,7 @@
         self.assertTrue(self.link.is_idle(self.clock.now_ms()))
         check = asyncio.ensure_future(self.link.check_alive())
         await asyncio.sleep(0.01)
-        self.connection.receive(encode_batch([Probe(0, False, True)]))
+        self.answer_probe()
         self.assertTrue(await check)
         self.assertFalse(self.link.is_idle(self.clock.now_ms()))
         await asyncio.sleep(IDLE_AFTER_MS / 1000 + 0.1)
@@ -185,6 +191,66 @@
         self.assertEqual(0, self.link.pending_calls)
         await self.links.close()
 
+    async def test_message_under_way_is_no_answer_to_a_probe(self):
+        """Guards against an order that is sent over a link on which the peer reads nothing.
+
+        A message that the peer had sent before the link was cut in one direction passed the check.
+        """
+        await self.open()
+        await asyncio.sleep(IDLE_AFTER_MS / 1000 + 0.1)
+        self.assertFalse(await self.link.check_alive())
+        check = asyncio.ensure_future(self.link.check_alive())
+        await asyncio.sleep(0.01)
+        first_probe = 1
+        self.connection.receive(encode_batch([DocumentsWanted(1, 1)]))
+        self.connection.receive(encode_batch([Probe(0, False, 0, first_probe)]))
+        self.assertFalse(await check)
+        self.assertFalse(self.links.reachable(PEER))
+        await self.links.close()
+
+    async def test_link_that_was_idle_for_long_may_recover_after_a_failed_check(self):
+        """Guards against a link that is closed at once by one late answer, as if it were dead."""
+        await self.open()
+        await asyncio.sleep(2 * CLOSE_AFTER_MS / 1000)
+        self.assertFalse(await self.link.check_alive())
+        await asyncio.sleep(0.5)
+        self.assertFalse(self.link.closed)
+        self.answer_probe()
+        self.assertTrue(self.links.reachable(PEER))
+        await self.links.close()
+
+    async def test_messages_of_a_peer_that_reads_nothing_keep_no_link_in_use(self):
+        """Guards against requests that are lost on a link that is cut in one direction.
+
+        The peer goes on sending its state, which told nothing of the other direction.
+        """
+        await self.open()
+
+        async def send_states():
+            while True:
+                await asyncio.sleep(0.05)
+                self.connection.receive(encode_batch([DocumentsWanted(1, 1)]))
+
+        states = asyncio.ensure_future(send_states())
+        await asyncio.sleep(IDLE_AFTER_MS / 1000 + 0.1)
+        self.assertTrue(self.link.is_idle(self.clock.now_ms()))
+        call = self.call(repeatable=True)
+        await asyncio.sleep(SILENT_AFTER_MS / 1000 + 0.2)
+        self.assertIsInstance(call.exception(), LinkSilent)
+        self.assertFalse(self.links.reachable(PEER))
+        states.cancel()
+        await self.links.close()
+
+    async def test_request_on_an_idle_link_does_not_let_an_order_pass_unchecked(self):
+        """Guards against an order that is lost on a dead link behind a repeatable request."""
+        await self.open()
+        await asyncio.sleep(IDLE_AFTER_MS / 1000 + 0.1)
+        call = self.call(repeatable=True)
+        await asyncio.sleep(0.01)
+        self.assertTrue(self.link.is_idle(self.clock.now_ms()))
+        call.cancel()
+        await self.links.close()
+
     async def test_silent_link_is_not_used_after_the_dial_that_was_to_replace_it_failed(self):
         """Guards against an order that is lost on a link whose peer has just failed to answer.
 
--- a/tests/protocol/test_compression.py
+++ b/tests/protocol/test_compression.py
@@ -46,7 +46,7 @@
 
     def test_first_byte_distinguishes_compressed_and_plain_batches(self):
         """Guards against a compressed batch that is decoded as a plain one, and the reverse."""
-        plain = [[], [Probe(1, False, True)], [request(number) for number in range(300)]]
+        plain = [[], [Probe(1, False, 0, 1)], [request(number) for number in range(300)]]
         first_bytes = {encode_batch(batch)[0] for batch in plain}
         self.assertNotIn(Compressor().compress(b"x")[0], first_bytes)
 
