--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -188,6 +188,12 @@
     "connection {connection} to the target of {service_id}, after {requests} requests: "
     "{description}",
 )
+STORE_ANSWER_MISMATCHED = _event(
+    727,
+    Level.WARNING,
+    "metadata store: an answer on a kept connection does not fit {call}, which is sent again on a "
+    "new one",
+)
 STORE_RESTORED = _event(
     720,
     Level.WARNING,
