Leave out what a late answer of the store says of known revisions

What callers would see: an upstream that is listed gets no more requests of a node, or one that is gone goes on getting them, until its entry changes or the node reads everything anew.

Cause: a node that calls the store itself may get changes from a peer meanwhile, as a deputy does and a node whose feed returns. An answer of the store that was under way then is older than what the node knows. Entries were compared with known ones, but a removal was applied without a look at its revision, and an entry that the peer had told the removal of was listed again. The next watch begins after both.

Ruled out: the same between nodes, as changes up to a known revision are ignored as a whole, and `on_documents` cancels the watch.

Change: changes up to the revision that the node knows are left out; its documents are complete up to there. A complete read leaves out the entries whose known removal is later than the read. A read that is later than the removal still lists them, so that it corrects a mistaken removal.

Left: an entry of a complete read that was listed and removed while the read was under way, if the peer told of both at once; the node does not remember removals of entries that it did not know.

Why it works: revisions order all changes, also across restores, and a document is newer than the known state only if its revision is.

--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -307,8 +307,11 @@
             is_plan = self.reader.kind(key) is DocumentKind.PLAN
             if not is_plan and self.documents[key].revision <= read.revision:
                 self._remove_document(key, read.revision)
+        # A peer may have told of them while the read was under way.
+        removed_since = {document.key for document in self._history.removed_after(read.revision)}
         for document in read.documents:
-            self._apply_document(document, source)
+            if document.key not in removed_since:
+                self._apply_document(document, source)
         self.revision = max(self.revision, read.revision)
         self._on_update()
 
@@ -326,7 +329,11 @@
         self._change_relisting(self._relisting.begin, revision, self.clock.now_ms())
 
     def _apply_changes(self, read: StoreRead) -> None:
+        # A peer may have told of some of them, and of what came after, while a watch was under way.
+        known_revision = self.revision
         for document in read.documents:
+            if document.revision <= known_revision:
+                continue
             if document.data is None:
                 self._remove_document(document.key, document.revision)
             else:
