Check a link with a new probe after a check that was cancelled

What callers would see: an order that is sent over a dead link, and ends with 502 or 504.

Cause: orders share a check that is under way. One whose request had been cancelled, at its deadline or as its caller left, was never ended: the next order, however much later, waited for the answer to the old probe, and a late one passed it.

Change: a check is shared only within the time that its answer may take.

Failed before: test_answer_to_the_probe_of_a_cancelled_check_does_not_pass_a_later_one

Why it works: the answer that ends a check is to a probe that was sent at most that time before.

--- a/gentianthread/coordination/mesh/peer_link.py
+++ b/gentianthread/coordination/mesh/peer_link.py
@@ -124,9 +124,10 @@
         self._unanswered_since_ms = self._answered_ms
         self._probed_ms = float("-inf")
         self._last_probe = 0
-        # The check that is under way, and the number of its probe.
+        # The last check, with the number of its probe and the time at which it was sent.
         self._check: asyncio.Future | None = None
         self._checked_probe = 0
+        self._checked_ms = float("-inf")
 
     def is_idle(self, now_ms: float) -> bool:
         """Return whether no answer was received for so long that the link may be broken."""
@@ -134,19 +135,18 @@
 
     async def check_alive(self) -> bool:
         """Probe the peer and return whether it answers this probe, or a later one, in time."""
-        if self._check is None:
+        now_ms = self._owner.clock.now_ms()
+        # An answer to an older probe, whose request may have been cancelled, tells nothing of now.
+        if self._check is None or now_ms - self._checked_ms >= PROBE_TIMEOUT_MS:
             self._check = asyncio.get_running_loop().create_future()
-            self._checked_probe = self._send_probe()
+            self._checked_probe, self._checked_ms = self._send_probe(), now_ms
             if not self._calls and not self.silent:
-                self._unanswered_since_ms = self._owner.clock.now_ms()
+                self._unanswered_since_ms = now_ms
         check = self._check
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000):
                 await asyncio.shield(check)
         except TimeoutError:
-            if self._check is check:
-                # A later answer to this probe tells nothing about a later request.
-                self._check = None
             self._mark_silent(self._owner.clock.now_ms() - self._answered_ms)
         return not self.silent and not self.closed
 
--- a/tests/coordination/mesh/test_peer_link.py
+++ b/tests/coordination/mesh/test_peer_link.py
@@ -208,6 +208,24 @@
         self.assertFalse(self.links.reachable(PEER))
         await self.links.close()
 
+    async def test_answer_to_the_probe_of_a_cancelled_check_does_not_pass_a_later_one(self):
+        """Guards against an order that is sent over a dead link after a late answer.
+
+        A check whose request had been cancelled was taken up by the next one, without a new probe.
+        """
+        await self.open()
+        await asyncio.sleep(IDLE_AFTER_MS / 1000 + 0.1)
+        check = asyncio.ensure_future(self.link.check_alive())
+        await asyncio.sleep(0.01)
+        check.cancel()
+        await asyncio.sleep(1)
+        check = asyncio.ensure_future(self.link.check_alive())
+        await asyncio.sleep(0.01)
+        first_probe = 1
+        self.connection.receive(encode_batch([Probe(0, False, 0, first_probe)]))
+        self.assertFalse(await check)
+        await self.links.close()
+
     async def test_link_that_was_idle_for_long_may_recover_after_a_failed_check(self):
         """Guards against a link that is closed at once by one late answer, as if it were dead."""
         await self.open()
