--- a/gentianthread/transport/http_client.py
+++ b/gentianthread/transport/http_client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import select
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
@@ -15,7 +14,7 @@
 
 from ..clock import Clock
 from ..errors import ConnectionLost, DialError, TransportError
-from .http_names import BODILESS_STATUS
+from .pooled_connection import PooledConnection, check_framing, serialize_head
 
 # Connections that are opened concurrently; more would overload a target that restarts.
 MAX_CONCURRENT_DIALS = 4
@@ -34,10 +33,6 @@
 # Number of body bytes after which the response to a probe is read no further.
 PROBE_LIMIT_BYTES = 1024
 
-# Limits for the head of a response.
-_LINE_LIMIT_BYTES = 8 * 1024
-_FIELD_LIMIT_BYTES = 16 * 1024
-
 
 class Body(ABC):
     """Read the bytes of a request body in order.
@@ -161,27 +156,6 @@
             raise ConnectionLost("target", f"no answer to a probe in {timeout_ms} ms") from None
 
 
-class _Connection:
-    __slots__ = ("idle_since_ms", "protocol")
-
-    def __init__(self, protocol: ResponseHandler):
-        self.protocol = protocol
-        self.idle_since_ms = 0.0
-
-    def usable(self) -> bool:
-        protocol = self.protocol
-        return protocol.is_connected() and not protocol.should_close
-
-    def has_no_unread_input(self) -> bool:
-        """Return whether the socket has no bytes and no end, which would fail the next request."""
-        raw = self.protocol.transport.get_extra_info("socket")
-        if raw is None or raw.fileno() < 0:
-            return False
-        poller = select.poll()
-        poller.register(raw.fileno(), select.POLLIN)
-        return not poller.poll(0)
-
-
 class HttpTargetClient(TargetClient):
     """Send requests over a bounded pool of HTTP/1.1 connections to one address.
 
@@ -203,7 +177,7 @@
         self.port = port
         self._limit = limit
         self._clock = clock
-        self._idle: deque[_Connection] = deque()
+        self._idle: deque[PooledConnection] = deque()
         self._waiters: deque[asyncio.Future] = deque()
         self._dial_slots = asyncio.Semaphore(MAX_CONCURRENT_DIALS)
         self._closed = False
@@ -233,23 +207,17 @@
         return await self._send(connection, method, head + inline_body, body)
 
     async def _send(
-        self, connection: _Connection, method: str, data: bytes, body: Body | None
+        self, connection: PooledConnection, method: str, data: bytes, body: Body | None
     ) -> TargetResponse:
         protocol = connection.protocol
         sending = None
         try:
-            protocol.set_response_params(
-                skip_payload=method == "HEAD",
-                auto_decompress=False,
-                max_line_size=_LINE_LIMIT_BYTES,
-                max_field_size=_FIELD_LIMIT_BYTES,
-            )
-            protocol.transport.write(data)
+            connection.send(method, data)
             if body is not None:
                 sending = asyncio.ensure_future(_send_body(protocol, body))
                 sending.add_done_callback(_body_error)
-            message, payload = await _read_response_head(protocol)
-            has_body = _check_framing(method, message)
+            message, payload = await connection.read_head()
+            has_body = check_framing(method, message)
         except BaseException as error:
             body_error = None if sending is None else _body_error(sending)
             if sending is not None:
@@ -262,7 +230,7 @@
             raise
         return HttpTargetResponse(self, connection, message, payload, has_body, sending)
 
-    async def _acquire(self, recent_only: bool) -> _Connection:
+    async def _acquire(self, recent_only: bool) -> PooledConnection:
         while True:
             if self._closed:
                 raise DialError("target", "pool is closed")
@@ -283,7 +251,7 @@
                     self._wake_waiter()
                 raise
 
-    def _take_idle(self, recent_only: bool) -> _Connection | None:
+    def _take_idle(self, recent_only: bool) -> PooledConnection | None:
         now_ms = self._clock.now_ms()
         skipped = []
         available = None
@@ -303,7 +271,7 @@
         self._idle.extend(reversed(skipped))
         return available
 
-    async def _dial(self) -> _Connection:
+    async def _dial(self) -> PooledConnection:
         self.open_connections += 1
         try:
             async with self._dial_slots:
@@ -312,7 +280,7 @@
                     lambda: ResponseHandler(loop), self.host, self.port
                 )
                 self.dialled += 1
-                return _Connection(protocol)
+                return PooledConnection(protocol)
         except BaseException as error:
             self.open_connections -= 1
             self._wake_waiter()
@@ -320,7 +288,7 @@
                 raise DialError("target", str(error)) from error
             raise
 
-    def _release(self, connection: _Connection) -> None:
+    def _release(self, connection: PooledConnection) -> None:
         if self._closed or not connection.usable():
             self._discard(connection)
             return
@@ -328,7 +296,7 @@
         self._idle.append(connection)
         self._wake_waiter()
 
-    def _discard(self, connection: _Connection) -> None:
+    def _discard(self, connection: PooledConnection) -> None:
         connection.protocol.abort()
         self.open_connections -= 1
         self._wake_waiter()
@@ -357,7 +325,7 @@
     def __init__(
         self,
         pool: HttpTargetClient,
-        connection: _Connection,
+        connection: PooledConnection,
         message: Any,
         payload: Any,
         has_body: bool,
@@ -365,7 +333,7 @@
     ):
         """Use `HttpTargetClient.exchange` to create one."""
         self._pool = pool
-        self._connection: _Connection | None = connection
+        self._connection: PooledConnection | None = connection
         self._payload = payload
         self._sending = sending
         self.status = message.code
@@ -420,36 +388,6 @@
             self._pool._discard(connection)
 
 
-def serialize_head(
-    method: str,
-    target: str,
-    headers: list[tuple[str, str]],
-    length: int | None,
-    *,
-    chunked: bool = False,
-) -> bytes:
-    """Serialize the head of a request.
-
-    Args:
-        method: HTTP method.
-        target: Path and query.
-        headers: Header fields without Content-Length and Transfer-Encoding.
-        length: Length of the body, or None.
-        chunked: Whether a body without a length is sent in chunks.
-    """
-    lines = [f"{method} {target} HTTP/1.1"]
-    if not any(name.lower() == "host" for name, _ in headers):
-        # HTTP/1.0 callers may omit it; HTTP/1.1 requires it.
-        lines.append("Host: target")
-    lines += [f"{name}: {value}" for name, value in headers]
-    if length is not None:
-        lines.append(f"Content-Length: {length}")
-    elif chunked:
-        lines.append("Transfer-Encoding: chunked")
-    lines.append("\r\n")
-    return "\r\n".join(lines).encode("utf-8", "surrogateescape")
-
-
 async def read_all(body: Body) -> bytes:
     """Return all bytes of a body."""
     chunks = []
@@ -480,28 +418,3 @@
     """Return the error of reading the request body, if that stopped sending it."""
     body_error = sending.exception() if sending.done() and not sending.cancelled() else None
     return body_error if isinstance(body_error, TransportError) else None
-
-
-async def _read_response_head(protocol: ResponseHandler) -> tuple[Any, Any]:
-    while True:
-        message, payload = await protocol.read()
-        if message.code >= 200:
-            return message, payload
-        if message.code == 101:
-            raise ConnectionLost("target", "answer switches protocols")
-
-
-def _check_framing(method: str, message: Any) -> bool:
-    """Return whether a body follows.
-
-    Raises:
-        ConnectionLost: The body has no length, so truncation would go unnoticed.
-    """
-    if method == "HEAD" or message.code in BODILESS_STATUS:
-        return False
-    if message.chunked:
-        return True
-    length = message.headers.get("Content-Length")
-    if length is None:
-        raise ConnectionLost("target", "answer has neither Content-Length nor chunked coding")
-    return length != "0"
