Let the stand-in target echo request ids and repeat its answers

Tests of late answers need a target that writes an answer once more on its connection, after a time or when the next request arrives there, and that names requests in its answers as the real ones are asked to. Probes are echoed and repeated in the same way. The transport of a server connection is a property of the exchange for this.

--- a/gentianthread/standins/target.py
+++ b/gentianthread/standins/target.py
@@ -12,8 +12,9 @@
 import attrs
 
 from ..errors import ConnectionLost
-from ..protocol.headers import CONTEXT, DEADLINE_MS, REQUEST_ID
-from ..transport.http_server import Exchange, HttpListener
+from ..protocol.headers import CONTEXT, DEADLINE_MS, REQUEST_ID, HeaderFields
+from ..transport.http_names import PHRASES
+from ..transport.http_server import Exchange, HttpExchange, HttpListener
 
 PROBE_PATH = "/.gentian/probe"
 DIGEST = "Standin-Digest"
@@ -37,6 +38,11 @@
         truncate_after: Bytes of the answer after which the connection is cut, or None.
         cut_before: Whether the connection is cut in place of an answer.
         headers: Further fields of the answer.
+        echo_id: Whether the answer names its request.
+        repeat_after_ms: Time after which the answer is written once more on its connection, or
+            None. Answers with a length only, and those of probes.
+        repeat_on_next: Whether the answer is written once more when the next request arrives on its
+            connection, before that one is answered. The same answers.
     """
 
     status: int = 200
@@ -50,6 +56,9 @@
     truncate_after: int | None = None
     cut_before: bool = False
     headers: tuple[tuple[str, str], ...] = ()
+    echo_id: bool = True
+    repeat_after_ms: float | None = None
+    repeat_on_next: bool = False
 
 
 @attrs.define
@@ -92,6 +101,7 @@
         running: Requests that run.
         most_running: Largest number of requests that ran together.
         draining: Whether probes say that the target drains.
+        repeated: Answers that were written once more.
     """
 
     def __init__(
@@ -117,6 +127,9 @@
         self.most_running = 0
         self.probes = 0
         self.draining = False
+        self.repeated = 0
+        # Copies of answers that wait for the next request on their connections.
+        self._waiting_copies: dict[asyncio.Transport, bytes] = {}
         self.node_url = ""
         self.port = 0
         self._listener = HttpListener(self._serve)
@@ -135,7 +148,9 @@
         if self._session is not None:
             await self._session.close()
 
-    async def _serve(self, exchange: Exchange) -> None:
+    async def _serve(self, exchange: HttpExchange) -> None:
+        if (copy := self._waiting_copies.pop(exchange.transport, None)) is not None:
+            self._write_copy(exchange.transport, copy)
         if exchange.target == PROBE_PATH:
             await self._answer_probe(exchange)
             return
@@ -161,12 +176,14 @@
         finally:
             self.running -= 1
 
-    async def _answer_probe(self, exchange: Exchange) -> None:
+    async def _answer_probe(self, exchange: HttpExchange) -> None:
         self.probes += 1
         state = b"draining" if self.draining else b"ready"
-        await exchange.send_head(200, [("Content-Length", str(len(state)))], has_body=True)
+        headers = [*_echo(exchange), ("Content-Length", str(len(state)))]
+        await exchange.send_head(200, headers, has_body=True)
         await exchange.send(state)
         await exchange.finish()
+        self._repeat(exchange, self.behaviour, _serialize(200, headers, state))
 
     async def _execute(self, exchange: Exchange, seen: Seen, query: dict) -> None:
         behaviour = self.choose(seen) or self.behaviour
@@ -192,6 +209,8 @@
         block = pattern(name, _BLOCK_BYTES)
         headers = [*behaviour.headers, ("Content-Type", "application/octet-stream")]
         headers.append((DIGEST, digest_of(name, size)))
+        if behaviour.echo_id:
+            headers += _echo(exchange)
         if not behaviour.chunked:
             headers.append(("Content-Length", str(size)))
         await exchange.send_head(status, headers, has_body=exchange.method != "HEAD")
@@ -211,6 +230,27 @@
             exchange.abort()
             return
         await exchange.finish()
+        if behaviour.repeat_on_next or behaviour.repeat_after_ms is not None:
+            body = b"" if exchange.method == "HEAD" else (block * (size // len(block) + 1))[:size]
+            self._repeat(exchange, behaviour, _serialize(status, headers, body))
+
+    def _repeat(self, exchange: HttpExchange, behaviour: Behaviour, answer: bytes) -> None:
+        transport = exchange.transport
+        if behaviour.repeat_after_ms is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(behaviour.repeat_after_ms / 1000, self._write_copy, transport, answer)
+        if behaviour.repeat_on_next:
+            self._waiting_copies = {
+                other: copy
+                for other, copy in self._waiting_copies.items()
+                if not other.is_closing()
+            }
+            self._waiting_copies[transport] = answer
+
+    def _write_copy(self, transport: asyncio.Transport | None, copy: bytes) -> None:
+        if transport is not None and not transport.is_closing():
+            transport.write(copy)
+            self.repeated += 1
 
     async def call_inner(self, seen: Seen, path: str, method: str = "GET") -> int:
         """Make an inner call through the node and return its status, or 599 if it broke off."""
@@ -266,6 +306,17 @@
     return digest.hexdigest()
 
 
+def _echo(exchange: Exchange) -> HeaderFields:
+    """Return the field by which an answer names its request."""
+    return tuple(pair for pair in exchange.headers if pair[0].lower() == REQUEST_ID.lower())
+
+
+def _serialize(status: int, headers: list[tuple[str, str]], body: bytes) -> bytes:
+    lines = [f"HTTP/1.1 {status} {PHRASES.get(status, 'Unknown')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
 async def _receive(exchange: Exchange, seen: Seen) -> None:
     digest = hashlib.sha256()
     if exchange.has_body:
--- a/gentianthread/transport/http_server.py
+++ b/gentianthread/transport/http_server.py
@@ -124,6 +124,11 @@
         self.has_body = request.body_exists
         self.body_length = request.content_length
 
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Return the transport of the connection, or None if the caller has closed it."""
+        return self._request.transport
+
     @property
     def keep_alive(self) -> bool:
         """Return whether the connection stays open after the response."""
