Match answers of the target with requests by the echoed id

Callers would see the answer to another request: a target that wrote an answer once more on its kept connection, while the next request was under way there, had the copy taken for the answer to that request. An order could get the refusal of an earlier one and run, an idempotency key could keep the answer of another request for its whole window, and the copy of an answer to a probe could take the target out of service.

Cause: the node sent Gentian-Request-Id but looked for it in no answer. Only bytes that arrived on an idle connection were noticed. Probes had no id.

Ruled out: two attempts of one request with one id. Closing the connection after each refusal was not chosen, as refusals are most frequent under overload and copies are not limited to refusals.

Change: targets echo the id. An answer to an earlier request is skipped, the next one is awaited and the connection is closed afterwards. What cannot be skipped safely fails as outcome unknown. Connections on which the target echoes nothing are used once if it echoes elsewhere. Bytes after an answer exclude the connection from reuse also if they are only a part of a head, which the parser kept to itself.

The fix works because the id of an answer differs from the id under way for every earlier exchange of the connection, so that no copy of one is returned.

--- a/gentianthread/coordination/node.py
+++ b/gentianthread/coordination/node.py
@@ -156,7 +156,11 @@
     def _assemble_target_side(self, parts: NodeParts) -> None:
         addresses = self.addresses
         self.target = parts.target or HttpTargetClient(
-            addresses.target_host, addresses.target_port, self._connection_limit, self.clock
+            addresses.target_host,
+            addresses.target_port,
+            self._connection_limit,
+            self.clock,
+            self.metrics,
         )
         upstream = self._local_upstream()
         slots = 1 if upstream is None else upstream.slots
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -84,6 +84,9 @@
 REQUEST_REFUSED = _event(400, Level.DEBUG, "request {request_id} refused: {reason}")
 REQUEST_ABORTED = _event(401, Level.INFO, "request {request_id} aborted: {problem}")
 REQUEST_CANCELLED = _event(402, Level.DEBUG, "request {request_id} cancelled by its caller")
+ANSWER_UNMATCHED = _event(
+    403, Level.WARNING, "answer of the target is not the one to request {request_id}: {problem}"
+)
 
 # 500: overload
 UPSTREAM_EJECTED = _event(
--- a/gentianthread/protocol/headers.py
+++ b/gentianthread/protocol/headers.py
@@ -9,10 +9,10 @@
 from ..errors import Refused
 from ..ids import KeyId, RefusalReason
 from ..transport.http_names import HOP_BY_HOP
+from ..transport.http_names import REQUEST_ID as REQUEST_ID
 
 DEADLINE_MS = "Gentian-Deadline-Ms"
 CONTEXT = "Gentian-Context"
-REQUEST_ID = "Gentian-Request-Id"
 REFUSAL = "Gentian-Refusal"
 NOT_RUN = "Gentian-Not-Run"
 OUTCOME = "Gentian-Outcome"
--- a/gentianthread/transport/http_client.py
+++ b/gentianthread/transport/http_client.py
@@ -5,16 +5,19 @@
 """
 
 import asyncio
+import secrets
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
-from aiohttp.client_proto import ResponseHandler
-
 from ..clock import Clock
 from ..errors import ConnectionLost, DialError, TransportError
-from .pooled_connection import PooledConnection, check_framing, serialize_head
+from ..events import ANSWER_UNMATCHED
+from ..logs import log
+from ..metrics import MemoryMetrics, Metrics
+from .http_names import REQUEST_ID
+from .pooled_connection import PooledConnection, TargetProtocol, check_framing, serialize_head
 
 # Connections that are opened concurrently; more would overload a target that restarts.
 MAX_CONCURRENT_DIALS = 4
@@ -27,6 +30,14 @@
 # the target may close an older one while the request is in transit.
 RECENT_IDLE_LIMIT_MS = 1_000.0
 
+# For this time after an answer that echoed its request id, a connection whose answers echo none is
+# used for one request only. Afterwards the target counts as one that echoes nothing.
+ECHO_MEMORY_MS = 60_000.0
+
+# Answers that do not match their request are logged at most once in this time, as a target may
+# repeat each of them.
+UNMATCHED_LOG_INTERVAL_MS = 1_000.0
+
 # Bodies up to this length are read before a connection is acquired and sent together with the head.
 INLINE_BODY_BYTES = 16 * 1024
 
@@ -159,12 +170,22 @@
 class HttpTargetClient(TargetClient):
     """Send requests over a bounded pool of HTTP/1.1 connections to one address.
 
+    Each request has an id that no other one has; a request without the field gets one here. An
+    answer that echoes another id is never returned.
+
     Attributes:
         open_connections: Number of connections that are open or being opened.
         dialled: Number of connections opened so far.
     """
 
-    def __init__(self, host: str, port: int, limit: Callable[[], int], clock: Clock):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        limit: Callable[[], int],
+        clock: Clock,
+        metrics: Metrics | None = None,
+    ):
         """Create an empty pool.
 
         Args:
@@ -172,6 +193,7 @@
             port: Its TCP port.
             limit: Returns the number of connections that the target accepts.
             clock: Clock of idle times.
+            metrics: Counts answers that do not match their request.
         """
         self.host = host
         self.port = port
@@ -181,6 +203,11 @@
         self._waiters: deque[asyncio.Future] = deque()
         self._dial_slots = asyncio.Semaphore(MAX_CONCURRENT_DIALS)
         self._closed = False
+        self._metrics = metrics or MemoryMetrics()
+        self._echoed_at_ms = float("-inf")
+        self._unmatched_logged_at_ms = float("-inf")
+        self._own_id_prefix = secrets.token_hex(8)
+        self._own_id_count = 0
         self.open_connections = 0
         self.dialled = 0
 
@@ -194,6 +221,10 @@
         recent_only: bool = False,
     ) -> TargetResponse:
         """Send a request on a pooled connection."""
+        request_id = _request_id(headers)
+        if request_id is None:
+            request_id = self._create_id()
+            headers = [*headers, (REQUEST_ID, request_id)]
         inline_body = b""
         if body is not None and body.length is not None and body.length <= INLINE_BODY_BYTES:
             inline_body = await read_all(body)
@@ -204,10 +235,15 @@
         else:
             head = serialize_head(method, target, headers, None)
         connection = await self._acquire(recent_only)
-        return await self._send(connection, method, head + inline_body, body)
+        return await self._send(connection, method, request_id, head + inline_body, body)
 
     async def _send(
-        self, connection: PooledConnection, method: str, data: bytes, body: Body | None
+        self,
+        connection: PooledConnection,
+        method: str,
+        request_id: str,
+        data: bytes,
+        body: Body | None,
     ) -> TargetResponse:
         protocol = connection.protocol
         sending = None
@@ -216,7 +252,11 @@
             if body is not None:
                 sending = asyncio.ensure_future(_send_body(protocol, body))
                 sending.add_done_callback(_body_error)
-            message, payload = await connection.read_head()
+            message, payload = await connection.read_head(
+                request_id, lambda problem: self._report_unmatched(request_id, problem)
+            )
+            if connection.echoes:
+                self._echoed_at_ms = self._clock.now_ms()
             has_body = check_framing(method, message)
         except BaseException as error:
             body_error = None if sending is None else _body_error(sending)
@@ -230,6 +270,24 @@
             raise
         return HttpTargetResponse(self, connection, message, payload, has_body, sending)
 
+    def _create_id(self) -> str:
+        self._own_id_count += 1
+        return f"{self._own_id_prefix}.{self._own_id_count}"
+
+    def _report_unmatched(self, request_id: str, problem: str) -> None:
+        self._metrics.count("target.unmatched_answers")
+        now_ms = self._clock.now_ms()
+        if now_ms - self._unmatched_logged_at_ms >= UNMATCHED_LOG_INTERVAL_MS:
+            self._unmatched_logged_at_ms = now_ms
+            log(ANSWER_UNMATCHED, request_id=request_id, problem=problem)
+
+    def _reusable(self, connection: PooledConnection) -> bool:
+        """Return whether a connection may carry another request."""
+        if not connection.usable():
+            return False
+        target_echoes = self._clock.now_ms() - self._echoed_at_ms < ECHO_MEMORY_MS
+        return connection.echoes or not target_echoes
+
     async def _acquire(self, recent_only: bool) -> PooledConnection:
         while True:
             if self._closed:
@@ -260,7 +318,7 @@
             idle_ms = now_ms - connection.idle_since_ms
             if (
                 idle_ms > IDLE_LIMIT_MS
-                or not connection.usable()
+                or not self._reusable(connection)
                 or not connection.has_no_unread_input()
             ):
                 self._discard(connection)
@@ -277,7 +335,7 @@
             async with self._dial_slots:
                 loop = asyncio.get_running_loop()
                 _, protocol = await loop.create_connection(
-                    lambda: ResponseHandler(loop), self.host, self.port
+                    lambda: TargetProtocol(loop), self.host, self.port
                 )
                 self.dialled += 1
                 return PooledConnection(protocol)
@@ -289,7 +347,7 @@
             raise
 
     def _release(self, connection: PooledConnection) -> None:
-        if self._closed or not connection.usable():
+        if self._closed or not self._reusable(connection):
             self._discard(connection)
             return
         connection.idle_since_ms = self._clock.now_ms()
@@ -388,6 +446,10 @@
             self._pool._discard(connection)
 
 
+def _request_id(headers: list[tuple[str, str]]) -> str | None:
+    return next((value for name, value in reversed(headers) if name == REQUEST_ID), None)
+
+
 async def read_all(body: Body) -> bytes:
     """Return all bytes of a body."""
     chunks = []
@@ -396,7 +458,7 @@
     return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
 
-async def _send_body(protocol: ResponseHandler, body: Body) -> None:
+async def _send_body(protocol: TargetProtocol, body: Body) -> None:
     """Send a body; abort the connection if reading it fails, so that the target sees no end."""
     chunked = body.length is None
     try:
--- a/gentianthread/transport/http_names.py
+++ b/gentianthread/transport/http_names.py
@@ -1,7 +1,10 @@
-"""Define hop-by-hop header fields, reason phrases and statuses without a body."""
+"""Define names of header fields, reason phrases and statuses without a body."""
 
 from http import HTTPStatus
 
+# Id of one attempt, which targets echo in their answers.
+REQUEST_ID = "Gentian-Request-Id"
+
 # Fields that apply to a single connection (RFC 9110, section 7.6.1), and the older
 # Proxy-Connection.
 HOP_BY_HOP = frozenset(
