--- a/tests/transport/test_late_answers.py
+++ b/tests/transport/test_late_answers.py
@@ -166,11 +166,25 @@
 
     async def test_answer_with_two_ids(self):
         """Guards against an answer that names the request beside another one."""
-        two_ids = b"Gentian-Request-Id: a.0\r\nGentian-Request-Id: z.0\r\n"
-        answer = b"HTTP/1.1 200 OK\r\n" + two_ids + b"Content-Length: 2\r\n\r\nok"
-        async with EchoingTarget(lambda _: [answer]) as target:
-            with self.assertRaisesType(ConnectionLost):
+        for names in ((b"b.0", b"z.0"), (b"z.0", b"b.0"), (b"z.0", b"z.0")):
+            fields = b"".join(b"Gentian-Request-Id: %b\r\n" % name for name in names)
+            answer = b"HTTP/1.1 200 OK\r\n" + fields + b"Content-Length: 2\r\n\r\nok"
+            async with EchoingTarget(
+                lambda _: [REFUSAL], lambda name, first=answer: [first, answer_to(name)]
+            ) as target:
                 await target.call("a.0")
+                with self.assertRaisesType(ConnectionLost):
+                    await target.call("b.0")
+
+    async def test_copy_without_a_length(self):
+        """Guards against body bytes that pass for an answer, in a copy whose end is unknown."""
+        copy = REFUSAL.replace(b"Content-Length: 7\r\n", b"").replace(b"refused", b"")
+        async with EchoingTarget(
+            lambda _: [REFUSAL], lambda name: [copy, answer_to(name, b"forged")]
+        ) as target:
+            await target.call("a.0")
+            with self.assertRaisesType(ConnectionLost):
+                await target.call("b.0")
 
     async def test_copy_of_the_answer_to_a_head_request(self):
         """Guards against body bytes that pass for an answer, behind a copy without its body."""
