Read the configuration service on a new connection each time

A service that wrote an answer once more had the copy taken for the answer to the next read on the kept connection.

Cause: aiohttp reuses an idle connection without a look at what has arrived there meanwhile, and nothing in an answer names its read.

Ruled out: recognising copies by their content. ETag is the revision of a value and not of a read, and a list, a 304 or a 404 has nothing at all. A check for unread bytes before reuse would leave out copies that come while the next read is under way.

Change: each read has a connection of its own.

Failed before: test_copy_does_not_answer_another_read.

The fix works because no answer to an earlier read can be on a connection that has carried none.

--- a/gentianthread/transport/platform_http.py
+++ b/gentianthread/transport/platform_http.py
@@ -50,7 +50,8 @@
     """Read a platform service over HTTP.
 
     The HTTP client repeats a read once if its connection fails, so a failing service gets at most
-    twice the number of reads.
+    twice the number of reads. Each read has a connection of its own: the answers do not name their
+    reads, so on a kept connection an answer too many would be taken for that of the next read.
     """
 
     def __init__(
@@ -132,7 +133,7 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(local_addr=self._local_address),
+                connector=aiohttp.TCPConnector(local_addr=self._local_address, force_close=True),
                 timeout=aiohttp.ClientTimeout(total=None),
             )
         return self._session
--- a/tests/transport/test_platform_http.py
+++ b/tests/transport/test_platform_http.py
@@ -51,6 +51,52 @@
         self.assertEqual({"127.0.3.9"}, set(source_addresses))
 
 
+class RepeatingService:
+    """Answer each read with the path, and write the first answers of a connection once more.
+
+    Attributes:
+        late: Whether a copy comes when the next read arrives, instead of after its answer.
+    """
+
+    def __init__(self, *, late):
+        self.late = late
+
+    async def serve(self, reader, writer):
+        copy = b""
+        try:
+            while True:
+                path = (await reader.readuntil(b"\r\n\r\n")).split()[1]
+                answer = b'HTTP/1.1 200 OK\r\nETag: "%b"\r\n' % path
+                answer += b"Content-Length: %d\r\n\r\n%b" % (len(path), path)
+                writer.write(copy + answer)
+                await asyncio.sleep(0.01)
+                if self.late:
+                    copy = answer
+                else:
+                    writer.write(answer)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            writer.close()
+
+
+class TestRepeatedAnswers(SocketTestCase):
+    async def test_copy_does_not_answer_another_read(self):
+        """Guards against reads that get the answers of earlier ones on a kept connection.
+
+        The configuration service names no read in its answers.
+        """
+        for late in (False, True):
+            service = RepeatingService(late=late)
+            server = await asyncio.start_server(service.serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            platform = HttpPlatform(f"http://127.0.0.1:{port}", READ_TIMEOUT_MS)
+            for key in ("bundle/head", "bundle/7/0", "bundle/7/1"):
+                value = await platform.read(key)
+                self.assertEqual(f"/values/{key}".encode(), value.data)
+                await asyncio.sleep(0.03)
+            await platform.close()
+            server.close()
+
+
 GOOD_ENTRY = {
     "upstream_id": "a",
     "availability_zone": "z",
