Count the time after the head of an answer as age of its level

A download that began while its target shed work made the entry node shed again when it ended, however calm the target was by then: the level in the head was recorded at the end of the answer as if it had been measured at that time, and replaced newer ones, for up to 2 s.

Cause: the level travels in the head, and the attempt reports it when the body has been relayed. Its age was that at the head. Ruled out: levels of refusals and short answers, which end with their head.

Change: the attempt adds the time since the head arrived.

Failed before: test_level_of_a_long_answer_keeps_its_age (age 0 after more than 200 ms).

The fix works because the store of levels orders them by the time of their measurement and already keeps the newer one.

--- a/gentianthread/coordination/answers.py
+++ b/gentianthread/coordination/answers.py
@@ -259,15 +259,20 @@
     )
 
 
-def level_from_load(load: Load) -> ShedLevel:
-    """Convert the load in a message to a shed level."""
+def level_from_load(load: Load, held_ms: float) -> ShedLevel:
+    """Convert the load in a message to a shed level.
+
+    Args:
+        load: The load.
+        held_ms: Time since the message arrived.
+    """
     return ShedLevel(
         load.threshold,
         load.queue_delay_ms,
         load.running,
         load.limit,
         load.by_organisation,
-        load.age_ms,
+        load.age_ms + held_ms,
     )
 
 
--- a/gentianthread/coordination/attempts.py
+++ b/gentianthread/coordination/attempts.py
@@ -53,6 +53,7 @@
     lent_attempts: int
     body: Body | None
     answer: Answer | None = None
+    head_at_ms: float = 0.0
     outcome: Outcome | None = None
 
 
@@ -134,6 +135,7 @@
     async def _receive_head(self, call: Call, attempt: _Attempt) -> _Attempt:
         """Send an attempt and return it once the head of its answer has arrived."""
         attempt.answer = await self._send_attempt(call, attempt)
+        attempt.head_at_ms = self.clock.now_ms()
         call.check_body()
         if call.body is not None and call.body.read_error is not None:
             raise call.body.read_error
@@ -215,8 +217,9 @@
         answer = attempt.answer
         if answer is not None:
             answer.abort("attempt ended")
+        # The load was measured before the head was sent, and a long answer ends much later.
         level = (
-            level_from_load(answer.head.load)
+            level_from_load(answer.head.load, self.clock.now_ms() - attempt.head_at_ms)
             if answer is not None and answer.carries_load
             else None
         )
--- a/tests/coordination/test_late_answers.py
+++ b/tests/coordination/test_late_answers.py
@@ -1,6 +1,7 @@
 import asyncio
 import json
 
+from gentianthread.coordination.routing import RoundRobinRouter
 from gentianthread.standins.target import Behaviour, pattern
 
 from ..fleets import FleetTestCase
@@ -14,6 +15,21 @@
 )
 
 
+class LevelRecorder(RoundRobinRouter):
+    """Record the levels that come with answers."""
+
+    def __init__(self, plan):
+        super().__init__(plan)
+        self.levels = []
+
+    def attempt_finished(self, upstream_id, outcome, latency_ms, level, item=None):
+        self.levels.append(level)
+
+
+def record_levels(upstream_id, parts):
+    parts.router = LevelRecorder(parts.plan)
+
+
 class TestLateAnswers(FleetTestCase):
     async def order(self, fleet, name, **headers):
         """Send an order for 200 bytes, and return its status and its body."""
@@ -113,3 +129,14 @@
                     (200, pattern(str(number), 200)), await self.order(fleet, str(number))
                 )
             self.assertEqual(1, fleet.members["pricing-0"].node.target.dialled)
+
+    async def test_level_of_a_long_answer_keeps_its_age(self):
+        """Guards against work that is shed by the load of a target at the start of a download."""
+        async with self.fleet({"catalogue": 2, "pricing": 1}, adjust=record_levels) as fleet:
+            for member in fleet.members.values():
+                member.target.behaviour = Behaviour(chunk_delay_ms=100.0)
+            for path in ("/catalogue?size=40000", "/pricing?size=40000"):
+                await self.call(fleet, "catalogue-0", path)
+                (level,) = fleet.members["catalogue-0"].node.attempts.router.levels
+                self.assertGreater(level.age_ms, 200.0)
+                fleet.members["catalogue-0"].node.attempts.router.levels.clear()
