Test random copies of answers and one target behind two upstream ids

The first one sends copies, pieces and early ends at random and accepts an own answer or a lost one. The second one shows that two attempts of a request share neither an id nor a connection where two nodes serve one target.

--- a/tests/coordination/test_late_answers.py
+++ b/tests/coordination/test_late_answers.py
@@ -119,6 +119,23 @@
             self.assertGreater(len(ids), 7)
             self.assertEqual(len(ids), len(set(ids)))
 
+    async def test_target_with_two_upstream_ids(self):
+        """Guards against a refusal that answers the next attempt, where both reach one target."""
+        async with self.fleet({"catalogue": 1, "pricing": 2}) as fleet:
+            target = fleet.members["pricing-0"].target
+            own_target = await fleet.crash_node("pricing-1")
+            await own_target.close()
+            await fleet.start_node("pricing-1", target)
+            for number in range(8):
+                behaviours = [Behaviour(status=503, repeat_on_next=True, repeat_after_ms=0)]
+                target.choose = lambda _, left=behaviours: left.pop() if left else None
+                status, _, body = await self.call(
+                    fleet, "catalogue-0", f"/pricing?id={number}&size=200"
+                )
+                self.assertEqual((200, pattern(str(number), 200)), (status, body))
+                self.assertEqual(2, target.executions[str(number)])
+            self.assertEqual(16, len({seen.header("Gentian-Request-Id") for seen in target.seen}))
+
     async def test_target_that_echoes_nothing_works(self):
         """Guards against lost orders, or a connection for each, where targets echo no ids."""
         async with self.fleet() as fleet:
--- a/tests/transport/test_late_answers.py
+++ b/tests/transport/test_late_answers.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 
 from gentianthread.clock import ManualClock
 from gentianthread.errors import ConnectionLost
@@ -27,9 +28,10 @@
     comes a moment after the one before; a piece of None closes the connection.
     """
 
-    def __init__(self, *script, limit=1):
+    def __init__(self, *script, limit=1, pause_s=0.02):
         self.script = list(script)
         self.limit = limit
+        self.pause_s = pause_s
         self.connections = 0
         self.request_ids = []
         self.writers = []
@@ -68,7 +70,7 @@
                         writer.close()
                         return
                     writer.write(piece)
-                    await asyncio.sleep(0.02)
+                    await asyncio.sleep(self.pause_s)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         except asyncio.CancelledError:
@@ -265,3 +267,45 @@
             self.assertEqual((200, b"second"), await target.call("b.0", "POST"))
             await target.client.probe("/probe", 1_000)
             self.assertEqual(3, len(set(target.request_ids)))
+
+    async def test_random_copies(self):
+        """Guards against a mixture of copies, pieces and ends that lets a wrong answer pass."""
+        outcomes = {"own": 0, "lost": 0}
+        for seed in range(4):
+            rng = random.Random(seed)
+            written = []
+
+            def answer(name, rng=rng, written=written):
+                """Return the answer among whole and cut copies of earlier ones, in pieces."""
+                own = answer_to(name, b"body of " + name + bytes(rng.choice((0, 9, 20_000))))
+                copies = [
+                    rng.choice(written) for _ in range(rng.choice((0, 0, 1, 3)) * bool(written))
+                ]
+                data = [*copies, own, *copies[:1]]
+                if rng.random() < 0.2:
+                    data[0] = data[0][: rng.randrange(len(data[0]))]
+                whole = b"".join(data)
+                cut = rng.randrange(len(whole))
+                written.append(own)
+                end = [None] if rng.random() < 0.1 else []
+                return [whole[:cut], whole[cut:], *end]
+
+            async def call(target, name, method):
+                try:
+                    status, body = await asyncio.wait_for(target.call(name, method), 0.15)
+                except (ConnectionLost, TimeoutError):
+                    outcomes["lost"] += 1
+                    return
+                self.assertEqual(200, status)
+                expected = b"" if method == "HEAD" else b"body of " + name.encode()
+                self.assertEqual(expected, body.rstrip(b"\0"))
+                outcomes["own"] += 1
+
+            async with EchoingTarget(*[answer] * 60, limit=3, pause_s=0.0) as target:
+                for number in range(20):
+                    methods = [rng.choice(("GET", "POST", "GET", "HEAD")) for _ in range(3)]
+                    await asyncio.gather(
+                        *(call(target, f"{number}.{i}", m) for i, m in enumerate(methods))
+                    )
+        # Copies of answers that other connections carried are not skipped.
+        self.assertGreater(outcomes["own"], 40, outcomes)
