--- a/gentianthread/transport/http_client.py
+++ b/gentianthread/transport/http_client.py
@@ -5,17 +5,19 @@
 """
 
 import asyncio
-import select
+import secrets
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
-from aiohttp.client_proto import ResponseHandler
-
 from ..clock import Clock
 from ..errors import ConnectionLost, DialError, TransportError
-from .http_names import BODILESS_STATUS
+from ..events import ANSWER_UNMATCHED
+from ..logs import log
+from ..metrics import MemoryMetrics, Metrics
+from .http_names import REQUEST_ID
+from .pooled_connection import PooledConnection, TargetProtocol, check_framing, serialize_head
 
 # Connections that are opened concurrently; more would overload a target that restarts.
 MAX_CONCURRENT_DIALS = 4
@@ -28,16 +30,20 @@
 # the target may close an older one while the request is in transit.
 RECENT_IDLE_LIMIT_MS = 1_000.0
 
+# For this time after an answer that echoed its request id, a connection whose answers echo none is
+# used for one request only. Afterwards the target counts as one that echoes nothing.
+ECHO_MEMORY_MS = 60_000.0
+
+# Answers that do not match their request are logged at most once in this time, as a target may
+# repeat each of them.
+UNMATCHED_LOG_INTERVAL_MS = 1_000.0
+
 # Bodies up to this length are read before a connection is acquired and sent together with the head.
 INLINE_BODY_BYTES = 16 * 1024
 
 # Number of body bytes after which the response to a probe is read no further.
 PROBE_LIMIT_BYTES = 1024
 
-# Limits for the head of a response.
-_LINE_LIMIT_BYTES = 8 * 1024
-_FIELD_LIMIT_BYTES = 16 * 1024
-
 
 class Body(ABC):
     """Read the bytes of a request body in order.
@@ -161,36 +167,25 @@
             raise ConnectionLost("target", f"no answer to a probe in {timeout_ms} ms") from None
 
 
-class _Connection:
-    __slots__ = ("idle_since_ms", "protocol")
-
-    def __init__(self, protocol: ResponseHandler):
-        self.protocol = protocol
-        self.idle_since_ms = 0.0
-
-    def usable(self) -> bool:
-        protocol = self.protocol
-        return protocol.is_connected() and not protocol.should_close
-
-    def has_no_unread_input(self) -> bool:
-        """Return whether the socket has no bytes and no end, which would fail the next request."""
-        raw = self.protocol.transport.get_extra_info("socket")
-        if raw is None or raw.fileno() < 0:
-            return False
-        poller = select.poll()
-        poller.register(raw.fileno(), select.POLLIN)
-        return not poller.poll(0)
-
-
 class HttpTargetClient(TargetClient):
     """Send requests over a bounded pool of HTTP/1.1 connections to one address.
 
+    Each request has an id that no other one has; a request without the field gets one here. An
+    answer that echoes another id is never returned.
+
     Attributes:
         open_connections: Number of connections that are open or being opened.
         dialled: Number of connections opened so far.
     """
 
-    def __init__(self, host: str, port: int, limit: Callable[[], int], clock: Clock):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        limit: Callable[[], int],
+        clock: Clock,
+        metrics: Metrics | None = None,
+    ):
         """Create an empty pool.
 
         Args:
@@ -198,15 +193,21 @@
             port: Its TCP port.
             limit: Returns the number of connections that the target accepts.
             clock: Clock of idle times.
+            metrics: Counts answers that do not match their request.
         """
         self.host = host
         self.port = port
         self._limit = limit
         self._clock = clock
-        self._idle: deque[_Connection] = deque()
+        self._idle: deque[PooledConnection] = deque()
         self._waiters: deque[asyncio.Future] = deque()
         self._dial_slots = asyncio.Semaphore(MAX_CONCURRENT_DIALS)
         self._closed = False
+        self._metrics = metrics or MemoryMetrics()
+        self._echoed_at_ms = float("-inf")
+        self._unmatched_logged_at_ms = float("-inf")
+        self._own_id_prefix = secrets.token_hex(8)
+        self._own_id_count = 0
         self.open_connections = 0
         self.dialled = 0
 
@@ -220,6 +221,10 @@
         recent_only: bool = False,
     ) -> TargetResponse:
         """Send a request on a pooled connection."""
+        request_id = _request_id(headers)
+        if request_id is None:
+            request_id = self._create_id()
+            headers = [*headers, (REQUEST_ID, request_id)]
         inline_body = b""
         if body is not None and body.length is not None and body.length <= INLINE_BODY_BYTES:
             inline_body = await read_all(body)
@@ -230,26 +235,29 @@
         else:
             head = serialize_head(method, target, headers, None)
         connection = await self._acquire(recent_only)
-        return await self._send(connection, method, head + inline_body, body)
+        return await self._send(connection, method, request_id, head + inline_body, body)
 
     async def _send(
-        self, connection: _Connection, method: str, data: bytes, body: Body | None
+        self,
+        connection: PooledConnection,
+        method: str,
+        request_id: str,
+        data: bytes,
+        body: Body | None,
     ) -> TargetResponse:
         protocol = connection.protocol
         sending = None
         try:
-            protocol.set_response_params(
-                skip_payload=method == "HEAD",
-                auto_decompress=False,
-                max_line_size=_LINE_LIMIT_BYTES,
-                max_field_size=_FIELD_LIMIT_BYTES,
-            )
-            protocol.transport.write(data)
+            connection.send(method, data)
             if body is not None:
                 sending = asyncio.ensure_future(_send_body(protocol, body))
                 sending.add_done_callback(_body_error)
-            message, payload = await _read_response_head(protocol)
-            has_body = _check_framing(method, message)
+            message, payload = await connection.read_head(
+                request_id, lambda problem: self._report_unmatched(request_id, problem)
+            )
+            if connection.echoes:
+                self._echoed_at_ms = self._clock.now_ms()
+            has_body = check_framing(method, message)
         except BaseException as error:
             body_error = None if sending is None else _body_error(sending)
             if sending is not None:
@@ -262,7 +270,25 @@
             raise
         return HttpTargetResponse(self, connection, message, payload, has_body, sending)
 
-    async def _acquire(self, recent_only: bool) -> _Connection:
+    def _create_id(self) -> str:
+        self._own_id_count += 1
+        return f"{self._own_id_prefix}.{self._own_id_count}"
+
+    def _report_unmatched(self, request_id: str, problem: str) -> None:
+        self._metrics.count("target.unmatched_answers")
+        now_ms = self._clock.now_ms()
+        if now_ms - self._unmatched_logged_at_ms >= UNMATCHED_LOG_INTERVAL_MS:
+            self._unmatched_logged_at_ms = now_ms
+            log(ANSWER_UNMATCHED, request_id=request_id, problem=problem)
+
+    def _reusable(self, connection: PooledConnection) -> bool:
+        """Return whether a connection may carry another request."""
+        if not connection.usable():
+            return False
+        target_echoes = self._clock.now_ms() - self._echoed_at_ms < ECHO_MEMORY_MS
+        return connection.echoes or not target_echoes
+
+    async def _acquire(self, recent_only: bool) -> PooledConnection:
         while True:
             if self._closed:
                 raise DialError("target", "pool is closed")
@@ -283,7 +309,7 @@
                     self._wake_waiter()
                 raise
 
-    def _take_idle(self, recent_only: bool) -> _Connection | None:
+    def _take_idle(self, recent_only: bool) -> PooledConnection | None:
         now_ms = self._clock.now_ms()
         skipped = []
         available = None
@@ -292,7 +318,7 @@
             idle_ms = now_ms - connection.idle_since_ms
             if (
                 idle_ms > IDLE_LIMIT_MS
-                or not connection.usable()
+                or not self._reusable(connection)
                 or not connection.has_no_unread_input()
             ):
                 self._discard(connection)
@@ -303,16 +329,16 @@
         self._idle.extend(reversed(skipped))
         return available
 
-    async def _dial(self) -> _Connection:
+    async def _dial(self) -> PooledConnection:
         self.open_connections += 1
         try:
             async with self._dial_slots:
                 loop = asyncio.get_running_loop()
                 _, protocol = await loop.create_connection(
-                    lambda: ResponseHandler(loop), self.host, self.port
+                    lambda: TargetProtocol(loop), self.host, self.port
                 )
                 self.dialled += 1
-                return _Connection(protocol)
+                return PooledConnection(protocol)
         except BaseException as error:
             self.open_connections -= 1
             self._wake_waiter()
@@ -320,15 +346,15 @@
                 raise DialError("target", str(error)) from error
             raise
 
-    def _release(self, connection: _Connection) -> None:
-        if self._closed or not connection.usable():
+    def _release(self, connection: PooledConnection) -> None:
+        if self._closed or not self._reusable(connection):
             self._discard(connection)
             return
         connection.idle_since_ms = self._clock.now_ms()
         self._idle.append(connection)
         self._wake_waiter()
 
-    def _discard(self, connection: _Connection) -> None:
+    def _discard(self, connection: PooledConnection) -> None:
         connection.protocol.abort()
         self.open_connections -= 1
         self._wake_waiter()
@@ -357,7 +383,7 @@
     def __init__(
         self,
         pool: HttpTargetClient,
-        connection: _Connection,
+        connection: PooledConnection,
         message: Any,
         payload: Any,
         has_body: bool,
@@ -365,7 +391,7 @@
     ):
         """Use `HttpTargetClient.exchange` to create one."""
         self._pool = pool
-        self._connection: _Connection | None = connection
+        self._connection: PooledConnection | None = connection
         self._payload = payload
         self._sending = sending
         self.status = message.code
@@ -420,34 +446,8 @@
             self._pool._discard(connection)
 
 
-def serialize_head(
-    method: str,
-    target: str,
-    headers: list[tuple[str, str]],
-    length: int | None,
-    *,
-    chunked: bool = False,
-) -> bytes:
-    """Serialize the head of a request.
-
-    Args:
-        method: HTTP method.
-        target: Path and query.
-        headers: Header fields without Content-Length and Transfer-Encoding.
-        length: Length of the body, or None.
-        chunked: Whether a body without a length is sent in chunks.
-    """
-    lines = [f"{method} {target} HTTP/1.1"]
-    if not any(name.lower() == "host" for name, _ in headers):
-        # HTTP/1.0 callers may omit it; HTTP/1.1 requires it.
-        lines.append("Host: target")
-    lines += [f"{name}: {value}" for name, value in headers]
-    if length is not None:
-        lines.append(f"Content-Length: {length}")
-    elif chunked:
-        lines.append("Transfer-Encoding: chunked")
-    lines.append("\r\n")
-    return "\r\n".join(lines).encode("utf-8", "surrogateescape")
+def _request_id(headers: list[tuple[str, str]]) -> str | None:
+    return next((value for name, value in reversed(headers) if name == REQUEST_ID), None)
 
 
 async def read_all(body: Body) -> bytes:
@@ -458,7 +458,7 @@
     return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
 
-async def _send_body(protocol: ResponseHandler, body: Body) -> None:
+async def _send_body(protocol: TargetProtocol, body: Body) -> None:
     """Send a body; abort the connection if reading it fails, so that the target sees no end."""
     chunked = body.length is None
     try:
@@ -480,28 +480,3 @@
     """Return the error of reading the request body, if that stopped sending it."""
     body_error = sending.exception() if sending.done() and not sending.cancelled() else None
     return body_error if isinstance(body_error, TransportError) else None
-
-
-async def _read_response_head(protocol: ResponseHandler) -> tuple[Any, Any]:
-    while True:
-        message, payload = await protocol.read()
-        if message.code >= 200:
-            return message, payload
-        if message.code == 101:
-            raise ConnectionLost("target", "answer switches protocols")
-
-
-def _check_framing(method: str, message: Any) -> bool:
-    """Return whether a body follows.
-
-    Raises:
-        ConnectionLost: The body has no length, so truncation would go unnoticed.
-    """
-    if method == "HEAD" or message.code in BODILESS_STATUS:
-        return False
-    if message.chunked:
-        return True
-    length = message.headers.get("Content-Length")
-    if length is None:
-        raise ConnectionLost("target", "answer has neither Content-Length nor chunked coding")
-    return length != "0"
