Send the state of the feeds at most every 50 ms

Cause: a node sends its state to all followers whenever it loses or regains its feeds, and each time its first source sends one. The age of the store's last answer in a state leaves out the time that the state travels. While the age passes the limit of 1.4 s, a node that has just lost its feeds is told an age that is below the limit again, and tells all others, its sources among them if it has taken over in an earlier outage. Each state causes several: 386 in half a second at 33 s, 4 249, 243 749, and 1 548 116 at 36.5 s, with 28 to 84 before. The nodes then spend seconds on one batch of messages, and hold it in memory.

The change: a state that follows another too closely is sent at the end of 50 ms, once for all that came in between. It is computed when it is sent, so that the time of the wait counts in its age; states that go round then grow older and end. No node sends more than 20 states a second over a link, however many come.

--- a/gentianthread/coordination/mesh/feeds.py
+++ b/gentianthread/coordination/mesh/feeds.py
@@ -5,6 +5,7 @@
 long ago calls the store itself, and tells its sources about the answers.
 """
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -31,6 +32,11 @@
 # Interval at which watchers send their state and nodes choose whom they follow.
 FEED_INTERVAL_MS = 400.0
 
+# Minimum interval between the states that a node sends. Nodes answer states with their own while
+# they disagree about the sources, or while they lose their feeds. Without a limit, nodes that send
+# each other states multiply them until the messages take all their processor time and memory.
+MIN_STATE_INTERVAL_MS = 50.0
+
 # Maximum duration of one watch by a watcher, so that it soon detects an unresponsive store.
 WATCHER_MAX_WAIT_MS = 700.0
 
@@ -124,6 +130,8 @@
         self._followers: dict[PeerLink, int | None] = {}
         self._source_links: dict[str, PeerLink] = {}
         self._contacts: dict[PeerLink, _Contact] = {}
+        self._state_sent_ms = float("-inf")
+        self._delayed_state: asyncio.TimerHandle | None = None
 
     @property
     def watching(self) -> bool:
@@ -217,7 +225,23 @@
                 self.on_neighbour(link)
 
     def send_state(self) -> None:
-        """Send the known revision and the age of the store's last answer to all followers."""
+        """Send the known revision and the age of the store's last answer to all followers.
+
+        If the last state was sent less than `MIN_STATE_INTERVAL_MS` ago, one is sent at the end of
+        this interval.
+        """
+        if self._delayed_state is not None:
+            return
+        wait_ms = self._state_sent_ms + MIN_STATE_INTERVAL_MS - self.clock.now_ms()
+        if wait_ms > 0:
+            loop = asyncio.get_running_loop()
+            self._delayed_state = loop.call_later(wait_ms / 1000, self._send_state_now)
+        else:
+            self._send_state_now()
+
+    def _send_state_now(self) -> None:
+        self._delayed_state = None
+        self._state_sent_ms = self.clock.now_ms()
         state = self._state()
         for link in list(self._followers):
             if link.closed:
