End a stop earlier while the event loop is held up

A stop ends at nine tenths of the grace time. If each step of the event loop takes longer than the rest, 0.6 s of 6 s, the end is noticed after the kill, and all requests under way get no answer.

While the last two waits of the stop were both too long, it now ends earlier by the shorter excess. A single pause changes nothing. Requests still under way at the end are answered as before.

The test failed before.

--- a/gentianthread/coordination/mesh/process.py
+++ b/gentianthread/coordination/mesh/process.py
@@ -146,7 +146,9 @@
     """Serve until callers use other instances, then finish the requests in flight.
 
     New requests of callers are refused after `MIN_LEAVE_MS`: they could be cut off at the end of
-    the grace period, and would keep the process running until then.
+    the grace period, and would keep the process running until then. While each step of the event
+    loop takes long, the last requests are ended earlier by as much, as the end of the grace period
+    would be noticed too late to answer them.
 
     Args:
         sidecar: The sidecar to stop.
@@ -157,7 +159,9 @@
     max_ms = grace_ms * MAX_LEAVE_FRACTION
     sidecar.begin_leaving(started_ms + max_ms)
     drain_start_ms = min(DRAIN_START_MS, grace_ms * MAX_DRAIN_START_FRACTION)
-    while (elapsed_ms := clock.now_ms() - started_ms) < max_ms:
+    # By how much the last two waits were too long; a single one may have been a pause that is over.
+    delays_ms = (0.0, 0.0)
+    while (elapsed_ms := clock.now_ms() - started_ms) + min(delays_ms) < max_ms:
         if elapsed_ms >= drain_start_ms and not sidecar.draining:
             sidecar.begin_draining()
         if elapsed_ms >= MIN_LEAVE_MS:
@@ -165,6 +169,8 @@
             if not sidecar.busy:
                 return
         await clock.sleep_ms(LEAVE_POLL_MS)
+        delay_ms = max(0.0, clock.now_ms() - started_ms - elapsed_ms - LEAVE_POLL_MS)
+        delays_ms = (delays_ms[1], delay_ms)
 
 
 def run_sidecar(path: Path) -> SidecarExitCode:
--- a/tests/coordination/mesh/test_process.py
+++ b/tests/coordination/mesh/test_process.py
@@ -36,6 +36,16 @@
         return self.clock.now_ms() < self.busy_until_ms
 
 
+class LateClock(LoopClock):
+    """Sleep longer than asked for, as on an event loop that is held up by each of its steps."""
+
+    def __init__(self, late_ms):
+        self.late_ms = late_ms
+
+    async def sleep_ms(self, duration_ms):
+        await super().sleep_ms(duration_ms + self.late_ms)
+
+
 class TestLeave(VirtualTimeTestCase):
     async def stop(self, grace_ms, busy_until_ms=0.0):
         """Return the recorded calls and the time at which the stop ended."""
@@ -60,3 +70,28 @@
         events, ended_ms = await self.stop(2_000.0, busy_until_ms=9_000.0)
         self.assertEqual([("leave", 0.0), ("drain", 1_000)], events)
         self.assertEqual(1_800, ended_ms)
+
+    async def test_late_event_loop_ends_before_the_kill(self):
+        """Guards against a process that is killed before it has answered what is under way.
+
+        The end of the grace period is noticed late if the event loop is held up for longer than
+        the time that is left after it.
+        """
+        grace_ms = 6_000.0
+        for late_ms in (300.0, 700.0, 1_000.0, 1_300.0):
+            sidecar = StoppingSidecar(busy_until_ms=90_000.0)
+            started_ms = sidecar.clock.now_ms()
+            await stop_gracefully(sidecar, LateClock(late_ms), grace_ms)
+            ended_ms = sidecar.clock.now_ms() - started_ms
+            self.assertLessEqual(ended_ms, grace_ms * MAX_LEAVE_FRACTION)
+            self.assertGreaterEqual(ended_ms, grace_ms * MAX_LEAVE_FRACTION - 2 * late_ms - 100)
+
+    async def test_single_pause_does_not_end_requests_early(self):
+        """Guards against requests that are ended after a pause which is over."""
+        sidecar, clock = StoppingSidecar(busy_until_ms=90_000.0), LateClock(0.0)
+        started_ms = sidecar.clock.now_ms()
+        loop = asyncio.get_running_loop()
+        loop.call_later(2.0, setattr, clock, "late_ms", 2_500.0)
+        loop.call_later(2.2, setattr, clock, "late_ms", 0.0)
+        await stop_gracefully(sidecar, clock, 6_000.0)
+        self.assertGreaterEqual(sidecar.clock.now_ms() - started_ms, 5_400.0)
