--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -1,20 +1,17 @@
-"""Stand in for the users' platform in one process: a metadata store, targets and sidecars.
+"""Stand in for the users' platform in one process: targets and sidecars beside a store.
 
 Every instance has an address of its own in 127.0.0.0/8, so that all sidecars use the same peer port
 as they do on the platform.
 """
 
 import asyncio
-import base64
 import hashlib
-import json
 import os
 import socket
 import time
 from collections.abc import Awaitable, Callable
 from itertools import count
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
 import attrs
 
@@ -23,7 +20,6 @@
 from ..ids import AvailabilityZoneId, ServiceId
 from ..platform.documents import PLAN_KEY, UPSTREAM_PREFIX
 from ..platform.names import ADAPTER, DIALECT
-from ..platform.store import BASE_PATH, CALL_KEY, CALL_RANGE, CALL_WATCH, ERA_FIELD
 from ..settings import Address
 from ..sidecar_settings import SidecarSettings
 from ..transport.http_pipeline import (
@@ -32,6 +28,7 @@
     PipelineListener,
     start_in_task,
 )
+from .mesh_store import MeshStore
 
 # The ports of an instance, the same on each of them.
 TARGET_PORT = 7801
@@ -39,7 +36,6 @@
 READY_PORT = 7803
 METRICS_PORT = 7804
 PEER_PORT = 7805
-STORE_PORT = 7806
 
 # A process that holds this port at the last address of a network has reserved the network.
 RESERVATION_PORT = 7807
@@ -71,163 +67,6 @@
         return network
 
 
-class MeshStore:
-    """Store items with revisions and serve reads and watches.
-
-    Attributes:
-        calls: Calls so far, also refused ones.
-        down: Whether each call is refused with 503.
-        refused: Addresses whose calls are refused.
-        deaf: Whether waiting watches hear nothing.
-        page: Items of one page of a range.
-        era: Number of restores so far.
-    """
-
-    def __init__(self, host: str, port: int = STORE_PORT):
-        """Create an empty store.
-
-        Args:
-            host: IP address to serve at.
-            port: TCP port to serve at.
-        """
-        self.host = host
-        self.port = port
-        self.calls = 0
-        self.down = False
-        self.refused: set[str] = set()
-        self.deaf = False
-        self.page = 50
-        self.revision = 1
-        self.era = 0
-        self._items: dict[str, tuple[bytes, int]] = {}
-        self._events: list[tuple[str, bytes | None, int]] = []
-        self._forgotten = 0
-        self._changed = asyncio.Event()
-        self._listener = PipelineListener(start_in_task(self._answer), SystemClock())
-
-    async def open(self) -> None:
-        """Start to serve."""
-        await self._listener.open(self.host, self.port)
-
-    async def close(self) -> None:
-        """Stop to serve."""
-        await self._listener.close()
-
-    def put(self, key: str, value: Any) -> None:
-        """Write an item; bytes are stored as they are, other values as JSON."""
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        self.revision += 1
-        self._items[key] = (data, self.revision)
-        self._note(key, data)
-
-    def remove(self, key: str) -> None:
-        """Remove an item."""
-        if self._items.pop(key, None) is not None:
-            self.revision += 1
-            self._note(key, None)
-
-    def forget_history(self) -> None:
-        """Answer 410 to watches from before now."""
-        self._forgotten = self.revision
-        self._events.clear()
-        self.wake()
-
-    def copy(self) -> dict[str, tuple[bytes, int]]:
-        """Return a copy of the items, for `restore`."""
-        return dict(self._items)
-
-    def restore(self, items: dict[str, tuple[bytes, int]]) -> None:
-        """Come back from a copy; revisions after it are given out again."""
-        self.era += 1
-        self._items = dict(items)
-        self.revision = max((revision for _, revision in items.values()), default=1)
-        self._forgotten = 0
-        self._events = [event for event in self._events if event[2] <= self.revision]
-        self.wake()
-
-    def wake(self) -> None:
-        """End the present waits."""
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def _note(self, key: str, data: bytes | None) -> None:
-        self._events.append((key, data, self.revision))
-        self.wake()
-
-    async def _answer(self, request: BufferedRequest) -> BufferedResponse:
-        answer = await self._answer_call(request)
-        answer.headers.append((ERA_FIELD, str(self.era)))
-        return answer
-
-    async def _answer_call(self, request: BufferedRequest) -> BufferedResponse:
-        self.calls += 1
-        if self.down or request.peer_host in self.refused:
-            return BufferedResponse(503, [])
-        parts = urlsplit(request.target)
-        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        call = parts.path.removeprefix(BASE_PATH)
-        if call == CALL_KEY:
-            return self._read_key(query)
-        if call == CALL_RANGE:
-            return self._read_range(query)
-        if call == CALL_WATCH:
-            return await self._watch(query, request.peer_host)
-        return BufferedResponse(404, [])
-
-    def _read_key(self, query: dict[str, str]) -> BufferedResponse:
-        key = query["key"]
-        if key not in self._items:
-            return BufferedResponse(404, [])
-        return _json({**self._item(key), "at_rev": self.revision})
-
-    def _read_range(self, query: dict[str, str]) -> BufferedResponse:
-        prefix, after = query.get("prefix", ""), query.get("after", "")
-        keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
-        return _json(
-            {
-                "items": [self._item(key) for key in keys[: self.page]],
-                "has_more": len(keys) > self.page,
-                "at_rev": self.revision,
-            }
-        )
-
-    async def _watch(self, query: dict[str, str], host: str) -> BufferedResponse:
-        after, wait_ms = int(query["after"]), int(query["wait_ms"])
-        end = asyncio.get_running_loop().time() + wait_ms / 1000
-        while True:
-            if self.down or host in self.refused:
-                return BufferedResponse(503, [])
-            if after < self._forgotten or after > self.revision:
-                return BufferedResponse(410, [])
-            found = [event for event in self._events if event[2] > after and not self.deaf]
-            if found:
-                return _json(
-                    {"events": [_event(*event) for event in found], "at_rev": found[-1][2]}
-                )
-            try:
-                async with asyncio.timeout_at(end):
-                    await self._changed.wait()
-            except TimeoutError:
-                return _json({"events": [], "at_rev": self.revision})
-
-    def _item(self, key: str) -> dict[str, Any]:
-        data, revision = self._items[key]
-        value = base64.b64encode(data).decode()
-        return {"key": key, "value": value, "revision": revision, "created_at": 1, "lease": 0}
-
-
-def _event(key: str, data: bytes | None, revision: int) -> dict[str, Any]:
-    if data is None:
-        return {"key": key, "revision": revision, "tombstone": True}
-    return {"key": key, "value": base64.b64encode(data).decode(), "revision": revision}
-
-
-def _json(content: Any) -> BufferedResponse:
-    return BufferedResponse(
-        200, [("Content-Type", "application/json")], json.dumps(content).encode()
-    )
-
-
 Behaviour = Callable[["MeshTarget", BufferedRequest], Awaitable[BufferedResponse | None]]
 
 
--- a/tests/commands/test_sidecar.py
+++ b/tests/commands/test_sidecar.py
@@ -11,7 +11,8 @@
 from gentianthread.commands import sidecar
 from gentianthread.coordination.mesh.process import SidecarExitCode
 from gentianthread.platform.documents import PLAN_KEY, UPSTREAM_PREFIX
-from gentianthread.standins.mesh import MeshStore, MeshTarget, plan_document, private_network
+from gentianthread.standins.mesh import MeshTarget, plan_document, private_network
+from gentianthread.standins.mesh_store import MeshStore
 
 from ..base import SocketTestCase
 
--- a/tests/coordination/mesh/process_soak.py
+++ b/tests/coordination/mesh/process_soak.py
@@ -24,13 +24,12 @@
     OUTBOUND_PORT,
     PEER_PORT,
     READY_PORT,
-    STORE_PORT,
     TARGET_PORT,
-    MeshStore,
     MeshTarget,
     plan_document,
     private_network,
 )
+from gentianthread.standins.mesh_store import STORE_PORT, MeshStore
 from gentianthread.transport.target_connection import DEFAULT_IDLE_LIMIT_MS
 
 from .quota_faults import QuotaFaults
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,7 +3,8 @@
 
 from gentianthread.errors import PlatformUnavailable
 from gentianthread.platform.store import HttpMetadataStore
-from gentianthread.standins.mesh import MeshStore, plan_document, private_network
+from gentianthread.standins.mesh import plan_document, private_network
+from gentianthread.standins.mesh_store import MeshStore
 from gentianthread.transport.metadata_store import HistoryLost
 
 from ..base import SocketTestCase
