Let stand-in targets refuse, write answers again and start under another id

The stand-in targets repeated nothing, so that no soak could show what a copy of a refusal does, and their 421 had neither the id of its request nor Not-Executed, which the users' targets send with every refusal.

Every refusal of MeshTarget now has both. refusal_status refuses requests before they count as run; before_answer gets each answer before it is written, may change it (so that a test can leave out the id), and writes further bytes through the transport of the request; crash takes the id of the next start. MeshFleet.wait_ready compares with the present ids of the targets.

--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -22,6 +22,8 @@
 from ..platform.names import ADAPTER, DIALECT
 from ..settings import Address
 from ..sidecar_settings import SidecarSettings
+from ..transport.header_fields import render_fields
+from ..transport.http_names import PHRASES
 from ..transport.http_pipeline import (
     BufferedRequest,
     BufferedResponse,
@@ -69,6 +71,14 @@
 
 Behaviour = Callable[["MeshTarget", BufferedRequest], Awaitable[BufferedResponse | None]]
 
+# Gets a request and its answer before the answer is written. It may change the answer, and write
+# further bytes to the transport of the request, also later.
+AnswerHook = Callable[[BufferedRequest, BufferedResponse], Awaitable[None]]
+
+
+async def _write_nothing_else(request: BufferedRequest, answer: BufferedResponse) -> None:
+    pass
+
 
 class MeshTarget:
     """Act as a target: run requests in slots, seal answers, and reject what is not its own.
@@ -84,7 +94,9 @@
         crashes: Number of its crashes.
         down: Whether it has crashed and does not serve.
         crash_task: Task of its last crash; see `crash`.
+        refusal_status: Returns the status with which a request is refused without running it, or 0.
         behave: Answers a request that passed the checks.
+        before_answer: Called before an answer is written.
     """
 
     def __init__(self, host: str, service_id: str, upstream_id: str, slots: int = 8):
@@ -105,7 +117,9 @@
         self.crashes = 0
         self.down = False
         self.crash_task: asyncio.Task | None = None
+        self.refusal_status: Callable[[BufferedRequest], int] = lambda request: 0
         self.behave: Behaviour = answer_sealed
+        self.before_answer: AnswerHook = _write_nothing_else
         self.started_at_ms = 0
         self.start_again()
         self._listener = PipelineListener(start_in_task(self._answer), SystemClock())
@@ -114,8 +128,13 @@
         """Start to serve."""
         await self._listener.open(self.host, TARGET_PORT)
 
-    def start_again(self) -> None:
-        """Begin the next start under the same id, whose count of writes starts anew."""
+    def start_again(self, upstream_id: str | None = None) -> None:
+        """Begin the next start, whose count of writes starts anew.
+
+        Args:
+            upstream_id: Id of the next start, or None for the same.
+        """
+        self.upstream_id = upstream_id or self.upstream_id
         self.started_at_ms = max(self.started_at_ms + 1, time.time_ns() // 1_000_000)
         self._writes = 0
 
@@ -123,11 +142,12 @@
         """Stop to serve."""
         await self._listener.close()
 
-    def crash(self, down_s: float) -> asyncio.Task:
-        """End with all connections, and serve again later as the next start of its id.
+    def crash(self, down_s: float, next_id: str | None = None) -> asyncio.Task:
+        """End with all connections, and serve again later as its next start.
 
         Args:
             down_s: Time until it serves again.
+            next_id: Id of the next start, or None for the same.
 
         Returns:
             A task that ends when it serves again.
@@ -135,13 +155,13 @@
         if not self.down:
             self.crashes += 1
             self.down = True
-            self.crash_task = asyncio.ensure_future(self._restart(down_s))
+            self.crash_task = asyncio.ensure_future(self._restart(down_s, next_id))
         return self.crash_task
 
-    async def _restart(self, down_s: float) -> None:
+    async def _restart(self, down_s: float, next_id: str | None) -> None:
         await self.close()
         await asyncio.sleep(down_s)
-        self.start_again()
+        self.start_again(next_id)
         await self.open()
         self.down = False
 
@@ -165,13 +185,25 @@
         return [*notices, (DIALECT.leaving, "1")] if self.leaving else notices
 
     async def _answer(self, request: BufferedRequest) -> BufferedResponse | None:
-        expected = request.find(DIALECT.expected_target.lower())
-        if expected != self.upstream_id:
-            return BufferedResponse(421, [(DIALECT.instance, self.upstream_id)])
+        answer = await self._refuse_or_run(request)
+        if answer is not None:
+            await self.before_answer(request, answer)
+        return answer
+
+    async def _refuse_or_run(self, request: BufferedRequest) -> BufferedResponse | None:
         request_id = request.find(DIALECT.request_id.lower()) or ""
-        if self.running >= self.slots:
-            headers = [(DIALECT.not_run, "1"), (DIALECT.request_id, request_id), *self.notices()]
-            return BufferedResponse(503, headers)
+        if request.find(DIALECT.expected_target.lower()) != self.upstream_id:
+            status = 421
+        else:
+            status = 503 if self.running >= self.slots else self.refusal_status(request)
+        if status:
+            headers = [
+                (DIALECT.not_run, "1"),
+                (DIALECT.request_id, request_id),
+                (DIALECT.instance, self.upstream_id),
+                *self.notices(),
+            ]
+            return BufferedResponse(status, headers)
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
         self.seen.append(request)
         self.seen_at_s.append(asyncio.get_running_loop().time())
@@ -184,6 +216,18 @@
             self.running -= 1
 
 
+def render_answer(answer: BufferedResponse, *, keeps_id: bool = True) -> bytes:
+    """Return the bytes of an answer of a target.
+
+    Args:
+        answer: The answer.
+        keeps_id: Whether it bears the id of its request.
+    """
+    fields = [pair for pair in answer.headers if keeps_id or pair[0] != DIALECT.request_id]
+    head = f"HTTP/1.1 {answer.status} {PHRASES[answer.status]}\r\n{render_fields(fields)}"
+    return f"{head}Content-Length: {len(answer.body)}\r\n\r\n".encode() + answer.body
+
+
 async def answer_sealed(target: MeshTarget, request: BufferedRequest) -> BufferedResponse:
     """Answer with a body that tells who ran the request."""
     request_id = request.find(DIALECT.request_id.lower()) or ""
@@ -374,7 +418,7 @@
 
     async def wait_ready(self) -> None:
         """Wait until every sidecar knows all upstreams that are listed."""
-        wanted = set(self.instances)
+        wanted = {instance.target.upstream_id for instance in self.instances.values()}
         sidecars = [instance.sidecar for instance in self.instances.values()]
         await wait_until(
             lambda: all(set(sidecar.directory.entries) == wanted for sidecar in sidecars)
