Add a soak of targets that write refusals again and change their ids

No soak had targets that repeat answers, or that start again under another id at their address.

The kind 'refusals', in one process and with real processes, lets targets refuse 15% of the requests (503, 429, rarely 421) and write 60% of the refusals and 10% of the other answers again: at once, up to 0.4 s later, or before the next answer of the connection; whole, in pieces, without an id, with a longer body, or cut by the end of the connection. Three in ten faults start a target again under another id, whose earlier one stays listed for up to 4.5 s; three in ten of these also restart the node beside it. The others are the existing faults. Pieces of a copy do not mix with another answer.

The checks of all soaks become stricter: 408 and 421 count as promises, no answer may have the id of another request, and sealed answers with other statuses than 200 must be whole and the target's own.

--- a/tests/coordination/mesh/process_soak.py
+++ b/tests/coordination/mesh/process_soak.py
@@ -33,6 +33,7 @@
 from gentianthread.transport.target_connection import DEFAULT_IDLE_LIMIT_MS
 
 from .quota_faults import QuotaFaults
+from .refusal_faults import RefusalFaults
 from .soak import Soak, main
 from .soak_caller import Call
 from .store_and_limit_faults import NoticePeriod, StoreAndLimitFaults
@@ -394,11 +395,19 @@
     """Play all faults beside an organisation over its rate and kills of most processes."""
 
 
+class ProcessRefusalSoak(RefusalFaults, ProcessSoak):
+    """Play all faults beside targets that refuse requests and write answers again."""
+
+    async def _restart_node(self, name: str) -> None:
+        await self._kill(name)
+
+
 # Kinds of soaks by the names that select them.
 KINDS = {
     "faults": ProcessSoak,
     "store-and-limits": ProcessStoreAndLimitSoak,
     "quota": ProcessQuotaSoak,
+    "refusals": ProcessRefusalSoak,
 }
 
 if __name__ == "__main__":
--- a/tests/coordination/mesh/soak.py
+++ b/tests/coordination/mesh/soak.py
@@ -20,6 +20,7 @@
 from gentianthread.standins.mesh import Behaviour, MeshFleet, answer_sealed, break_off, fail
 
 from .crash_faults import CrashFaults
+from .refusal_faults import RefusalFaults
 from .soak_caller import CALLER_SLACK_MS, CALLER_TIMEOUT_MS, Call, Connections, run_within
 from .store_and_limit_faults import NoticePeriod, StoreAndLimitFaults
 
@@ -49,7 +50,7 @@
 }
 
 # Statuses by which a node says that no upstream has run the request.
-NOT_RUN = frozenset((401, 404, 429, 503))
+NOT_RUN = frozenset((401, 404, 408, 421, 429, 503))
 
 
 async def answer_without_seal(target, request):
@@ -76,12 +77,14 @@
         violations: Descriptions of the invariants that did not hold.
         recovery_s: Time after the last fault within which every request must succeed.
         faults_s: Duration of the faults.
+        order_fraction: Fraction of the requests that may run only once.
         restarted: Names of upstreams whose sidecar was restarted or stopped.
     """
 
     recovery_s = RECOVERY_S
     faults_s = FAULTS_S
     instances_per_service = INSTANCES_PER_SERVICE
+    order_fraction = 0.3
 
     def __init__(self, seed: int):
         """Prepare a run without starting it; see `play`."""
@@ -126,7 +129,7 @@
     # Callers.
 
     def _make_call(self) -> Call:
-        order = self.random.random() < 0.3
+        order = self.random.random() < self.order_fraction
         number = next(self._numbers)
         method, path = ("POST", f"/order/{number}") if order else ("GET", f"/stock/{number}")
         body = f"order {number}".encode() if order else b""
@@ -232,7 +235,8 @@
         instance = self.fleet.instances[name]
         for state in ("draining", "ready"):
             self.fleet.store.put(
-                UPSTREAM_PREFIX + name, instance.target.entry(state, instance.zone)
+                UPSTREAM_PREFIX + instance.target.upstream_id,
+                instance.target.entry(state, instance.zone),
             )
             await asyncio.sleep(self.random.uniform(0.2, 0.8))
 
@@ -287,7 +291,9 @@
             self.violations.append(f"{name}, ran {runs} times")
         if call.status in NOT_RUN and runs:
             self.violations.append(f"{name} tells that it did not run, but it ran")
-        if call.status == 200:
+        if call.fields.get(DIALECT.request_id, call.request_id) != call.request_id:
+            self.violations.append(f"{name} with the id of another request")
+        if call.status == 200 or DIALECT.seal in call.fields:
             seal = hashlib.sha256(call.answer).hexdigest()[:16]
             expected_end = f" {call.request_id} {call.method} {call.path} ".encode() + call.body
             if call.fields.get(DIALECT.seal) != seal or not call.answer.endswith(expected_end):
@@ -307,8 +313,20 @@
     """Play all faults beside a request that crashes the targets that run it."""
 
 
+class RefusalSoak(RefusalFaults, Soak):
+    """Play all faults beside targets that refuse requests and write answers again."""
+
+    async def _restart_node(self, name: str) -> None:
+        await self._restart(name)
+
+
 # Kinds of soaks by the names that select them.
-KINDS = {"faults": Soak, "store-and-limits": StoreAndLimitSoak, "crashes": CrashSoak}
+KINDS = {
+    "faults": Soak,
+    "store-and-limits": StoreAndLimitSoak,
+    "crashes": CrashSoak,
+    "refusals": RefusalSoak,
+}
 
 
 def main(kinds: dict[str, type[Soak]] = KINDS, regressions: dict[int, str] = REGRESSIONS) -> int:
--- a/tests/coordination/mesh/test_process_soak.py
+++ b/tests/coordination/mesh/test_process_soak.py
@@ -1,5 +1,5 @@
 from ...base import SocketTestCase
-from .process_soak import ProcessSoak, ProcessStoreAndLimitSoak
+from .process_soak import ProcessRefusalSoak, ProcessSoak, ProcessStoreAndLimitSoak
 
 # More seeds: `python -m tests.coordination.mesh.process_soak --seeds 50`, or `--regressions`; also
 # with `--kind`.
@@ -26,3 +26,7 @@
     async def test_restores_and_limits_beside_faults_from_outside_break_nothing(self):
         """Guards against older plans and withdrawn keys in processes that start after a restore."""
         await self.play(ProcessStoreAndLimitSoak, SEEDS[:1])
+
+    async def test_answers_that_targets_write_again_beside_faults_from_outside_break_nothing(self):
+        """Guards against 'not run' for an order that runs, after the id of its target changed."""
+        await self.play(ProcessRefusalSoak, SEEDS[:1])
--- a/tests/coordination/mesh/test_soak.py
+++ b/tests/coordination/mesh/test_soak.py
@@ -1,4 +1,5 @@
 import asyncio
+import hashlib
 import time
 
 import attrs
@@ -7,7 +8,16 @@
 from gentianthread.standins.mesh import OUTBOUND_PORT, MeshTarget
 
 from ...base import SocketTestCase
-from .soak import MIN_CALLS, MIN_SUCCESSES, CrashSoak, Soak, StoreAndLimitSoak, answer_slowly
+from .soak import (
+    MIN_CALLS,
+    MIN_SUCCESSES,
+    NOT_RUN,
+    CrashSoak,
+    RefusalSoak,
+    Soak,
+    StoreAndLimitSoak,
+    answer_slowly,
+)
 from .soak_caller import CALLER_SLACK_MS, CALLER_TIMEOUT_MS, Call
 from .store_and_limit_faults import CONTACT_S, DRAIN_S, NoticePeriod
 
@@ -18,8 +28,8 @@
 class TestSoak(SocketTestCase):
     timeout_s = 90
 
-    async def play(self, kind):
-        for seed in SEEDS:
+    async def play(self, kind, seeds=SEEDS):
+        for seed in seeds:
             soak = kind(seed)
             await soak.play()
             self.assertEqual([], soak.violations)
@@ -39,6 +49,40 @@
         """Guards against one request that crashes target after target while other faults go on."""
         await self.play(CrashSoak)
 
+    async def test_answers_that_targets_write_again_break_nothing(self):
+        """Guards against a copy that is taken for the answer to another attempt or request."""
+        await self.play(RefusalSoak, SEEDS[:1])
+
+
+class TestAnswerChecks(SocketTestCase):
+    """Guards against a soak that no longer notices answers which are not true."""
+
+    async def check(self, status, runs, **fields):
+        soak = Soak(0)
+        call = Call("s1", "POST", "/order/1", b"x", "orders-0", status)
+        call.fields = {name.replace("_", "-"): value for name, value in fields.items()}
+        call.answer = b"orders-0 s1 POST /order/1 x"
+        soak._check_call(call, runs)
+        return soak.violations
+
+    async def test_refusal_of_an_order_that_ran_is_reported(self):
+        """Guards against a check that leaves out one of the statuses that promise no run."""
+        self.assertLessEqual({408, 421, 429, 503}, NOT_RUN)
+        for status in NOT_RUN:
+            self.assertEqual([], await self.check(status, 0))
+            self.assertEqual(1, len(await self.check(status, 1)), status)
+
+    async def test_answer_of_another_request_is_reported(self):
+        """Guards against a check that reads only the answers with status 200."""
+        seal = hashlib.sha256(b"orders-0 s1 POST /order/1 x").hexdigest()[:16]
+        for status in (200, 500):
+            own = await self.check(status, 1, Request_Id="s1", Server_Seal=seal)
+            self.assertEqual([], own)
+            other_id = await self.check(status, 1, Request_Id="s2", Server_Seal=seal)
+            self.assertIn("with the id of another request", "".join(other_id))
+            other_body = await self.check(status, 1, Request_Id="s1", Server_Seal="0" * 16)
+            self.assertIn("not the target's", "".join(other_body))
+
 
 class TestCallerTimeouts(SocketTestCase):
     def make_call(self, soak):
