--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -1,20 +1,17 @@
-"""Stand in for the users' platform in one process: a metadata store, targets and sidecars.
+"""Stand in for the users' platform in one process: targets and sidecars beside a store.
 
 Every instance has an address of its own in 127.0.0.0/8, so that all sidecars use the same peer port
 as they do on the platform.
 """
 
 import asyncio
-import base64
 import hashlib
-import json
 import os
 import socket
 import time
 from collections.abc import Awaitable, Callable
 from itertools import count
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
 import attrs
 
@@ -23,15 +20,17 @@
 from ..ids import AvailabilityZoneId, ServiceId
 from ..platform.documents import PLAN_KEY, UPSTREAM_PREFIX
 from ..platform.names import ADAPTER, DIALECT
-from ..platform.store import BASE_PATH, CALL_KEY, CALL_RANGE, CALL_WATCH, ERA_FIELD
 from ..settings import Address
 from ..sidecar_settings import SidecarSettings
+from ..transport.header_fields import render_fields
+from ..transport.http_names import PHRASES
 from ..transport.http_pipeline import (
     BufferedRequest,
     BufferedResponse,
     PipelineListener,
     start_in_task,
 )
+from .mesh_store import MeshStore
 
 # The ports of an instance, the same on each of them.
 TARGET_PORT = 7801
@@ -39,7 +38,6 @@
 READY_PORT = 7803
 METRICS_PORT = 7804
 PEER_PORT = 7805
-STORE_PORT = 7806
 
 # A process that holds this port at the last address of a network has reserved the network.
 RESERVATION_PORT = 7807
@@ -71,164 +69,15 @@
         return network
 
 
-class MeshStore:
-    """Store items with revisions and serve reads and watches.
-
-    Attributes:
-        calls: Calls so far, also refused ones.
-        down: Whether each call is refused with 503.
-        refused: Addresses whose calls are refused.
-        deaf: Whether waiting watches hear nothing.
-        page: Items of one page of a range.
-        era: Number of restores so far.
-    """
-
-    def __init__(self, host: str, port: int = STORE_PORT):
-        """Create an empty store.
-
-        Args:
-            host: IP address to serve at.
-            port: TCP port to serve at.
-        """
-        self.host = host
-        self.port = port
-        self.calls = 0
-        self.down = False
-        self.refused: set[str] = set()
-        self.deaf = False
-        self.page = 50
-        self.revision = 1
-        self.era = 0
-        self._items: dict[str, tuple[bytes, int]] = {}
-        self._events: list[tuple[str, bytes | None, int]] = []
-        self._forgotten = 0
-        self._changed = asyncio.Event()
-        self._listener = PipelineListener(start_in_task(self._answer), SystemClock())
-
-    async def open(self) -> None:
-        """Start to serve."""
-        await self._listener.open(self.host, self.port)
-
-    async def close(self) -> None:
-        """Stop to serve."""
-        await self._listener.close()
-
-    def put(self, key: str, value: Any) -> None:
-        """Write an item; bytes are stored as they are, other values as JSON."""
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        self.revision += 1
-        self._items[key] = (data, self.revision)
-        self._note(key, data)
-
-    def remove(self, key: str) -> None:
-        """Remove an item."""
-        if self._items.pop(key, None) is not None:
-            self.revision += 1
-            self._note(key, None)
-
-    def forget_history(self) -> None:
-        """Answer 410 to watches from before now."""
-        self._forgotten = self.revision
-        self._events.clear()
-        self.wake()
-
-    def copy(self) -> dict[str, tuple[bytes, int]]:
-        """Return a copy of the items, for `restore`."""
-        return dict(self._items)
-
-    def restore(self, items: dict[str, tuple[bytes, int]]) -> None:
-        """Come back from a copy; revisions after it are given out again."""
-        self.era += 1
-        self._items = dict(items)
-        self.revision = max((revision for _, revision in items.values()), default=1)
-        self._forgotten = 0
-        self._events = [event for event in self._events if event[2] <= self.revision]
-        self.wake()
-
-    def wake(self) -> None:
-        """End the present waits."""
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def _note(self, key: str, data: bytes | None) -> None:
-        self._events.append((key, data, self.revision))
-        self.wake()
-
-    async def _answer(self, request: BufferedRequest) -> BufferedResponse:
-        answer = await self._answer_call(request)
-        answer.headers.append((ERA_FIELD, str(self.era)))
-        return answer
+Behaviour = Callable[["MeshTarget", BufferedRequest], Awaitable[BufferedResponse | None]]
 
-    async def _answer_call(self, request: BufferedRequest) -> BufferedResponse:
-        self.calls += 1
-        if self.down or request.peer_host in self.refused:
-            return BufferedResponse(503, [])
-        parts = urlsplit(request.target)
-        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        call = parts.path.removeprefix(BASE_PATH)
-        if call == CALL_KEY:
-            return self._read_key(query)
-        if call == CALL_RANGE:
-            return self._read_range(query)
-        if call == CALL_WATCH:
-            return await self._watch(query, request.peer_host)
-        return BufferedResponse(404, [])
-
-    def _read_key(self, query: dict[str, str]) -> BufferedResponse:
-        key = query["key"]
-        if key not in self._items:
-            return BufferedResponse(404, [])
-        return _json({**self._item(key), "at_rev": self.revision})
-
-    def _read_range(self, query: dict[str, str]) -> BufferedResponse:
-        prefix, after = query.get("prefix", ""), query.get("after", "")
-        keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
-        return _json(
-            {
-                "items": [self._item(key) for key in keys[: self.page]],
-                "has_more": len(keys) > self.page,
-                "at_rev": self.revision,
-            }
-        )
+# Gets a request and its answer before the answer is written. It may change the answer, and write
+# further bytes to the transport of the request, also later.
+AnswerHook = Callable[[BufferedRequest, BufferedResponse], Awaitable[None]]
 
-    async def _watch(self, query: dict[str, str], host: str) -> BufferedResponse:
-        after, wait_ms = int(query["after"]), int(query["wait_ms"])
-        end = asyncio.get_running_loop().time() + wait_ms / 1000
-        while True:
-            if self.down or host in self.refused:
-                return BufferedResponse(503, [])
-            if after < self._forgotten or after > self.revision:
-                return BufferedResponse(410, [])
-            found = [event for event in self._events if event[2] > after and not self.deaf]
-            if found:
-                return _json(
-                    {"events": [_event(*event) for event in found], "at_rev": found[-1][2]}
-                )
-            try:
-                async with asyncio.timeout_at(end):
-                    await self._changed.wait()
-            except TimeoutError:
-                return _json({"events": [], "at_rev": self.revision})
-
-    def _item(self, key: str) -> dict[str, Any]:
-        data, revision = self._items[key]
-        value = base64.b64encode(data).decode()
-        return {"key": key, "value": value, "revision": revision, "created_at": 1, "lease": 0}
-
-
-def _event(key: str, data: bytes | None, revision: int) -> dict[str, Any]:
-    if data is None:
-        return {"key": key, "revision": revision, "tombstone": True}
-    return {"key": key, "value": base64.b64encode(data).decode(), "revision": revision}
-
-
-def _json(content: Any) -> BufferedResponse:
-    return BufferedResponse(
-        200, [("Content-Type", "application/json")], json.dumps(content).encode()
-    )
 
-
-Behaviour = Callable[["MeshTarget", BufferedRequest], Awaitable[BufferedResponse | None]]
+async def _write_nothing_else(request: BufferedRequest, answer: BufferedResponse) -> None:
+    pass
 
 
 class MeshTarget:
@@ -245,7 +94,9 @@
         crashes: Number of its crashes.
         down: Whether it has crashed and does not serve.
         crash_task: Task of its last crash; see `crash`.
+        refusal_status: Returns the status with which a request is refused without running it, or 0.
         behave: Answers a request that passed the checks.
+        before_answer: Called before an answer is written.
     """
 
     def __init__(self, host: str, service_id: str, upstream_id: str, slots: int = 8):
@@ -266,7 +117,9 @@
         self.crashes = 0
         self.down = False
         self.crash_task: asyncio.Task | None = None
+        self.refusal_status: Callable[[BufferedRequest], int] = lambda request: 0
         self.behave: Behaviour = answer_sealed
+        self.before_answer: AnswerHook = _write_nothing_else
         self.started_at_ms = 0
         self.start_again()
         self._listener = PipelineListener(start_in_task(self._answer), SystemClock())
@@ -275,8 +128,13 @@
         """Start to serve."""
         await self._listener.open(self.host, TARGET_PORT)
 
-    def start_again(self) -> None:
-        """Begin the next start under the same id, whose count of writes starts anew."""
+    def start_again(self, upstream_id: str | None = None) -> None:
+        """Begin the next start, whose count of writes starts anew.
+
+        Args:
+            upstream_id: Id of the next start, or None for the same.
+        """
+        self.upstream_id = upstream_id or self.upstream_id
         self.started_at_ms = max(self.started_at_ms + 1, time.time_ns() // 1_000_000)
         self._writes = 0
 
@@ -284,11 +142,12 @@
         """Stop to serve."""
         await self._listener.close()
 
-    def crash(self, down_s: float) -> asyncio.Task:
-        """End with all connections, and serve again later as the next start of its id.
+    def crash(self, down_s: float, next_id: str | None = None) -> asyncio.Task:
+        """End with all connections, and serve again later as its next start.
 
         Args:
             down_s: Time until it serves again.
+            next_id: Id of the next start, or None for the same.
 
         Returns:
             A task that ends when it serves again.
@@ -296,13 +155,13 @@
         if not self.down:
             self.crashes += 1
             self.down = True
-            self.crash_task = asyncio.ensure_future(self._restart(down_s))
+            self.crash_task = asyncio.ensure_future(self._restart(down_s, next_id))
         return self.crash_task
 
-    async def _restart(self, down_s: float) -> None:
+    async def _restart(self, down_s: float, next_id: str | None) -> None:
         await self.close()
         await asyncio.sleep(down_s)
-        self.start_again()
+        self.start_again(next_id)
         await self.open()
         self.down = False
 
@@ -326,13 +185,25 @@
         return [*notices, (DIALECT.leaving, "1")] if self.leaving else notices
 
     async def _answer(self, request: BufferedRequest) -> BufferedResponse | None:
-        expected = request.find(DIALECT.expected_target.lower())
-        if expected != self.upstream_id:
-            return BufferedResponse(421, [(DIALECT.instance, self.upstream_id)])
+        answer = await self._refuse_or_run(request)
+        if answer is not None:
+            await self.before_answer(request, answer)
+        return answer
+
+    async def _refuse_or_run(self, request: BufferedRequest) -> BufferedResponse | None:
         request_id = request.find(DIALECT.request_id.lower()) or ""
-        if self.running >= self.slots:
-            headers = [(DIALECT.not_run, "1"), (DIALECT.request_id, request_id), *self.notices()]
-            return BufferedResponse(503, headers)
+        if request.find(DIALECT.expected_target.lower()) != self.upstream_id:
+            status = 421
+        else:
+            status = 503 if self.running >= self.slots else self.refusal_status(request)
+        if status:
+            headers = [
+                (DIALECT.not_run, "1"),
+                (DIALECT.request_id, request_id),
+                (DIALECT.instance, self.upstream_id),
+                *self.notices(),
+            ]
+            return BufferedResponse(status, headers)
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
         self.seen.append(request)
         self.seen_at_s.append(asyncio.get_running_loop().time())
@@ -345,6 +216,18 @@
             self.running -= 1
 
 
+def render_answer(answer: BufferedResponse, *, keeps_id: bool = True) -> bytes:
+    """Return the bytes of an answer of a target.
+
+    Args:
+        answer: The answer.
+        keeps_id: Whether it bears the id of its request.
+    """
+    fields = [pair for pair in answer.headers if keeps_id or pair[0] != DIALECT.request_id]
+    head = f"HTTP/1.1 {answer.status} {PHRASES[answer.status]}\r\n{render_fields(fields)}"
+    return f"{head}Content-Length: {len(answer.body)}\r\n\r\n".encode() + answer.body
+
+
 async def answer_sealed(target: MeshTarget, request: BufferedRequest) -> BufferedResponse:
     """Answer with a body that tells who ran the request."""
     request_id = request.find(DIALECT.request_id.lower()) or ""
@@ -535,7 +418,7 @@
 
     async def wait_ready(self) -> None:
         """Wait until every sidecar knows all upstreams that are listed."""
-        wanted = set(self.instances)
+        wanted = {instance.target.upstream_id for instance in self.instances.values()}
         sidecars = [instance.sidecar for instance in self.instances.values()]
         await wait_until(
             lambda: all(set(sidecar.directory.entries) == wanted for sidecar in sidecars)
