Ignore instance lists that are older than the last one

A node dialled the peers of upstreams outside the plan at the addresses of an older list, when the service answered from an outdated copy: the reader published each list whose revision differed. The member table ignores older lists, as the design says, but the address book has no revision of its own.

Change: the reader publishes newer lists only. After a restore of a service that names its era, lists count as newer as before (test_list_of_a_restored_service_replaces_a_newer_one). Ruled out: an order of the lists in the address book, as every subscriber would need one.

Failed before: test_older_list_does_not_replace_a_newer_one, revisions 1, 2, 1, 2.

--- a/gentianthread/coordination/instance_list.py
+++ b/gentianthread/coordination/instance_list.py
@@ -100,7 +100,8 @@
             self._failing = True
             return
         self._failing = False
-        if instance_list.revision != self._revision:
+        # A service may answer from an outdated copy. After a restore its lists count as newer.
+        if self._revision is None or instance_list.revision > self._revision:
             self._revision = instance_list.revision
             for problem in instance_list.problems[:MAX_LOGGED_PROBLEMS]:
                 log(LIST_ENTRY_REFUSED, problem=problem)
--- a/tests/coordination/test_instance_list.py
+++ b/tests/coordination/test_instance_list.py
@@ -67,6 +67,19 @@
         self.assertEqual(1, len(late_subscriber_lists))
         await reader.close()
 
+    async def test_older_list_does_not_replace_a_newer_one(self):
+        """Guards against addresses of replaced instances after an answer from an outdated copy."""
+        reader = self.make(watcher=True)
+        outdated = PlatformFaults(stale=True)
+        self.state.set_faults(outdated)
+        self.state.set_instances((ListedInstance("a", "z", "10.0.0.2", 7001),))
+        for faults in (outdated, PlatformFaults(), outdated, PlatformFaults()):
+            # Set without a new copy, so that the outdated answers stay those of the first list.
+            self.state.faults = faults
+            await reader._clock.sleep_ms(3_000)
+        self.assertEqual([1, 2], self.seen_revisions)
+        await reader.close()
+
     async def test_list_of_a_restored_service_replaces_a_newer_one(self):
         """Guards against nodes that keep the list from before a restore of the service."""
         reader = self.make(watcher=True)
