Let the callers of the soak reuse connections no longer than callers do

Trace: between 08:11:42.1 and 08:11:57.5 the harness, which runs the relays, the store and the targets, did nothing, while the sidecar of orders-1 went on and logged every 1.2 to 1.7 s; all its connections through the relays then ended at once. 15.4 s is over the plan's idle_timeout of 15 s, so that the sidecar had closed the idle connection of the caller, as it may, and the order crossed the close. Callers of the platform reuse connections that were idle for up to four fifths of that time only, which the soak's callers did not check; with it this order is sent on a new connection.

--- a/tests/coordination/mesh/soak_caller.py
+++ b/tests/coordination/mesh/soak_caller.py
@@ -12,6 +12,9 @@
 CALLER_TIMEOUT_MS = 2_000
 CALLER_SLACK_MS = 1_000
 
+# Callers reuse connections that were idle for up to four fifths of the `idle_timeout` of 15 s.
+REUSE_IDLE_LIMIT_S = 12.0
+
 # A pause of the whole process, as on a busy host, counts as one such step of a caller's time limit.
 # The timers of the sidecars and of the callers all expire in it, and a caller that gave up then
 # could not read an answer that was sent in time.
@@ -73,6 +76,7 @@
     def __init__(self):
         """Create a caller without connections."""
         self._open: dict[str, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}
+        self._used_s: dict[str, float] = {}
 
     async def exchange(self, call: Call, host: str, disconnects_after_s: float | None) -> None:
         """Send a request and read the answer, on the open connection to a sidecar if there is one.
@@ -87,8 +91,8 @@
             OSError: The connection failed.
             asyncio.IncompleteReadError: It was closed before the answer was complete.
         """
-        connection = self._open.pop(host, None)
-        if connection is None or connection[0].at_eof():
+        connection = self._take_open(host)
+        if connection is None:
             connection = await asyncio.open_connection(host, OUTBOUND_PORT)
         else:
             call.on_kept_connection = True
@@ -105,10 +109,22 @@
             call.status, call.fields, call.answer = int(head[0].split()[1]), fields, answer
             if fields.get("Connection", "").lower() != "close":
                 self._open[host] = connection
+                self._used_s[host] = asyncio.get_running_loop().time()
         finally:
             if self._open.get(host) is not connection:
                 writer.close()
 
+    def _take_open(self, host: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        """Return the open connection to a sidecar if a caller may still use it."""
+        connection = self._open.pop(host, None)
+        if connection is None:
+            return None
+        idle_s = asyncio.get_running_loop().time() - self._used_s[host]
+        if connection[0].at_eof() or idle_s > REUSE_IDLE_LIMIT_S:
+            connection[1].close()
+            return None
+        return connection
+
     def close(self) -> None:
         """Close all connections."""
         for _, writer in self._open.values():
