Release a connection before the check that follows a response without a length

What operators would see: target_connections one too high for the life of the process, after a caller left in the moment at which a response without a length had ended; close to the target's limit the pool then closes idle connections for one that is not open.

Cause: the connection was released by the task that checks whether the target crashed. A task that is cancelled before its first step does nothing.

Change: the connection, which has ended, is released when its response is complete, on both ways to the target; the task only checks.

test_connection_of_a_cancelled_check_after_its_response_is_released: 1 connection too many before, none after.

--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -183,20 +183,15 @@
         except BaseException:
             self._discard(connection)
             raise
-        return await self.complete(connection, response)
-
-    async def complete(
-        self, connection: TargetConnection, response: TargetResponse
-    ) -> PooledResponse:
-        """Release a connection and return the response received on it.
+        pooled = self.finish(connection, response)
+        if connection.ended_by_close:
+            await self.check_alive()
+        return pooled
 
-        Raises:
-            ConnectionLost: The response ended with its connection, and the target is gone.
-        """
-        pooled = self.build_response(connection, response)
+    def finish(self, connection: TargetConnection, response: TargetResponse) -> PooledResponse:
+        """Release a connection and return the response received on it."""
+        pooled = self._build_response(connection, response)
         self.release(connection, response)
-        if connection.ended_by_close:
-            await self._check_alive()
         return pooled
 
     def release(self, connection: TargetConnection, response: TargetResponse | None) -> None:
@@ -232,7 +227,7 @@
         self._idle_limit.record_loss(idle_ms, now_ms - connection.acquired_at_ms, now_ms)
         return ReusedConnectionLost(error.peer, error.problem)
 
-    def build_response(
+    def _build_response(
         self, connection: TargetConnection, response: TargetResponse
     ) -> PooledResponse:
         """Return the last response of a connection without the removed header fields."""
@@ -242,7 +237,7 @@
             buffered, response.fields.first, connection.number, connection.request_count
         )
 
-    async def _check_alive(self) -> None:
+    async def check_alive(self) -> None:
         """Check that the target did not crash during a response that ended with its connection.
 
         A crash closes the connection just as the end of such a response does, but afterwards
@@ -383,20 +378,19 @@
         """Handle the result of the exchange, which the connection reports."""
         self._done = True
         if isinstance(result, TargetResponse):
+            pooled = self._pool.finish(self._connection, result)
             if self._connection.ended_by_close:
-                self._completion = asyncio.ensure_future(self._complete(result))
-                return
-            pooled = self._pool.build_response(self._connection, result)
-            self._pool.release(self._connection, result)
-            self._on_result(pooled)
+                self._completion = asyncio.ensure_future(self._complete(pooled))
+            else:
+                self._on_result(pooled)
             return
         self._pool.release(self._connection, None)
         self._on_result(self._pool.record_failure(self._connection, result))
 
-    async def _complete(self, response: TargetResponse) -> None:
+    async def _complete(self, pooled: PooledResponse) -> None:
         """Report a response that ended with its connection, or its loss if the target crashed."""
         try:
-            pooled = await self._pool.complete(self._connection, response)
+            await self._pool.check_alive()
         except ConnectionLost as error:
             self._on_result(self._pool.record_failure(self._connection, error))
         else:
--- a/tests/transport/test_target_pool.py
+++ b/tests/transport/test_target_pool.py
@@ -3,6 +3,7 @@
 import struct
 import threading
 import time
+from unittest import mock
 
 from gentianthread.clock import SystemClock
 from gentianthread.errors import ConnectionLost, DialError
@@ -13,6 +14,7 @@
 from gentianthread.transport.target_pool import (
     NO_RESEND_IDLE_LIMIT_MS,
     ReusedConnectionLost,
+    StartedExchange,
     TargetPool,
 )
 
@@ -203,6 +205,32 @@
         pool = await self.open_pool(close)
         self.assertEqual(b"all of it", (await self.get(pool)).body)
 
+    # Guards against a pool that closes idle connections for want of one that is no longer open.
+    async def test_connection_of_a_cancelled_check_after_its_response_is_released(self):
+        """Guards against a connection that is counted as open for the life of the process."""
+
+        async def close(reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: b\r\n\r\nall of it")
+            writer.close()
+
+        pool = await self.open_pool(OK % b"a", close)
+        await self.get(pool, "a")
+        request = make_request("GET", "/", "Request-Id: b\r\n", b"", "b", 5_000.0)
+        cancelled = []
+        handle_result = StartedExchange.handle_result
+
+        def handle_and_cancel(exchange, result):
+            # The caller leaves before the task of the check has made its first step.
+            handle_result(exchange, result)
+            exchange.cancel()
+            cancelled.append(exchange)
+
+        with mock.patch.object(StartedExchange, "handle_result", handle_and_cancel):
+            pool.start_exchange(request, None, self.fail)
+            await wait_until(lambda: cancelled)
+        await asyncio.sleep(0.05)
+        self.assertEqual(0, pool.open_connections)
+
     async def test_crash_of_the_target_does_not_complete_a_response(self):
         """Guards against a body that looks complete although the target crashed while sending it.
 
