Add a failing test of a copy of the answer to a HEAD request

What callers would see: 503, "has not run", for an order that ran, and a second run.

Cause: the answer to a HEAD request may state the length of a body that it does not have. The copy of it, which is skipped by its id, takes the head of the true answer for its body. If that head is as long as the stated length and the body of the true answer looks like a refusal with the id, the body is taken for the answer. `HttpTargetClient` gives up such a connection already; `TargetConnection` does not.

The second test holds that a copy before the answer to a HEAD request is skipped as before; it passes.

--- a/tests/transport/test_target_pool.py
+++ b/tests/transport/test_target_pool.py
@@ -334,6 +334,24 @@
         self.assertEqual(b"ok", (await self.get(pool)).body)
         self.assertEqual(0, len(pool._idle))
 
+    async def test_copy_of_the_answer_to_a_head_request_hides_no_answer(self):
+        """Guards against body bytes that pass for a refusal, behind a copy without its body."""
+        refusal = b"HTTP/1.1 503 X\r\nRequest-Id: b\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: %d\r\n\r\n" % len(refusal)
+        head_answer = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: %d\r\n\r\n" % len(head)
+        pool = await self.open_pool(head_answer, head_answer + head + refusal)
+        await pool.exchange(make_request("HEAD", "/", "Request-Id: a\r\n", b"", "a", 5_000.0))
+        self.assertIsInstance(await self.error_of(pool, "b"), ReusedConnectionLost)
+        self.assertEqual(0, pool.open_connections)
+
+    async def test_copy_before_the_answer_to_a_head_request_is_skipped(self):
+        """Guards against a lost answer where the end of the copy is known."""
+        pool = await self.open_pool(OK % b"a", OK % b"a" + (OK % b"b")[:-2])
+        await self.get(pool, "a")
+        request = make_request("HEAD", "/", "Request-Id: b\r\n", b"", "b", 5_000.0)
+        pooled = await pool.exchange(request)
+        self.assertEqual((200, b""), (pooled.response.status, pooled.response.body))
+
     async def test_garbage_is_an_error(self):
         """Guards against malformed bytes of a target that reach a caller."""
         pool = await self.open_pool(b"garbage\r\n\r\n")
