Give up a connection on which a copy of the answer to a HEAD request may come

Change: an answer with the id of another request fails the exchange if an earlier request of the connection was a HEAD request, as its end is unknown. Copies on other connections are skipped as before.

Ruled out: closing each connection after a HEAD request, which costs a new connection also where nothing is copied. The lost answer costs nothing more: a copy that hides the beginning of the true answer ended in an error of the parser or a timeout before.

--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -204,6 +204,7 @@
         self._on_result: Callable[[TargetResponse | Exception], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._request: TargetRequest | None = None
+        self._answered_head_request = False
         self._parser: HttpResponseParser | None = None
         self._response = TargetResponse()
         # Bytes of this exchange that came before the head of its response.
@@ -229,6 +230,8 @@
             on_result: Called once with the response, with `ConnectionLost` if the connection failed
                 or the response is malformed, or with `TimeoutError`.
         """
+        if self._request is not None and self._request.method == "HEAD":
+            self._answered_head_request = True
         self._request = request
         self._parser, self._response = HttpResponseParser(self), TargetResponse()
         self._on_result = on_result
@@ -343,6 +346,9 @@
             self._on_stray(self, STRAY_OTHER_ID)
             self.reusable = False
             response.skipped = True
+            if self._answered_head_request:
+                # A copy of that answer may state the length of a body that it does not have.
+                self.give_up("answer of another request after a HEAD request")
             return
         if echoed_id is None and self._request.request_id:
             # A copy of it could not be told from the answer to a later request.
