Leave out the blanks after the values of header fields

What callers would see: 504 for a request that the target answered in time, where the target writes a blank behind the id that it echoes, or where a caller writes one behind its id and the target, which reads the field as RFC 9110 says, echoes it without. A blank behind `Timeout-Ms` made the node ignore the value.

Cause: the parser strips the blanks before a value but not those after it, and ids are compared as they are. The answer counted as a copy of another one and was skipped.

The two new tests failed before: the pairs had the blanks, and the exchange stayed open.

--- a/gentianthread/transport/header_fields.py
+++ b/gentianthread/transport/header_fields.py
@@ -35,7 +35,8 @@
         text, lower = (
             _decode_name_cached(name) if len(name) <= MAX_CACHED_NAME_BYTES else _decode_name(name)
         )
-        value_text = value.decode("utf-8", "surrogateescape")
+        # The parser leaves the blanks after a value, which are no part of it (RFC 9110, 5.5).
+        value_text = value.rstrip(b" \t").decode("utf-8", "surrogateescape")
         self.pairs.append((text, value_text))
         self.names.append(lower)
         self.first.setdefault(lower, value_text)
--- a/tests/transport/test_header_fields.py
+++ b/tests/transport/test_header_fields.py
@@ -25,6 +25,13 @@
         self.assertEqual(b"X-\xff", name.encode("utf-8", "surrogateescape"))
         self.assertEqual(b"\x80\xfe", value.encode("utf-8", "surrogateescape"))
 
+    def test_blanks_around_a_value_are_no_part_of_it(self):
+        """Guards against an answer that is ignored for a blank behind the id that it names."""
+        fields = HeaderFields()
+        fields.add(b"Request-Id", b"a b \t")
+        self.assertEqual([("Request-Id", "a b")], fields.pairs)
+        self.assertEqual({"request-id": "a b"}, fields.first)
+
     def test_made_up_names_do_not_fill_the_memory(self):
         """Guards against a caller that sends many different or very long field names."""
         fields = HeaderFields()
--- a/tests/transport/test_target_connection.py
+++ b/tests/transport/test_target_connection.py
@@ -119,6 +119,11 @@
             (200, b"hello world"), await self.exchange([copy[:40_000], copy[40_000:], WITH_LENGTH])
         )
 
+    async def test_blanks_around_the_id_are_no_part_of_it(self):
+        """Guards against an answer that is taken for a copy of another one, so that it is lost."""
+        padded = WITH_LENGTH.replace(b"Request-Id: a", b"Request-Id: \t a \t")
+        self.assertEqual((200, b"hello world"), await self.exchange([padded]))
+
     async def test_endless_trailer_is_an_error(self):
         """Guards against trailer fields without end, in many lines or in one, after a body."""
         head = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
