Correct the reason for the margin of carried requests

The comment said that the clock of a suspended node stands still. `SystemClock` reads CLOCK_BOOTTIME, which goes on. What the margin covers is that a request carries its remaining time and not its deadline, so that the node beside the target notes a deadline that a delayed second attempt can exceed. After it the entry node has answered 504, as the request counts as sent.

--- a/gentianthread/state/carried_requests.py
+++ b/gentianthread/state/carried_requests.py
@@ -1,7 +1,7 @@
 """Remember which requests a connection has carried, as their answers may be repeated on it."""
 
-# A node sends a request again only before the deadline of its caller, unless it was suspended: its
-# clock stood still meanwhile.
+# Requests travel with the time that they have left. A second attempt that is delayed more than the
+# first one arrives after the deadline noted for it. A link without answers is closed after 5 s.
 RESEND_MARGIN_MS = 5_000.0
 
 # Ids that a connection remembers; one that carries more before they expire is not reused. Callers
