Leave the fields of a trailer out of the header fields of a response

What callers would see: 503, 'has not run', for an order that ran, where a target sends the field of its refusals, or another one that nodes read, in the trailer of a chunked answer.

Cause: the parser reports trailer fields as it reports those of the head, and they were added to them.

Change: fields that come after the head are ignored.

test_trailer_fields_are_no_header_fields failed before: the field was among those of the head.

--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -328,8 +328,9 @@
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
-        if not self._response.complete and self._on_result is not None:
+        """Add a header field; those of a trailer come after the body and decide nothing."""
+        response = self._response
+        if not response.complete and not response.has_head and self._on_result is not None:
             self._response.fields.add(name, value)
             self._count_held(len(name) + len(value) + FIELD_OVERHEAD_BYTES)
 
--- a/tests/transport/test_target_connection.py
+++ b/tests/transport/test_target_connection.py
@@ -124,6 +124,21 @@
         padded = WITH_LENGTH.replace(b"Request-Id: a", b"Request-Id: \t a \t")
         self.assertEqual((200, b"hello world"), await self.exchange([padded]))
 
+    # Guards against "not run" for an order that ran: a field behind its answer makes it a refusal.
+    async def test_trailer_fields_are_no_header_fields(self):
+        """Guards against fields behind a body that change what the head of the answer says."""
+        trailer = b"0\r\nNot-Executed: 1\r\n\r\n"
+        connection = TargetConnection(asyncio.get_running_loop(), "Request-Id")
+        connection.connection_made(FakeTransport())
+        exchange = asyncio.ensure_future(
+            connection.exchange(make_request("GET", "/", "", b"", "a", 5_000.0))
+        )
+        await asyncio.sleep(0)
+        connection.data_received(CHUNKED.replace(b"0\r\n\r\n", trailer))
+        response = await exchange
+        self.assertEqual((200, b"hello world"), (response.status, bytes(response.body)))
+        self.assertNotIn("not-executed", response.fields.first)
+
     async def test_endless_trailer_is_an_error(self):
         """Guards against trailer fields without end, in many lines or in one, after a body."""
         head = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
