--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -201,10 +201,12 @@
             connection: The connection.
             response: The complete response received on it, or None if there was none.
         """
-        if response is None or not response.keeps_alive or not connection.usable:
-            self._discard(connection)
-            return
-        if connection.carried.is_full(self._clock.now_ms()):
+        if (
+            response is None
+            or not response.keeps_alive
+            or not connection.usable
+            or connection.carried.is_full(self._clock.now_ms())
+        ):
             self._discard(connection)
             return
         connection.keep_alive_ms = _parse_keep_alive_ms(
