Read kinds, regions and warm-up rates, and define the fields that the new parts share

Cause: a route of kind upload made the whole configuration document invalid, so that the nodes of a deployment had no plan and refused every request. The new parts also need common fields. Change: upload is a kind that is not repeatable; warmup, warmup_per_s and allowed_regions are read; LoadReport, RunRequest, HttpDialect and the settings have the fields that the parts use.

--- a/gentianthread/platform/documents.py
+++ b/gentianthread/platform/documents.py
@@ -7,7 +7,15 @@
 from typing import Any, TypeVar
 
 from ..errors import DocumentError
-from ..ids import AvailabilityZoneId, ConfigVersion, OrganisationId, RouteId, ServiceId, UpstreamId
+from ..ids import (
+    AvailabilityZoneId,
+    ConfigVersion,
+    OrganisationId,
+    RegionId,
+    RouteId,
+    ServiceId,
+    UpstreamId,
+)
 from ..state.directory import UpstreamEntry, UpstreamState
 from ..state.fleet_plan import (
     CallerLimits,
@@ -107,6 +115,7 @@
     "idempotent": RequestKind.IDEMPOTENT,
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
     "download": RequestKind.DOWNLOAD,
+    "upload": RequestKind.UPLOAD,
 }
 _UPSTREAM_STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
 
@@ -120,7 +129,11 @@
     table = _Table(PLAN_KEY, "", _parse(PLAN_KEY, data))
     services = {
         ServiceId(name): FleetService(
-            ServiceId(name), entry.text("health_path"), entry.integer("max_connections")
+            ServiceId(name),
+            entry.text("health_path"),
+            entry.integer("max_connections"),
+            entry.duration_ms("warmup", 0.0),
+            entry.number("warmup_per_s", 0),
         )
         for name, entry in table.table("services").tables()
     }
@@ -160,9 +173,20 @@
         table.duration_ms("target_latency", None),
         table.integer("priority", 0),
         table.boolean("no_auth"),
+        _read_regions(table),
     )
 
 
+def _read_regions(table: _Table) -> frozenset[RegionId] | None:
+    """Return the regions in which requests may run, or None if the field is missing or empty."""
+    names = table.values.get("allowed_regions")
+    if not names:
+        return None
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise table.error("allowed_regions", "a list of texts")
+    return frozenset(RegionId(name) for name in names)
+
+
 def _read_weighted_services(
     table: _Table, services: Mapping[ServiceId, FleetService]
 ) -> tuple[WeightedService, ...]:
@@ -195,6 +219,7 @@
         table.integer("priority") if has_priority else None,
         table.number("rate_per_s", 0),
         table.number("burst", 0),
+        _read_regions(table),
     )
 
 
--- a/gentianthread/platform/names.py
+++ b/gentianthread/platform/names.py
@@ -14,6 +14,7 @@
     rate_limit="Server-Limit",
     leaving="Server-Leaving",
     load="Server-Load",
+    warm_up="Warmup-Ms",
     not_run="Not-Executed",
     retry_after="Retry-After",
     caller_service="Caller-Service",
--- a/gentianthread/protocol/dialect.py
+++ b/gentianthread/protocol/dialect.py
@@ -18,7 +18,9 @@
         rate_limit: Requests per second, a decimal number, that a target takes from all nodes
             together for as long as its answers name it.
         leaving: Present with the value 1 in the answers of a target that stops.
-        load: Running requests, queued requests and slots of a target.
+        load: Running requests, queued requests and slots of a target; a fourth figure may tell how
+            long work takes on its instance at present, in percent of the usual time.
+        warm_up: Time in ms for which a target stays cold, in its health responses.
         not_run: Present in an answer if the target did not run the request.
         retry_after: Seconds, possibly with a fraction, after which a caller may retry.
         caller_service: Service of the instance from which the request originates; set by the node.
@@ -35,6 +37,7 @@
     rate_limit: str
     leaving: str
     load: str
+    warm_up: str
     not_run: str
     retry_after: str
     caller_service: str
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -52,6 +52,7 @@
         fields: Header fields for the target without the request id, as lines of an HTTP head.
         body: The complete body.
         revision: Revision of the platform's documents that the sender knows.
+        repeated: Whether the run repeats work: of this request, or of a run that made this call.
     """
 
     call: int
@@ -69,6 +70,7 @@
     fields: str
     body: bytes = attrs.field(repr=False)
     revision: int
+    repeated: bool = False
 
 
 @message(101)
--- a/gentianthread/sidecar_settings.py
+++ b/gentianthread/sidecar_settings.py
@@ -1,14 +1,41 @@
 """Read the settings of a sidecar process from an INI file."""
 
+from collections.abc import Mapping
 from pathlib import Path
 
 import attrs
 
-from .ids import AvailabilityZoneId, ServiceId
-from .ini import IniFile, Section, choice, integer, number, text
+from .ids import AvailabilityZoneId, RegionId, ServiceId
+from .ini import FieldFormat, IniFile, Section, choice, integer, number, text
 from .settings import Address, address, duration
 
-SECTIONS = ("node", "listeners", "target", "platform", "retries", "stop", "log", "limits")
+SECTIONS = (
+    "node",
+    "listeners",
+    "target",
+    "platform",
+    "retries",
+    "stop",
+    "log",
+    "limits",
+    "zones",
+    "warm_up",
+)
+
+
+def zone_regions() -> FieldFormat:
+    """Return the format of the regions of availability zones, such as `a=north, b=north`."""
+
+    def parse(found: str) -> dict[AvailabilityZoneId, RegionId]:
+        regions: dict[AvailabilityZoneId, RegionId] = {}
+        for pair in filter(None, (part.strip() for part in found.split(","))):
+            zone, separator, region = (part.strip() for part in pair.partition("="))
+            if not (zone and separator and region) or zone in regions:
+                raise ValueError(found)
+            regions[AvailabilityZoneId(zone)] = RegionId(region)
+        return regions
+
+    return FieldFormat("pairs of a zone and its region, such as a=north, b=north", parse)
 
 
 @attrs.frozen
@@ -38,6 +65,10 @@
         log_level: Lowest level that is logged.
         log_lines_per_s: Maximum number of log lines about single requests per second.
         memory_mb: Memory that the instance gives the process.
+        max_fds: Descriptors that the process may open.
+        regions: Region of each availability zone; zones without one are missing.
+        warm_up_overage: Factor by which the requests to a cold target may exceed its rate.
+        warm_up_slack: Requests to a cold target that are allowed in a second in addition.
     """
 
     host: str
@@ -61,6 +92,10 @@
     log_level: str
     log_lines_per_s: int
     memory_mb: int
+    max_fds: int = 4_096
+    regions: Mapping[AvailabilityZoneId, RegionId] = attrs.field(factory=dict)
+    warm_up_overage: float = 1.0
+    warm_up_slack: float = 0.0
 
 
 def read_sidecar_settings(path: Path) -> SidecarSettings:
@@ -110,4 +145,8 @@
         log_level=log.get("level", choice(["debug", "info", "warning", "error"]), "info"),
         log_lines_per_s=sections["limits"].get("log_lines_per_s", integer(1, 100_000), 20),
         memory_mb=sections["limits"].get("memory_mb", integer(16, 1_000_000), 512),
+        max_fds=sections["limits"].get("max_fds", integer(64, 10_000_000), 4_096),
+        regions=sections["zones"].get("regions", zone_regions(), {}),
+        warm_up_overage=sections["warm_up"].get("overage", number(1, 100), 1.0),
+        warm_up_slack=sections["warm_up"].get("slack", number(0, 100_000), 0.0),
     )
--- a/gentianthread/state/balancer.py
+++ b/gentianthread/state/balancer.py
@@ -25,6 +25,9 @@
         allowance: Requests that may be sent at once within `rate_per_s`; negative while more wait.
         leaving_id: The upstream that runs as the target, if it said that it leaves.
         leaving_start_ms: Its start, as in its entry.
+        throughput_per_s: Requests per second that the target completes when busy; 0 if unknown.
+        work_percent: Time that work takes on its instance at present, in percent of the usual time;
+            0 if the target does not tell.
     """
 
     running: int
@@ -36,6 +39,8 @@
     allowance: float = 0.0
     leaving_id: UpstreamId | None = None
     leaving_start_ms: int = 0
+    throughput_per_s: float = 0.0
+    work_percent: float = 0.0
 
 
 @attrs.define(eq=False)
--- a/gentianthread/state/fleet_plan.py
+++ b/gentianthread/state/fleet_plan.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..ids import ConfigVersion, OrganisationId, RouteId, ServiceId
+from ..ids import ConfigVersion, OrganisationId, RegionId, RouteId, ServiceId
 
 
 class RequestKind(Enum):
@@ -14,6 +14,11 @@
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
+
+
+# Requests of other kinds may have an effect that a second run would repeat.
+REPEATABLE_KINDS = frozenset((RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD))
 
 
 @attrs.frozen
@@ -44,6 +49,7 @@
         latency_objective_ms: Latency up to which an answer has its full value, or None.
         priority: Priority of its requests; 0 is the most important.
         open_to_all: Whether requests need no key.
+        allowed_regions: Regions in which its requests may run, or None for all.
     """
 
     route_id: RouteId
@@ -56,11 +62,12 @@
     latency_objective_ms: float | None = None
     priority: int = 0
     open_to_all: bool = False
+    allowed_regions: frozenset[RegionId] | None = None
 
     @property
     def repeatable(self) -> bool:
         """Return whether a request may run more than once."""
-        return self.kind is not RequestKind.NON_IDEMPOTENT
+        return self.kind in REPEATABLE_KINDS
 
 
 @attrs.frozen
@@ -71,11 +78,15 @@
         service_id: Name of the service.
         health_path: Path of the health check.
         max_connections: Largest number of connections that one upstream accepts.
+        warm_up_ms: Time for which an upstream is cold after its start.
+        warm_up_per_s: Requests per second that a cold upstream tolerates; 0 if there is no limit.
     """
 
     service_id: ServiceId
     health_path: str
     max_connections: int
+    warm_up_ms: float = 0.0
+    warm_up_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -88,6 +99,7 @@
         priority: Priority that overrides that of the route, or None.
         rate_per_s: Requests per second over all nodes; 0 means no limit.
         burst: Requests above the rate that may come at once.
+        allowed_regions: Regions in which its requests may run, or None for all.
     """
 
     organisation_id: OrganisationId
@@ -95,6 +107,7 @@
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: frozenset[RegionId] | None = None
 
 
 @attrs.frozen
--- a/tests/state/test_fleet_plan.py
+++ b/tests/state/test_fleet_plan.py
@@ -66,6 +66,7 @@
                 RequestKind.IDEMPOTENT: True,
                 RequestKind.NON_IDEMPOTENT: False,
                 RequestKind.DOWNLOAD: True,
+                RequestKind.UPLOAD: False,
             },
             kinds,
         )
--- a/tests/test_sidecar_settings.py
+++ b/tests/test_sidecar_settings.py
@@ -26,13 +26,30 @@
     "bounds.budget_window": "10s",
     "bounds.grace": "6s",
     "limits.memory_mb": "200",
+    "limits.max_fds": "4100",
 }
 
+# Tables of the platform's fields, over which sections of the template are repeated.
+TEMPLATE_TABLES = {"zones": {"larisa-a": "thessaly", "volos-a": "thessaly"}}
+WARM_UP_BOUNDS = {"bounds.warmup_overage": "1.5", "bounds.warmup_slack": "8"}
+
+SECTION = re.compile(r"\{\{#(.+?)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+
 
 def render_template(**changes):
     """Render the template as the platform does."""
     values = TEMPLATE_VALUES | changes
-    return re.sub(r"\{\{(.+?)\}\}", lambda match: values[match.group(1)], TEMPLATE.read_text())
+
+    def render_section(match):
+        name, text = match.groups()
+        table = TEMPLATE_TABLES.get(name)
+        if table is None:
+            return text if name in values else ""
+        entries = [text.replace("{{@}}", key).replace("{{.}}", table[key]) for key in table]
+        return ",".join(entry.replace("{{,}}", "") for entry in entries)
+
+    text = SECTION.sub(render_section, TEMPLATE.read_text())
+    return re.sub(r"\{\{(.+?)\}\}", lambda match: values[match.group(1)], text)
 
 
 class TestSidecarSettings(TestCase):
@@ -50,6 +67,14 @@
         self.assertEqual((10_000.0, 6_000.0), (settings.retry_window_ms, settings.grace_ms))
         self.assertEqual(("mesh", "huvo11a"), (settings.adapter, settings.service_id))
         self.assertEqual((200, 2_500.0), (settings.memory_mb, settings.heartbeat_ms))
+        self.assertEqual(4_100, settings.max_fds)
+        self.assertEqual(TEMPLATE_TABLES["zones"], settings.regions)
+        self.assertEqual((1.0, 0.0), (settings.warm_up_overage, settings.warm_up_slack))
+
+    def test_warm_up_bounds_are_read_where_the_platform_states_them(self):
+        """Guards against a rate for cold targets that the platform's bounds do not determine."""
+        settings = self.read(render_template(**WARM_UP_BOUNDS))
+        self.assertEqual((1.5, 8.0), (settings.warm_up_overage, settings.warm_up_slack))
 
     def test_invalid_fields_are_reported(self):
         """Guards against starting with an invalid value, and errors without the field name."""
@@ -60,6 +85,8 @@
             (render_template(heartbeat="0s"), "[platform] heartbeat"),
             (render_template(**{"port_range.0": "70000"}), "[listeners] peer_port"),
             (render_template(**{"limits.memory_mb": "0"}), "[limits] memory_mb"),
+            (render_template(**{"limits.max_fds": "many"}), "[limits] max_fds"),
+            (render_template().replace("larisa-a=thessaly", "larisa-a"), "[zones] regions"),
             (render_template() + "\n[other]\nx = 1\n", "other"),
             (render_template() + "\n[log]\nlevle = info\n", "[log] levle"),
         )
