Read the configuration item by item

Cause: one value that this version does not know, in one route, service or tenant, made the whole document invalid. Events 740 to 742, a gauge and the dump name the values. A route without a readable service stays in the plan and answers 503.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -256,6 +256,8 @@
         route = plan.match(request.find("host") or "", path)
         if route is None:
             return EntryReply(404, "no route")
+        if not route.service_weights:
+            return self._unavailable("route is not readable")
         organisation: FleetOrganisation | None = None
         if plan.organisations and not route.open_to_all:
             organisation = plan.organisation_of_key(request.find(self._key_field) or "")
--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -41,6 +41,7 @@
 from .entry_history import EntryHistory
 from .feeds import WATCHER_MAX_WAIT_MS, DocumentFeeds
 from .peer_link import PeerLink
+from .plan_problems import log_plan_problems
 
 # Maximum duration of one watch. The store charges for each call; keep-alives detect a connection
 # that went silent.
@@ -421,6 +422,7 @@
         self.documents[document.key] = document
         self.plan = plan
         log(PLAN_IN_FORCE, version=plan.version, source=source)
+        log_plan_problems(document.key, plan)
 
     def _apply_upstream(self, document: Document) -> None:
         """Apply the entry of an upstream, unless it is older than the known one.
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -280,7 +280,8 @@
     def _connection_limit(self) -> int:
         plan = self.follower.plan
         service = None if plan is None else plan.services.get(self.settings.service_id)
-        return self.target.limit() if service is None else service.max_connections
+        limit = 0 if service is None else service.max_connections
+        return limit or self.target.limit()
 
     def _retry_window(self, service_id: ServiceId) -> RetryWindow:
         window = self.retry_windows.get(service_id)
@@ -325,7 +326,9 @@
         self.metrics.gauge("entry.running", self.entry.running)
         blocked = self.crash_reports.suspects.blocked_count(self.clock.now_ms())
         self.metrics.gauge("crashes.blocked_requests", blocked)
-        self.metrics.gauge("plan.version", self.follower.plan.version if self.follower.plan else 0)
+        plan = self.follower.plan
+        self.metrics.gauge("plan.version", plan.version if plan else 0)
+        self.metrics.gauge("plan.unreadable_values", len(plan.problems) if plan else 0)
         self.metrics.gauge("store.era", era_of(self.follower.revision))
         self.metrics.gauge("store.revision", number_of(self.follower.revision))
         self.metrics.gauge("peers.links", len(self.peers.links()))
@@ -341,6 +344,7 @@
             "leaving": self.leaving,
             "draining": self.draining,
             "plan": None if plan is None else plan.version,
+            "plan_problems": [] if plan is None else [each.field for each in plan.problems],
             "revision": format_revision(self.follower.revision),
             "upstreams": [
                 {
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -204,3 +204,12 @@
     "served; learned from {source}",
 )
 HISTORY_LOST = _event(716, Level.INFO, "changes after revision {revision} are lost: {problem}")
+PLAN_FIELD_UNREADABLE = _event(
+    740, Level.WARNING, "{key} version {version}: {field}: expected {expected}; {used} is used"
+)
+PLAN_ITEM_LEFT_OUT = _event(
+    741, Level.WARNING, "{key} version {version}: {field}: expected {expected}; left out"
+)
+PLAN_PROBLEMS_LEFT_OUT = _event(
+    742, Level.WARNING, "{key} version {version}: {problems} more values could not be read"
+)
--- a/gentianthread/state/fleet_plan.py
+++ b/gentianthread/state/fleet_plan.py
@@ -20,6 +20,25 @@
 # Requests of other kinds may have an effect that a second run would repeat.
 REPEATABLE_KINDS = frozenset((RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD))
 
+# List of regions that could not be read: requests run in the region of the node alone. No region of
+# the settings has an empty name.
+OWN_REGION_ONLY = frozenset((RegionId(""),))
+
+
+@attrs.frozen
+class PlanProblem:
+    """Describe a value of a configuration that could not be read.
+
+    Attributes:
+        field: Path of the field.
+        expected: What it should contain.
+        used: What applies instead, or None if the item was left out.
+    """
+
+    field: str
+    expected: str
+    used: str | None
+
 
 @attrs.frozen
 class WeightedService:
@@ -43,7 +62,9 @@
         host: Host name in lower case.
         prefix: Path prefix that begins and ends with a slash.
         kind: Whether its requests may run more than once.
-        service_weights: Services that answer, with their weights.
+        service_weights: Services that answer, with their weights; empty if none could be read. The
+            requests of such a route are refused, as a route that is configured must not seem to
+            be missing.
         max_attempts: Largest number of upstreams to which one request is sent.
         timeout_ms: Longest time until the final answer, or None.
         latency_objective_ms: Latency up to which an answer has its full value, or None.
@@ -77,7 +98,7 @@
     Attributes:
         service_id: Name of the service.
         health_path: Path of the health check.
-        max_connections: Largest number of connections that one upstream accepts.
+        max_connections: Largest number of connections that one upstream accepts; 0 if unknown.
         warm_up_ms: Time for which an upstream is cold after its start.
         warm_up_per_s: Requests per second that a cold upstream tolerates; 0 if there is no limit.
     """
@@ -137,6 +158,7 @@
         services: Services by id.
         organisations: Organisations by id.
         limits: Limits for callers.
+        problems: Values that could not be read.
     """
 
     version: ConfigVersion
@@ -144,6 +166,7 @@
     services: Mapping[ServiceId, FleetService] = attrs.field(factory=dict)
     organisations: Mapping[OrganisationId, FleetOrganisation] = attrs.field(factory=dict)
     limits: CallerLimits = attrs.field(factory=CallerLimits)
+    problems: tuple[PlanProblem, ...] = ()
     _routes_by_host: Mapping[str, tuple[HostRoute, ...]] = attrs.field(init=False, repr=False)
     _organisations_by_key: Mapping[str, FleetOrganisation] = attrs.field(init=False, repr=False)
     _priorities: tuple[int, int] = attrs.field(init=False, repr=False)
--- a/tests/coordination/mesh/follower_fleet.py
+++ b/tests/coordination/mesh/follower_fleet.py
@@ -41,6 +41,7 @@
     """Stand in for a plan, of which only the version matters here."""
 
     version: int
+    problems: tuple = ()
 
 
 class Reader(DocumentReader):
