Follow the evacuations of availability zones in the store

Cause: operators evacuate a zone with the key op/evacuate/ZONE, which nodes did not read. Change: the documents pass with the others: one range over what operators write replaces the call for the configuration, watches, feeds and copies between peers carry them, and Directory.ready leaves out the upstreams of evacuated zones. state/evacuations.py decides across restores: an evacuation that the copy lacks stays until its key is removed, a copied key whose end is known is ignored. Neighbours on the feeds tell each other their records, so that nodes that start after a restore agree. The copy tests of the store follow the changed calls, with one more case for a copied page of entries.

--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -15,7 +15,6 @@
     STORE_LOST,
     STORE_REGAINED,
     STORE_RESTORED,
-    UPSTREAM_CHANGED,
 )
 from ...ids import AvailabilityZoneId
 from ...logs import log
@@ -26,7 +25,7 @@
     Documents,
     DocumentsWanted,
 )
-from ...state.directory import Directory, UpstreamEntry
+from ...state.directory import Directory
 from ...state.fleet_plan import FleetPlan
 from ...state.relisting import RelistingPeriod, StoreReturn
 from ...state.revisions import era_of, format_revision
@@ -39,9 +38,11 @@
     StoreRead,
 )
 from .entry_history import EntryHistory
+from .evacuation_documents import EvacuationDocuments
 from .feeds import WATCHER_MAX_WAIT_MS, DocumentFeeds
 from .peer_link import PeerLink
 from .plan_problems import log_plan_problems
+from .upstream_documents import UpstreamDocuments
 
 # Maximum duration of one watch. The store charges for each call; keep-alives detect a connection
 # that went silent.
@@ -84,6 +85,7 @@
         documents: Stored documents by key, undecoded, for sending to peers.
         feeds: Feeds of the zones' watchers; if None, this node always watches the store.
         store_answered_ms: Time of the store's last answer; minus infinity while it is unavailable.
+        evacuations: Applies the documents of evacuations.
     """
 
     def __init__(
@@ -120,6 +122,8 @@
         self.feeds: DocumentFeeds | None = None
         self.store_answered_ms = float("-inf")
         self._history = EntryHistory(reader, heartbeat_ms, clock)
+        self._upstreams = UpstreamDocuments(reader, directory, self.documents, self._history)
+        self.evacuations = EvacuationDocuments(reader, directory, self.documents)
         # Revision of the last complete read, before which removals may be unknown.
         self._removals_known_from = 0
         # Whether this node has lost its feeds and called the store since.
@@ -148,8 +152,7 @@
         while True:
             await self.clock.sleep_ms(MAINTENANCE_INTERVAL_MS)
             self.directory.remove_expired()
-            for key in self._history.due_keys():
-                self._use_entry(self.documents[key])
+            self._upstreams.use_due()
             self._fetch_from_peer()
 
     async def _follow_once(self) -> None:
@@ -173,7 +176,7 @@
             return
         read = self._watch.result()
         self._note_store_answer(read.revision)
-        self._apply_changes(read)
+        self._apply_changes(read, "store")
         if read.documents:
             await self.clock.sleep_ms(BATCH_DELAY_MS)
 
@@ -302,12 +305,15 @@
             self._note_restore(read.revision, source)
         # Entries that came and went since the last known revision do not show in the read.
         self._removals_known_from = max(self._removals_known_from, read.revision)
+        ended = self.evacuations.apply_complete_read(read.documents, read.revision, source)
+        for document in ended:
+            self._history.record_removal(document, read.revision, lapsed=False)
         documents_by_key = {document.key: document for document in read.documents}
         for key in [key for key in self.documents if key not in documents_by_key]:
             # The plan is never removed; a copy of the store may be older than the first one.
-            is_plan = self.reader.kind(key) is DocumentKind.PLAN
-            if not is_plan and self.documents[key].revision <= read.revision:
-                self._remove_document(key, read.revision)
+            is_upstream = self.reader.kind(key) is DocumentKind.UPSTREAM
+            if is_upstream and self.documents[key].revision <= read.revision:
+                self._remove_document(key, read.revision, source)
         # A peer may have told of them while the read was under way.
         removed_since = {document.key for document in self._history.removed_after(read.revision)}
         for document in read.documents:
@@ -329,16 +335,16 @@
         )
         self._change_relisting(self._relisting.begin, revision, self.clock.now_ms())
 
-    def _apply_changes(self, read: StoreRead) -> None:
+    def _apply_changes(self, read: StoreRead, source: str) -> None:
         # A peer may have told of some of them, and of what came after, while a watch was under way.
         known_revision = self.revision
         for document in read.documents:
             if document.revision <= known_revision:
                 continue
             if document.data is None:
-                self._remove_document(document.key, document.revision)
+                self._remove_document(document.key, document.revision, source)
             else:
-                self._apply_document(document, "store")
+                self._apply_document(document, source)
         self.revision = max(self.revision, read.revision)
         self._on_update()
 
@@ -367,7 +373,7 @@
             documents = tuple(
                 Document(change.key, change.data, change.revision) for change in message.changes
             )
-            self._apply_changes(StoreRead(documents, message.revision))
+            self._apply_changes(StoreRead(documents, message.revision), f"peer {link.host}")
 
     def _on_update(self) -> None:
         """Forward changes to followers and set `ready` once plan and upstreams are known."""
@@ -376,19 +382,20 @@
         if self.plan is not None and self.directory.entries:
             self.ready.set()
 
-    def _remove_document(self, key: str, revision: int) -> None:
+    def _remove_document(self, key: str, revision: int, source: str) -> None:
+        kind = self.reader.kind(key)
         now_ms = self.clock.now_ms()
-        kept_until_ms = self._relisting.kept_until_ms(revision, now_ms)
+        kept_until_ms = now_ms
+        if kind is DocumentKind.UPSTREAM:
+            kept_until_ms = self._relisting.kept_until_ms(revision, now_ms)
         lapsed = kept_until_ms > now_ms
         document = self.documents.pop(key, None)
         if document is not None:
             self._history.record_removal(document, revision, lapsed=lapsed)
-        if self.reader.kind(key) is DocumentKind.UPSTREAM:
-            upstream_id = self.reader.upstream_id(key)
-            known = self.directory.entries.get(upstream_id)
-            if known is not None:
-                self._log_upstream(known, "lapsed" if lapsed else "gone")
-            self.directory.remove(upstream_id, kept_until_ms=kept_until_ms)
+        if kind is DocumentKind.UPSTREAM:
+            self._upstreams.remove(key, kept_until_ms, lapsed=lapsed)
+        elif kind is DocumentKind.EVACUATION:
+            self.evacuations.remove(key, revision, source)
 
     def _apply_document(self, document: Document, source: str) -> None:
         kind = self.reader.kind(document.key)
@@ -397,8 +404,11 @@
         try:
             if kind is DocumentKind.PLAN:
                 self._apply_plan(document, source)
+            elif kind is DocumentKind.EVACUATION:
+                if self.evacuations.apply(document, source):
+                    self._history.record_use(document.key)
             else:
-                self._apply_upstream(document)
+                self._upstreams.apply(document)
         except DocumentError as error:
             self.metrics.count("store.documents_refused")
             revision = format_revision(document.revision)
@@ -424,47 +434,6 @@
         log(PLAN_IN_FORCE, version=plan.version, source=source)
         log_plan_problems(document.key, plan)
 
-    def _apply_upstream(self, document: Document) -> None:
-        """Apply the entry of an upstream, unless it is older than the known one.
-
-        Raises:
-            DocumentError: The entry is malformed; the upstream is no longer used.
-        """
-        known = self.documents.get(document.key)
-        if known is not None and known.revision >= document.revision:
-            return
-        if known is not None and self._history.is_outdated(document, known):
-            return
-        self.documents[document.key] = document
-        if not self._history.hold_back(document):
-            self._use_entry(document)
-
-    def _use_entry(self, document: Document) -> None:
-        """List the upstream of an entry, or no longer if the entry is malformed.
-
-        Raises:
-            DocumentError: The entry is malformed.
-        """
-        self._history.record_use(document.key)
-        upstream_id = self.reader.upstream_id(document.key)
-        try:
-            entry = self.reader.upstream(upstream_id, document.data)
-        except DocumentError:
-            self.directory.remove(upstream_id)
-            raise
-        listed = self.directory.entries.get(upstream_id)
-        if listed is None or listed.state is not entry.state:
-            self._log_upstream(entry, entry.state.value)
-        self.directory.put(entry)
-
-    def _log_upstream(self, entry: UpstreamEntry, state: str) -> None:
-        log(
-            UPSTREAM_CHANGED,
-            upstream_id=entry.upstream_id,
-            service_id=entry.service_id,
-            state=state,
-        )
-
     # Messages from peers.
 
     def note_peer_revision(self, link: PeerLink, revision: int) -> None:
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -23,6 +23,7 @@
     DocumentChanges,
     Documents,
     DocumentsWanted,
+    EvacuationRecords,
     FeedState,
     FollowFeed,
     Probe,
@@ -171,8 +172,9 @@
         )
         self.follower.feeds = self.feeds
         self.feeds.send_documents = self.follower.send_documents
-        self.feeds.on_neighbour = self.crash_reports.send_known
+        self.feeds.on_neighbour = self._inform_neighbour
         self.crash_reports.neighbours = self.feeds.neighbours
+        self.follower.evacuations.neighbours = self.feeds.neighbours
         self.balancer = Balancer(settings.availability_zone, clock.now_ms, random)
         self.levels = KnownLevels(random)
         self.retry_windows: dict[ServiceId, RetryWindow] = {}
@@ -244,12 +246,17 @@
             RateStates: self.rate_sharing.on_states,
             CrashReport: self.crash_reports.on_report,
             RequestCleared: self.crash_reports.on_cleared,
+            EvacuationRecords: self.follower.evacuations.on_records,
         }
         self.directory.changes.subscribe(self._forget_removed)
 
     def _make_probe(self, number: int = 0, answers: int = 0) -> Probe:
         return Probe(self.follower.revision, self.draining, number, answers)
 
+    def _inform_neighbour(self, link: PeerLink) -> None:
+        self.crash_reports.send_known(link)
+        self.follower.evacuations.send_known(link)
+
     def _on_feed_state(self, link: PeerLink, state: FeedState) -> None:
         self.follower.note_store_return(state.store_return)
         self.feeds.on_state(link, state)
@@ -329,6 +336,7 @@
         plan = self.follower.plan
         self.metrics.gauge("plan.version", plan.version if plan else 0)
         self.metrics.gauge("plan.unreadable_values", len(plan.problems) if plan else 0)
+        self.metrics.gauge("zones.evacuated", len(self.directory.evacuated_zones))
         self.metrics.gauge("store.era", era_of(self.follower.revision))
         self.metrics.gauge("store.revision", number_of(self.follower.revision))
         self.metrics.gauge("peers.links", len(self.peers.links()))
@@ -346,6 +354,7 @@
             "plan": None if plan is None else plan.version,
             "plan_problems": [] if plan is None else [each.field for each in plan.problems],
             "revision": format_revision(self.follower.revision),
+            "evacuated_zones": sorted(self.directory.evacuated_zones),
             "upstreams": [
                 {
                     "upstream": entry.upstream_id,
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -213,3 +213,21 @@
 PLAN_PROBLEMS_LEFT_OUT = _event(
     742, Level.WARNING, "{key} version {version}: {problems} more values could not be read"
 )
+ZONE_EVACUATED = _event(
+    743, Level.WARNING, "zone {zone} is evacuated since revision {revision}, from {source}"
+)
+EVACUATION_ENDED = _event(
+    744, Level.INFO, "evacuation of zone {zone} ended at revision {revision}, from {source}"
+)
+EVACUATION_KEPT = _event(
+    745,
+    Level.WARNING,
+    "metadata store came back without the evacuation of zone {zone}, which stays in force after "
+    "revision {revision} from {source}; write and remove its key to end it",
+)
+EVACUATION_OUTDATED = _event(
+    746,
+    Level.WARNING,
+    "metadata store came back with an evacuation of zone {zone} that had ended, at revision "
+    "{revision}; it is ignored until its key is written again",
+)
--- a/gentianthread/platform/fields.py
+++ b/gentianthread/json_fields.py
@@ -1,11 +1,11 @@
-"""Read and validate the fields of the JSON documents of the platform's metadata store."""
+"""Read and validate the fields of JSON documents."""
 
 import json
 import re
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
-from ..errors import DocumentError
+from .errors import DocumentError
 
 # Largest number in a document; larger integers are not exact in JSON.
 MAX_NUMBER = 2**53
--- a/gentianthread/platform/documents.py
+++ b/gentianthread/platform/documents.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 
 from ..ids import AvailabilityZoneId, ServiceId, UpstreamId
+from ..json_fields import Table, is_usable_text, parse_json
 from ..state.directory import UpstreamEntry, UpstreamState
 from ..transport.metadata_store import DocumentKind, DocumentReader
-from .fields import Table, parse_json
 from .plan_document import PLAN_KEY, read_plan
 
 UPSTREAM_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 
 _PORT = re.compile(r"\d{1,5}", re.ASCII)
 # Ids are sent to targets as the value of a header field.
@@ -66,8 +67,21 @@
         """Return the kind of the document stored under a key."""
         if key == PLAN_KEY:
             return DocumentKind.PLAN
-        return DocumentKind.UPSTREAM if key.startswith(UPSTREAM_PREFIX) else DocumentKind.OTHER
+        if key.startswith(UPSTREAM_PREFIX):
+            return DocumentKind.UPSTREAM
+        zone = key.removeprefix(EVACUATION_PREFIX)
+        if zone and zone != key and is_usable_text(zone):
+            return DocumentKind.EVACUATION
+        return DocumentKind.OTHER
 
     def upstream_id(self, key: str) -> UpstreamId:
         """Return the id of the upstream whose entry is stored under a key."""
         return UpstreamId(key.removeprefix(UPSTREAM_PREFIX))
+
+    def evacuated_zone(self, key: str) -> AvailabilityZoneId:
+        """Return the availability zone whose evacuation a key stands for."""
+        return AvailabilityZoneId(key.removeprefix(EVACUATION_PREFIX))
+
+    def evacuation_key(self, zone: AvailabilityZoneId) -> str:
+        """Return the key that stands for the evacuation of an availability zone."""
+        return EVACUATION_PREFIX + zone
--- a/gentianthread/platform/plan_document.py
+++ b/gentianthread/platform/plan_document.py
@@ -12,6 +12,7 @@
 
 from ..errors import DocumentError
 from ..ids import ConfigVersion, OrganisationId, RegionId, RouteId, ServiceId
+from ..json_fields import Table, is_usable_text, parse_json
 from ..state.fleet_plan import (
     OWN_REGION_ONLY,
     CallerLimits,
@@ -23,7 +24,6 @@
     RequestKind,
     WeightedService,
 )
-from .fields import Table, is_usable_text, parse_json
 
 PLAN_KEY = "op/config"
 
--- a/gentianthread/platform/store.py
+++ b/gentianthread/platform/store.py
@@ -26,7 +26,7 @@
 )
 from ..transport.target_connection import TargetRequest, make_request
 from ..transport.target_pool import PooledResponse, ReusedConnectionLost, TargetPool
-from .documents import PLAN_KEY, UPSTREAM_PREFIX, JsonDocuments
+from .documents import EVACUATION_PREFIX, PLAN_KEY, UPSTREAM_PREFIX, JsonDocuments
 from .names import ADAPTER
 
 # Time limit for an answer, in addition to the wait requested from the store, which answers within
@@ -42,19 +42,23 @@
 POOL_SIZE = 2
 
 # API calls of the store, relative to its base path.
-CALL_KEY = "kv-key"
 CALL_RANGE = "kv-range"
 CALL_WATCH = "kv-watch"
 BASE_PATH = "/api/"
 
+# Keys that operators write: the configuration and the evacuations. One range of them costs as many
+# calls as the configuration alone. A copied answer for it never passes for one about entries, as it
+# has the configuration; an empty range of evacuations would.
+OPERATOR_PREFIX = "op/"
+
 # The empty prefix covers the configuration and the entries, so a node needs only one watch.
 WATCH_PREFIX = ""
 
 _HTTP_GONE = 410
 
 # Fields of which an answer has that of its call only.
-_FIELD_ITEM, _FIELD_ITEMS, _FIELD_EVENTS = "value", "items", "events"
-_CONTENT_FIELDS = frozenset((_FIELD_ITEM, _FIELD_ITEMS, _FIELD_EVENTS))
+_FIELD_ITEMS, _FIELD_EVENTS = "items", "events"
+_CONTENT_FIELDS = frozenset((_FIELD_ITEMS, _FIELD_EVENTS))
 
 # Header field with the number of times that the store was restored from an older copy.
 ERA_FIELD = "Store-Era"
@@ -66,11 +70,11 @@
     """Store an answer of the store.
 
     Attributes:
-        content: The JSON object, or None if the item does not exist.
+        content: The JSON object.
         era: Number of times that the store was restored.
     """
 
-    content: dict[str, Any] | None
+    content: dict[str, Any]
     era: int
 
 
@@ -105,6 +109,8 @@
         )
         # Revision of the last answer that was not allowed to be outdated; later ones are not older.
         self._last_revision = 0
+        # Whether a read had the configuration, which is never removed.
+        self._has_plan = False
 
     @classmethod
     def connect(cls, host: str, port: int, source_address: str | None) -> "HttpMetadataStore":
@@ -112,31 +118,44 @@
         return cls(host, port, source_address)
 
     async def read_all(self) -> StoreRead:
-        """Read the configuration and all entries of upstreams."""
-        plan_item = await self._get(
-            CALL_KEY,
-            {"key": PLAN_KEY},
-            partial(_is_item, PLAN_KEY, self._last_revision),
-            allow_missing=True,
-        )
-        has_plan = plan_item.content is not None
-        documents = [_document(plan_item.content, plan_item.era)] if has_plan else []
-        revision = self._record_revision(plan_item) if has_plan else None
-        after = ""
+        """Read the configuration, the evacuations and all entries of upstreams."""
+        # The reads are not a consistent snapshot. Keeping the first revision makes the next watch
+        # deliver the changes made since then.
+        operator_documents, revision = await self._read_range(OPERATOR_PREFIX, None)
+        self._has_plan = self._has_plan or _has_plan(operator_documents)
+        entries, _ = await self._read_range(UPSTREAM_PREFIX, era_of(revision))
+        documents = (each for each in operator_documents if _is_operator_document(each))
+        return StoreRead((*documents, *entries), revision)
+
+    async def _read_range(self, prefix: str, era: int | None) -> tuple[list[Document], int]:
+        """Read all items whose keys have a prefix.
+
+        Args:
+            prefix: The prefix.
+            era: Era that all answers must have, or None if it is that of the first one.
+
+        Returns:
+            The documents, and the revision of the first answer.
+
+        Raises:
+            PlatformUnavailable: The store failed, or was restored in the meantime.
+        """
+        documents: list[Document] = []
+        first_revision, after = None, ""
         while True:
-            query = {"prefix": UPSTREAM_PREFIX} | ({"after": after} if after else {})
-            fits = partial(_is_page, UPSTREAM_PREFIX, after, self._last_revision)
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            needs_plan = self._has_plan and prefix == OPERATOR_PREFIX and not after
+            fits = partial(_is_page, prefix, after, self._last_revision, needs_plan=needs_plan)
             page = await self._get(CALL_RANGE, query, fits)
-            if page.era != plan_item.era:
+            era = page.era if era is None else era
+            if page.era != era:
                 raise PlatformUnavailable(CALL_RANGE, "the store was restored during the read")
-            # The pages are not a consistent snapshot. Keeping the first revision makes the next
-            # watch deliver the changes made since then.
-            page_revision = self._record_revision(page)
-            revision = page_revision if revision is None else revision
+            revision = self._record_revision(page)
+            first_revision = revision if first_revision is None else first_revision
             page_documents = _documents(page, _FIELD_ITEMS)
             documents += page_documents
             if not page.content.get("has_more") or not page_documents:
-                return StoreRead(tuple(documents), revision)
+                return documents, first_revision
             after = page_documents[-1].key
 
     async def sample_entries(self) -> StoreRead:
@@ -174,18 +193,17 @@
         fits: _Fits,
         *,
         wait_ms: float = 0.0,
-        allow_missing: bool = False,
     ) -> _Answer:
         path = f"{BASE_PATH}{call}?{urlencode(query)}"
         request = make_request("GET", path, self._header_fields, b"", "", wait_ms + READ_TIMEOUT_MS)
         pooled = await self._exchange(call, request)
-        answer = _read_answer(call, pooled, allow_missing=allow_missing)
+        answer = _read_answer(call, pooled)
         if not pooled.on_new_connection and not fits(answer):
             log(STORE_ANSWER_MISMATCHED, call=call)
             # The true answer may follow on that connection, where the next one is due.
             self._pool.close()
             pooled = await self._exchange(call, request)
-            answer = _read_answer(call, pooled, allow_missing=allow_missing)
+            answer = _read_answer(call, pooled)
         return answer
 
     async def _exchange(self, call: str, request: TargetRequest) -> PooledResponse:
@@ -199,11 +217,9 @@
             raise PlatformUnavailable(call, f"{type(error).__name__}: {error}") from error
 
 
-def _read_answer(call: str, pooled: PooledResponse, *, allow_missing: bool) -> _Answer:
+def _read_answer(call: str, pooled: PooledResponse) -> _Answer:
     answer = pooled.response
     era = _era(call, pooled.fields)
-    if answer.status == 404 and allow_missing:
-        return _Answer(None, era)
     if answer.status == _HTTP_GONE:
         raise HistoryLost(call, "history is gone")
     if answer.status != 200:
@@ -211,28 +227,24 @@
     return _Answer(_parse(call, answer.body), era)
 
 
-def _is_item(key: str, least_revision: int, answer: _Answer) -> bool:
-    """Return whether an answer has the item with a key, as of a revision or later."""
-    content = answer.content
-    # The answer without an item has no revision; asking again costs little, as it is rare.
-    return (
-        content is not None
-        and content.get("key") == key
-        and _has_only(answer, _FIELD_ITEM)
-        and _revision(answer) >= least_revision
-    )
+def _is_page(
+    prefix: str, after: str, least_revision: int, answer: _Answer, *, needs_plan: bool = False
+) -> bool:
+    """Return whether an answer has items of a range after a key, as of a revision or later."""
+    if not _has_only(answer, _FIELD_ITEMS) or _revision(answer) < least_revision:
+        return False
+    documents = _documents(answer, _FIELD_ITEMS)
+    if needs_plan and not _has_plan(documents):
+        return False
+    return all(document.key.startswith(prefix) and document.key > after for document in documents)
 
 
-def _is_page(prefix: str, after: str, least_revision: int, answer: _Answer) -> bool:
-    """Return whether an answer has items of a range after a key, as of a revision or later."""
-    return (
-        _has_only(answer, _FIELD_ITEMS)
-        and _revision(answer) >= least_revision
-        and all(
-            document.key.startswith(prefix) and document.key > after
-            for document in _documents(answer, _FIELD_ITEMS)
-        )
-    )
+def _has_plan(documents: list[Document]) -> bool:
+    return any(document.key == PLAN_KEY for document in documents)
+
+
+def _is_operator_document(document: Document) -> bool:
+    return document.key == PLAN_KEY or document.key.startswith(EVACUATION_PREFIX)
 
 
 def _is_watch(revision: int, answer: _Answer) -> bool:
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -7,6 +7,7 @@
 from ..ids import OrganisationId, ServiceId, UpstreamId
 from ..state.balancer import LoadReport
 from ..state.crash_suspects import RequestFingerprint
+from ..state.evacuations import EvacuationRecord
 from ..state.relisting import StoreReturn
 from .codec import fingerprint, message
 
@@ -53,6 +54,8 @@
         body: The complete body.
         revision: Revision of the platform's documents that the sender knows.
         repeated: Whether the run repeats work: of this request, or of a run that made this call.
+        allowed_regions: Names of the regions in which it and its calls may run, separated by
+            newlines; empty if they are not limited. One text keeps the fast path of the decoder.
     """
 
     call: int
@@ -71,6 +74,7 @@
     body: bytes = attrs.field(repr=False)
     revision: int
     repeated: bool = False
+    allowed_regions: str = ""
 
 
 @message(101)
@@ -292,6 +296,18 @@
     fingerprint: RequestFingerprint
 
 
+@message(120)
+@attrs.frozen
+class EvacuationRecords:
+    """Tell another node what is known of the evacuations of zones.
+
+    Attributes:
+        records: The records.
+    """
+
+    records: tuple[EvacuationRecord, ...]
+
+
 # Nodes with different message definitions refuse links to each other: a request that the peer
 # cannot decode would close the link, and its outcome would be unknown although it never ran.
 MESH_VERSION = fingerprint(
@@ -308,4 +324,5 @@
     RateStates,
     CrashReport,
     RequestCleared,
+    EvacuationRecords,
 )
--- a/gentianthread/standins/mesh_store.py
+++ b/gentianthread/standins/mesh_store.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from ..clock import SystemClock
-from ..platform.store import BASE_PATH, CALL_KEY, CALL_RANGE, CALL_WATCH, ERA_FIELD
+from ..platform.store import BASE_PATH, CALL_RANGE, CALL_WATCH, ERA_FIELD
 from ..transport.http_pipeline import (
     BufferedRequest,
     BufferedResponse,
@@ -114,20 +114,12 @@
         parts = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         call = parts.path.removeprefix(BASE_PATH)
-        if call == CALL_KEY:
-            return self._read_key(query)
         if call == CALL_RANGE:
             return self._read_range(query)
         if call == CALL_WATCH:
             return await self._watch(query, request.peer_host)
         return BufferedResponse(404, [])
 
-    def _read_key(self, query: dict[str, str]) -> BufferedResponse:
-        key = query["key"]
-        if key not in self._items:
-            return BufferedResponse(404, [])
-        return _json({**self._item(key), "at_rev": self.revision})
-
     def _read_range(self, query: dict[str, str]) -> BufferedResponse:
         prefix, after = query.get("prefix", ""), query.get("after", "")
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
--- a/gentianthread/state/directory.py
+++ b/gentianthread/state/directory.py
@@ -60,6 +60,8 @@
         changes: Observable of the id of each upstream that was added, replaced or removed.
         entries: Entries by id, including those of draining upstreams.
         first_seen_ms: Time at which each entry was first listed.
+        evacuated_zones: Availability zones whose upstreams take no new work.
+        evacuations: Observable of the evacuated zones, after each change of them.
     """
 
     def __init__(self, now_ms: Callable[[], float]):
@@ -71,6 +73,8 @@
         self.changes: reactivex.Observable[UpstreamId] = Subject()
         self.entries: dict[UpstreamId, UpstreamEntry] = {}
         self.first_seen_ms: dict[UpstreamId, float] = {}
+        self.evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
+        self.evacuations: reactivex.Observable[frozenset[AvailabilityZoneId]] = Subject()
         self._now_ms = now_ms
         self._ready_by_service: dict[ServiceId, tuple[UpstreamEntry, ...]] = {}
         self._hosts: set[str] | None = None
@@ -168,16 +172,38 @@
             self.put(entry)
 
     def ready(self, service_id: ServiceId) -> tuple[UpstreamEntry, ...]:
-        """Return the upstreams of a service that take new work, in id order."""
+        """Return the upstreams of a service that take new work, in id order.
+
+        Upstreams of evacuated zones are left out.
+        """
         upstreams = self._ready_by_service.get(service_id)
         if upstreams is None:
             upstreams = self._ready_by_service[service_id] = tuple(
                 entry
                 for _, entry in sorted(self.entries.items())
-                if entry.service_id == service_id and entry.state is UpstreamState.READY
+                if entry.service_id == service_id
+                and entry.state is UpstreamState.READY
+                and entry.availability_zone not in self.evacuated_zones
             )
         return upstreams
 
+    def set_evacuated(self, zones: frozenset[AvailabilityZoneId]) -> None:
+        """Replace the evacuated zones."""
+        if zones == self.evacuated_zones:
+            return
+        self.evacuated_zones = zones
+        self._ready_by_service.clear()
+        self.evacuations.on_next(zones)
+
+    def has_evacuated(self, service_id: ServiceId) -> bool:
+        """Return whether an upstream of a service takes no new work as its zone is evacuated."""
+        return bool(self.evacuated_zones) and any(
+            entry.service_id == service_id
+            and entry.state is UpstreamState.READY
+            and entry.availability_zone in self.evacuated_zones
+            for entry in self.entries.values()
+        )
+
     def find_by_address(self, host: str, port: int) -> UpstreamEntry | None:
         """Return the most recently started upstream of an address, or None."""
         candidates = [
--- a/gentianthread/transport/metadata_store.py
+++ b/gentianthread/transport/metadata_store.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ..errors import PlatformUnavailable
-from ..ids import UpstreamId
+from ..ids import AvailabilityZoneId, UpstreamId
 from ..registry import Registry
 from ..state.directory import UpstreamEntry
 from ..state.fleet_plan import FleetPlan
@@ -21,6 +21,7 @@
 
     PLAN = "plan"
     UPSTREAM = "upstream"
+    EVACUATION = "evacuation"
     OTHER = "other"
 
 
@@ -112,6 +113,14 @@
     def upstream_id(self, key: str) -> UpstreamId:
         """Return the id of the upstream that a key names."""
 
+    @abstractmethod
+    def evacuated_zone(self, key: str) -> AvailabilityZoneId:
+        """Return the availability zone whose evacuation a key stands for."""
+
+    @abstractmethod
+    def evacuation_key(self, zone: AvailabilityZoneId) -> str:
+        """Return the key that stands for the evacuation of an availability zone."""
+
     @abstractmethod
     def plan(self, data: bytes) -> FleetPlan:
         """Decode a configuration.
--- a/tests/coordination/mesh/follower_fleet.py
+++ b/tests/coordination/mesh/follower_fleet.py
@@ -15,6 +15,7 @@
     DocumentChanges,
     Documents,
     DocumentsWanted,
+    EvacuationRecords,
     FeedState,
     FollowFeed,
     Probe,
@@ -31,6 +32,7 @@
 )
 
 PLAN_KEY = "plan"
+EVACUATION_PREFIX = "evacuate/"
 PAGE_ENTRIES = 50
 STALE_CALL_PRICE = 0.1
 LINK_DELAY_S = 0.002
@@ -48,8 +50,16 @@
     """Decode entries of the form `host zone [state [start [write]]]` and plans of a version."""
 
     def kind(self, key):
+        if key.startswith(EVACUATION_PREFIX):
+            return DocumentKind.EVACUATION
         return DocumentKind.PLAN if key == PLAN_KEY else DocumentKind.UPSTREAM
 
+    def evacuated_zone(self, key):
+        return key.removeprefix(EVACUATION_PREFIX)
+
+    def evacuation_key(self, zone):
+        return EVACUATION_PREFIX + zone
+
     def upstream_id(self, key):
         return UpstreamId(key)
 
@@ -106,6 +116,11 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def entries(self):
+        """Return the entries of upstreams."""
+        other = (PLAN_KEY, EVACUATION_PREFIX)
+        return [item for key, item in self.items.items() if not key.startswith(other)]
+
     def go_down(self, silent_s=0.0):
         """Fail all calls, also the watches that wait; without an answer if a time is given."""
         self.down, self.silent_s = not silent_s, silent_s
@@ -135,6 +150,8 @@
     def __init__(self, store, host):
         self.store = store
         self.host = host
+        # Whether the next watch fails, as the store no longer has the changes.
+        self.loses_history = False
 
     @classmethod
     def connect(cls, host, port, source_address):
@@ -153,14 +170,14 @@
             raise PlatformUnavailable("call", "no answer in time")
 
     async def read_all(self):
-        entries = [item for key, item in self.store.items.items() if key != PLAN_KEY]
+        entries = self.store.entries()
         for _ in range(2 + len(entries) // PAGE_ENTRIES):
             await self._charge()
         return StoreRead(tuple(self.store.items.values()), self.store.revision)
 
     async def sample_entries(self):
         await self._charge(STALE_CALL_PRICE)
-        entries = [item for key, item in self.store.items.items() if key != PLAN_KEY]
+        entries = self.store.entries()
         return StoreRead(tuple(entries[:PAGE_ENTRIES]), self.store.revision)
 
     async def watch(self, revision, wait_ms):
@@ -172,6 +189,9 @@
                 raise PlatformUnavailable("watch", "connection reset")
             if era_of(revision) != era_of(self.store.revision):
                 raise HistoryLost("watch", "restored")
+            if self.loses_history:
+                self.loses_history = False
+                raise HistoryLost("watch", "compacted")
             found = tuple(event for event in self.store.events if event.revision > revision)
             if found:
                 return StoreRead(found, found[-1].revision)
@@ -266,6 +286,8 @@
         )
         self.follower.feeds = self.feeds
         self.feeds.send_documents = self.follower.send_documents
+        self.feeds.on_neighbour = self.follower.evacuations.send_known
+        self.follower.evacuations.neighbours = self.feeds.neighbours
         self.directory = directory
         self.tasks = [
             asyncio.ensure_future(work)
@@ -285,6 +307,8 @@
             self.follower.on_documents(link, message)
         elif isinstance(message, DocumentsWanted):
             self.follower.on_documents_wanted(link, message)
+        elif isinstance(message, EvacuationRecords):
+            self.follower.evacuations.on_records(link, message)
         elif isinstance(message, Probe):
             self.follower.note_peer_revision(link, message.revision)
 
@@ -329,6 +353,10 @@
             *(task for node in stopped for task in node.tasks), return_exceptions=True
         )
 
+    def evacuated(self):
+        """Return the different sets of evacuated zones on the nodes that run."""
+        return {node.directory.evacuated_zones for node in self.nodes.values()}
+
     def ready(self):
         """Return the number of nodes that are ready."""
         return sum(node.follower.ready.is_set() for node in self.nodes.values())
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -158,8 +158,16 @@
     def test_kind_follows_from_the_key(self):
         """Guards against reading items of other programs as configuration."""
         reader = JsonDocuments()
-        self.assertEqual(
-            [DocumentKind.PLAN, DocumentKind.UPSTREAM, DocumentKind.OTHER],
-            [reader.kind(key) for key in ("op/config", "servers/i-1", "my/leader")],
-        )
+        kinds = {
+            "op/config": DocumentKind.PLAN,
+            "servers/i-1": DocumentKind.UPSTREAM,
+            "op/evacuate/a": DocumentKind.EVACUATION,
+            "op/evacuate/": DocumentKind.OTHER,
+            "op/evacuate": DocumentKind.OTHER,
+            "op/evacuate/a\ud800": DocumentKind.OTHER,
+            "my/leader": DocumentKind.OTHER,
+        }
+        self.assertEqual(kinds, {key: reader.kind(key) for key in kinds})
         self.assertEqual("i-1", reader.upstream_id("servers/i-1"))
+        self.assertEqual("a", reader.evacuated_zone("op/evacuate/a"))
+        self.assertEqual("op/evacuate/a", reader.evacuation_key("a"))
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -6,7 +6,15 @@
 from ..test_layers import PACKAGE
 
 # Names of the platform's API calls and document fields that only the adapter may use.
-PLATFORM_NAMES = ("kv-watch", "kv-range", "kv-key", "weighted_services", "warmup_left", "api_keys")
+PLATFORM_NAMES = (
+    "kv-watch",
+    "kv-range",
+    "kv-key",
+    "op/evacuate",
+    "weighted_services",
+    "warmup_left",
+    "api_keys",
+)
 
 
 class TestNames(TestCase):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -34,6 +34,40 @@
         self.assertEqual(server.revision, read.revision)
         await self.close()
 
+    async def test_reads_evacuations_and_no_other_items_of_operators(self):
+        """Guards against a node that starts and sends to an evacuated zone."""
+        server, store = await self.open()
+        server.page = 1
+        for key in ("op/config", "op/evacuate/a", "op/evacuate/b", "op/notes", "servers/i-0"):
+            server.put(key, b"{}")
+        read = await store.read_all()
+        self.assertEqual(
+            ["op/config", "op/evacuate/a", "op/evacuate/b", "servers/i-0"],
+            [document.key for document in read.documents],
+        )
+        await self.close()
+
+    async def test_changes_during_a_read_are_not_lost(self):
+        """Guards against an evacuation that is written while a node reads the entries.
+
+        The read has the revision of its first answer, so that the watch tells of the change.
+        """
+        server, store = await self.open()
+        server.put("op/config", plan_document())
+        read_range = server._read_range
+
+        def write_before_entries(query):
+            if query["prefix"] == "servers/":
+                server.put("op/evacuate/a", b"{}")
+            return read_range(query)
+
+        server._read_range = write_before_entries
+        read = await store.read_all()
+        self.assertEqual(["op/config"], [document.key for document in read.documents])
+        changes = await store.watch(read.revision, 50)
+        self.assertEqual(["op/evacuate/a"], [document.key for document in changes.documents])
+        await self.close()
+
     async def test_watch_returns_changes_and_removals(self):
         """Guards against sending requests to a removed upstream."""
         server, store = await self.open()
--- a/tests/platform/test_store_copies.py
+++ b/tests/platform/test_store_copies.py
@@ -6,7 +6,6 @@
 
 from ..base import SocketTestCase
 
-PLAN = {"key": "op/config", "value": "e30=", "revision": 3, "at_rev": 4}
 NO_ITEMS = {"items": [], "has_more": False, "at_rev": 4}
 
 
@@ -18,6 +17,10 @@
     return {"items": list(items), "has_more": has_more, "at_rev": at_rev}
 
 
+# What operators wrote: the configuration alone.
+PLAN = page(4, item("op/config", 3))
+
+
 def changes(at_rev, *events):
     return {"events": list(events), "at_rev": at_rev}
 
@@ -86,23 +89,41 @@
     def entries(self, read):
         return [(document.key, document.revision) for document in read.documents]
 
-    async def test_copy_of_an_item_is_no_empty_page(self):
+    async def test_copy_of_the_configuration_is_no_page_of_entries(self):
         """Guards against a node that drops all upstreams after a copy of another call's answer."""
-        client = await self.start(key=[PLAN], range=[page(4, item("servers/a", 2))])
-        self.copy(PLAN, before="kv-range")
+        client = await self.start(range=[PLAN, page(4, item("servers/a", 2))])
+        self.copy(PLAN, before="kv-range", after_calls=1)
         self.assertEqual(
             [("op/config", 3), ("servers/a", 2)], self.entries(await client.read_all())
         )
-        self.assertEqual(["kv-key", "kv-range", "kv-range"], self.store.calls)
+        self.assertEqual(["kv-range"] * 3, self.store.calls)
         await self.store.close()
 
+    async def test_copy_of_a_page_of_entries_does_not_end_evacuations(self):
+        """Guards against requests for an evacuated zone after a copy of another call's answer.
+
+        A page of entries has no evacuation, nor has one without any item.
+        """
+        operators = page(4, item("op/config", 3), item("op/evacuate/b", 4))
+        entries = page(4, item("servers/a", 2))
+        for copied in (entries, NO_ITEMS):
+            client = await self.start(range=[operators, entries] * 2)
+            await client.read_all()
+            self.copy(copied, before="kv-range", after_calls=2)
+            self.assertEqual(
+                [("op/config", 3), ("op/evacuate/b", 4), ("servers/a", 2)],
+                self.entries(await client.read_all()),
+            )
+            self.assertEqual(["kv-range"] * 5, self.store.calls)
+            await self.store.close()
+
     async def test_copy_of_an_earlier_page_does_not_list_a_removed_upstream_again(self):
         """Guards against requests to an upstream that is gone, after the copy of an old answer."""
         before = page(4, item("servers/a", 2), item("servers/b", 4))
         after = page(5, item("servers/a", 2))
-        client = await self.start(key=[PLAN, PLAN | {"at_rev": 5}], range=[before, after])
+        client = await self.start(range=[PLAN, before, PLAN | {"at_rev": 5}, after])
         await client.read_all()
-        self.copy(before, before="kv-range")
+        self.copy(before, before="kv-range", after_calls=3)
         read = await client.read_all()
         self.assertEqual([("op/config", 3), ("servers/a", 2)], self.entries(read))
         self.assertEqual(5, read.revision)
@@ -110,11 +131,11 @@
 
     async def test_copy_of_an_earlier_item_does_not_bring_back_an_older_plan(self):
         """Guards against an older configuration in the place of the newest one."""
-        newer = PLAN | {"revision": 5, "at_rev": 5}
-        client = await self.start(key=[PLAN, newer], range=[NO_ITEMS, page(5)], watch=[changes(5)])
+        newer = page(5, item("op/config", 5))
+        client = await self.start(range=[PLAN, NO_ITEMS, newer, page(5)], watch=[changes(5)])
         await client.read_all()
         await client.watch(4, 50)
-        self.copy(PLAN, before="kv-key")
+        self.copy(PLAN, before="kv-range")
         self.assertEqual([("op/config", 5)], self.entries(await client.read_all()))
         await self.store.close()
 
@@ -134,7 +155,7 @@
     async def test_copy_of_the_previous_page_is_no_next_page(self):
         """Guards against a read that ends without the upstreams of a later page."""
         first = page(4, item("servers/a", 2), has_more=True)
-        client = await self.start(key=[PLAN], range=[first, page(4, item("servers/b", 4))])
+        client = await self.start(range=[PLAN, first, page(4, item("servers/b", 4))])
         self.copy(first | {"has_more": False}, before="kv-range", after_calls=2)
         self.assertEqual(
             [("op/config", 3), ("servers/a", 2), ("servers/b", 4)],
@@ -153,7 +174,7 @@
 
     async def test_answer_to_no_call_is_an_outage(self):
         """Guards against an answer of another call that is taken for an empty one."""
-        client = await self.start(watch=[NO_ITEMS], key=[PLAN], range=[changes(4)] * 2)
+        client = await self.start(watch=[NO_ITEMS], range=[PLAN, changes(4), changes(4)])
         with self.assertRaisesType(PlatformUnavailable):
             await client.watch(4, 50)
         with self.assertRaisesType(PlatformUnavailable):
