Refuse requests for evacuated zones, and keep requests in their allowed regions

Cause: the node beside a target in an evacuated zone still served requests, also ones that had waited, and allowed_regions of routes and tenants had no effect. Change: the node beside a target refuses requests as not run while its zone is evacuated, those that wait for a slot at once; cached upstreams and known levels follow the evacuation; a node that has not heard of it asks another zone after one refusal. RunRequest carries the regions, so that calls of a bound run keep them on each hop. Both cases without an upstream have a reason of their own.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -283,6 +283,7 @@
             request.target,
             request.body,
             objective_missed=organisation is not None and self._misses_objective(route, stated_ms),
+            allowed_regions=self.forwarder.regions_for(route, organisation),
         )
 
     def _stated_timeout_ms(self, request: BufferedRequest) -> float | None:
--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -9,21 +9,24 @@
 from ...decisions import DecisionLog
 from ...errors import PeerUnreachable, TransportError
 from ...events import ATTEMPT_FAILED
-from ...ids import OrganisationId, ServiceId, UpstreamId
+from ...ids import AvailabilityZoneId, OrganisationId, RegionId, ServiceId, UpstreamId
 from ...metrics import Metrics
 from ...protocol.messages_mesh import RunAnswer, RunOutcome, RunRequest
 from ...state.balancer import Balancer
 from ...state.directory import Directory, UpstreamEntry
-from ...state.fleet_plan import HostRoute
+from ...state.fleet_plan import FleetOrganisation, HostRoute
 from ...state.overload_level import KnownLevels
+from ...state.placement import Placement, encode_regions
 from ...state.retry_window import RetryWindow
 from ...transport.callbacks import Cancellable
+from .available_upstreams import CACHE_TTL_MS, AvailableUpstreams
 from .crash_reports import CrashReports
 from .outcomes import as_answer, refused_answer
 from .peer_link import OnEnd, PeerLink
 from .peers import PeerLinks
 from .started_forward import StartedForward
 from .target import LocalTarget
+from .target_evacuation import REASON_EVACUATED
 
 # A request is refused to its caller once this many nodes have refused it: a third node helps only
 # if the load reports of the first two were stale.
@@ -32,10 +35,6 @@
 # Least time before the deadline for a retry, or the service time of the upstream if it is longer.
 MIN_RETRY_TIME_MS = 20.0
 
-# Lifetime of the cached upstreams and dependency level, which saves computing them per request. A
-# peer that becomes silent in the meantime is noticed no later than by its failing requests.
-CACHE_TTL_MS = 20.0
-
 # Error statuses of a target for which another upstream may succeed. 504 isn't one of them, since
 # it means that the deadline has passed.
 RETRYABLE_STATUSES = frozenset((500, 502, 503))
@@ -61,6 +60,7 @@
         send_count: How often it was sent to upstreams.
         may_have_run: Whether an upstream may have run it.
         attempts: Upstream and outcome of each attempt that has ended without an answer.
+        allowed_regions: Regions in which it may run, or None for all.
     """
 
     route: HostRoute
@@ -78,6 +78,7 @@
     send_count: int = 0
     may_have_run: bool = False
     attempts: tuple[str, ...] = ()
+    allowed_regions: frozenset[RegionId] | None = None
 
 
 @attrs.define(eq=False)
@@ -117,6 +118,7 @@
         crash_reports: CrashReports,
         retry_window: Callable[[ServiceId], RetryWindow],
         revision: Callable[[], int],
+        placement: Placement,
         clock: Clock,
         metrics: Metrics,
         decisions: DecisionLog,
@@ -132,6 +134,7 @@
             crash_reports: Requests that crash targets.
             retry_window: Returns the retry window of a service.
             revision: Returns the revision of the platform's documents that this node has.
+            placement: Regions of upstreams.
             clock: Clock of deadlines.
             metrics: Counts retries.
             decisions: Log of failed attempts.
@@ -144,6 +147,7 @@
         self.crash_reports = crash_reports
         self.retry_window = retry_window
         self.revision = revision
+        self.placement = placement
         self.clock = clock
         self.metrics = metrics
         self.decisions = decisions
@@ -151,9 +155,18 @@
         self.on_second_run: Callable[[OrganisationId], None] = lambda organisation_id: None
         # Services that this node's own target calls.
         self.called_services: set[ServiceId] = set()
-        self._upstream_cache: dict[ServiceId, tuple[float, tuple[UpstreamEntry, ...]]] = {}
+        self.upstreams = AvailableUpstreams(
+            directory, placement, peers.reachable, local_target.address[0]
+        )
         self._dependency_level_cache: tuple[float, float] = (float("-inf"), 0.0)
-        directory.changes.subscribe(lambda _: self._upstream_cache.clear())
+        directory.evacuations.subscribe(self._forget_levels)
+
+    def _forget_levels(self, zones: frozenset[AvailabilityZoneId]) -> None:
+        """Forget the overload levels of the upstreams that get no more requests."""
+        self._dependency_level_cache = (float("-inf"), 0.0)
+        for entry in self.directory.entries.values():
+            if entry.availability_zone in zones:
+                self.levels.forget(entry.service_id, entry.upstream_id)
 
     def dependency_level(self) -> float:
         """Return the highest overload level of the services that this node's own target calls."""
@@ -177,22 +190,7 @@
             service_id: The service.
             now_ms: Present time in ms.
         """
-        cached = self._upstream_cache.get(service_id)
-        if cached is not None and now_ms < cached[0]:
-            return cached[1]
-        upstreams = self._find_reachable(service_id)
-        self._upstream_cache[service_id] = (now_ms + CACHE_TTL_MS, upstreams)
-        return upstreams
-
-    def _find_reachable(self, service_id: ServiceId) -> tuple[UpstreamEntry, ...]:
-        ready = self.directory.ready(service_id)
-        own_host = self.local_target.address[0]
-        reachable = tuple(
-            upstream
-            for upstream in ready
-            if upstream.host == own_host or self.peers.reachable(upstream.host)
-        )
-        return reachable or ready
+        return self.upstreams.of(service_id, now_ms)
 
     def start(
         self, pending: PendingRequest, now_ms: float, deliver: Callable[[RunAnswer], None]
@@ -220,15 +218,33 @@
 
     def next_upstream(self, attempts: Attempts) -> UpstreamEntry | None:
         """Choose the upstream of the next attempt, or return None if all were tried."""
-        upstreams = self.reachable_upstreams(attempts.pending.service_id, self.clock.now_ms())
+        pending, lost = attempts.pending, attempts.connection_lost_by
+        upstreams = self.upstreams.for_request(pending, self.clock.now_ms())
         upstream = self.balancer.choose(upstreams, attempts.tried)
-        if upstream is None and attempts.connection_lost_by is not None:
+        if upstream is None and lost is not None and not self.directory.is_evacuated(lost):
             # The target closed a kept connection; on another one it may answer.
-            upstream, attempts.connection_lost_by = attempts.connection_lost_by, None
+            upstream, attempts.connection_lost_by = lost, None
         if upstream is not None:
             attempts.tried.add(upstream.upstream_id)
+        elif not upstreams and not pending.attempts:
+            attempts.last_answer = refused_answer(self.upstreams.missing_reason(pending))
         return upstream
 
+    def regions_for(
+        self, route: HostRoute, organisation: FleetOrganisation | None
+    ) -> frozenset[RegionId] | None:
+        """Return the regions in which a request may run, or None for all.
+
+        Args:
+            route: Its route.
+            organisation: Its organisation; None if it may be a call of this node's own target,
+                which keeps to the regions of the runs there.
+        """
+        inherited: frozenset[RegionId] | None = None
+        if organisation is None:
+            inherited = self.local_target.bound_runs.regions(self.clock.now_ms())
+        return self.placement.regions_for(route, organisation, inherited)
+
     def evaluate_attempt(
         self, attempts: Attempts, upstream: UpstreamEntry, answer: RunAnswer
     ) -> RunAnswer | None:
@@ -247,7 +263,11 @@
         if answer.outcome is RunOutcome.CONNECTION_LOST:
             attempts.connection_lost_by = upstream
         if answer.outcome is RunOutcome.NOT_SENT:
-            attempts.refusals += 1
+            if answer.reason == REASON_EVACUATED:
+                # This node has not heard of the evacuation yet; the rest of the zone refuses, too.
+                attempts.tried |= self.upstreams.in_zone_of(upstream)
+            else:
+                attempts.refusals += 1
             will_retry = attempts.refusals < MAX_REFUSALS
         else:
             will_retry = self._may_retry(pending, answer, attempts.retry_window)
@@ -416,6 +436,7 @@
             pending.fields,
             pending.body,
             self.revision(),
+            allowed_regions=encode_regions(pending.allowed_regions),
         )
 
     def _record_outcome(
@@ -424,13 +445,14 @@
         upstream_id = upstream.upstream_id
         if answer.load.limit:
             now_ms = self.clock.now_ms()
-            self.levels.record(
-                pending.service_id,
-                upstream_id,
-                answer.load.level,
-                now_ms,
-                answer.load.rate_per_s,
-            )
+            if not self.directory.is_evacuated(upstream):
+                self.levels.record(
+                    pending.service_id,
+                    upstream_id,
+                    answer.load.level,
+                    now_ms,
+                    answer.load.rate_per_s,
+                )
             if answer.load.leaving_id:
                 # The store may be away and list the upstream as ready for long.
                 self.directory.mark_leaving(answer.load.leaving_id, answer.load.leaving_start_ms)
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -37,6 +37,7 @@
 from ...state.fleet_plan import CallerLimits, FleetPlan
 from ...state.fleet_rate import LimitChanges, NodeRates
 from ...state.overload_level import KnownLevels
+from ...state.placement import Placement
 from ...state.retry_window import RetryWindow
 from ...state.revisions import era_of, format_revision, number_of
 from ...transport.direct_websocket import DirectTransport
@@ -187,6 +188,7 @@
             self.crash_reports,
             self._retry_window,
             lambda: self.follower.revision,
+            Placement(lambda: self.settings.regions, settings.availability_zone),
             clock,
             self.metrics,
             decisions,
--- a/gentianthread/coordination/mesh/started_run.py
+++ b/gentianthread/coordination/mesh/started_run.py
@@ -5,7 +5,7 @@
 
 from ...events import TASK_FAILED
 from ...logs import log
-from ...protocol.messages_mesh import RunAnswer, RunRequest
+from ...protocol.messages_mesh import RunAnswer, RunOutcome, RunRequest
 from ...transport.callbacks import Cancellable
 from ...transport.target_pool import PooledResponse
 
@@ -31,6 +31,7 @@
         self._target = target
         self._request = request
         self._started_ms = started_ms
+        self._deadline_ms = started_ms + request.remaining_ms
         self._deliver = deliver
         self._ended = False
         self.work: Cancellable | None = None
@@ -61,9 +62,16 @@
 
     def _finish(self, answer: RunAnswer) -> None:
         self._ended, self.work = True, None
-        self._target.release_slot()
+        # Without a response, the target may go on with the run until its deadline.
+        is_over = answer.outcome in (RunOutcome.ANSWERED, RunOutcome.REJECTED)
+        self._release(None if is_over else self._deadline_ms)
         self._deliver(answer)
 
+    def _release(self, may_run_until_ms: float | None) -> None:
+        target = self._target
+        target.bound_runs.end(self._request.allowed_regions, until_ms=may_run_until_ms)
+        target.release_slot()
+
     def cancel(self) -> None:
         """Stop the exchange with the target and deliver nothing."""
         if self._ended:
@@ -71,4 +79,4 @@
         self._ended = True
         if self.work is not None:
             self.work.cancel()
-        self._target.release_slot()
+        self._release(self._deadline_ms)
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -15,20 +15,17 @@
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
 from ...state.overload_level import LevelControl
+from ...state.placement import BoundRuns
 from ...state.usable_slots import usable_slots
 from ...state.work_queue import QueuedWork, WorkQueue
 from ...transport.header_fields import render_fields
-from ...transport.target_connection import TargetRequest, make_request
-from ...transport.target_pool import (
-    NO_RESEND_IDLE_LIMIT_MS,
-    PooledResponse,
-    ReusedConnectionLost,
-    TargetPool,
-)
+from ...transport.target_pool import PooledResponse, ReusedConnectionLost, TargetPool
 from .crash_reports import REASON_BLOCKED, CrashReports
 from .started_run import StartedRun
+from .target_evacuation import REASON_EVACUATED, TargetEvacuation
 from .target_log import TargetLog
 from .target_notices import TargetNotices
+from .target_request import build_target_request, idle_limit_ms
 
 # Fraction of its remaining time that a request may wait for a slot. Inner calls may wait longer,
 # since refusing them wastes the work that other targets have done before.
@@ -74,6 +71,8 @@
         service_ms: Moving average of the time that a request takes on the target.
         dependency_level: Returns the highest overload level of the services that the target calls.
         highest_level: Returns the rank of the most important requests, which bounds the level.
+        evacuation: Whether the zone of the target is evacuated.
+        bound_runs: Runs that are bound to regions.
     """
 
     def __init__(
@@ -121,6 +120,8 @@
         self.dependency_level: Callable[[], float] = lambda: 0.0
         self.highest_level: Callable[[], float] = lambda: 0.0
         self.queue = WorkQueue()
+        self.bound_runs = BoundRuns()
+        self.evacuation = TargetEvacuation(address, directory, self.queue)
         self.control = LevelControl(clock.now_ms())
         self.notices = TargetNotices(address, directory, dialect, clock, metrics)
         self.notices.on_limit_change = self._on_limit_change
@@ -234,11 +235,14 @@
             return None
         run = StartedRun(self, request, now_ms, deliver)
         run.work = self.pool.start_exchange(
-            self._build_request(request, request.remaining_ms), _idle_limit_ms(request), run.end
+            build_target_request(self.dialect, request, request.remaining_ms),
+            idle_limit_ms(request),
+            run.end,
         )
         if run.work is None:
             return None
         self._record_sent()
+        self.bound_runs.start(request.allowed_regions)
         self._update_level(now_ms)
         self.control.record_arrival()
         self._reserve_slot(now_ms)
@@ -260,6 +264,8 @@
             return "upstream is not here"
         if entry.state is UpstreamState.DRAINING:
             return "upstream is draining"
+        if self.directory.is_evacuated(entry):
+            return REASON_EVACUATED
         if self.notices.is_misdirected(entry):
             return "another process has the address"
         if now_ms < self._unreachable_until_ms:
@@ -292,7 +298,7 @@
         self._dispatch(now_ms)
         try:
             async with asyncio.timeout(max(0.0, work.drop_at_ms - now_ms) / 1000):
-                return "" if await slot else "no time left"
+                return "" if await slot else self.evacuation.refused_wait_reason()
         except TimeoutError:
             self._leave_queue(work)
             return "no time left"
@@ -377,36 +383,26 @@
         would not know of the second time and send the request more often than its route allows.
         """
         self._record_sent()
+        self.bound_runs.start(request.allowed_regions)
+        may_run_until_ms: float | None = started_ms + timeout_ms
         try:
             pooled = await self.pool.exchange(
-                self._build_request(request, timeout_ms), _idle_limit_ms(request)
+                build_target_request(self.dialect, request, timeout_ms), idle_limit_ms(request)
             )
+            may_run_until_ms = None
         except DialError as error:
+            may_run_until_ms = None
             return self._handle_dial_error(request, error)
         except (ConnectionLost, TimeoutError) as error:
             return self.unknown_answer(request, error)
+        finally:
+            self.bound_runs.end(request.allowed_regions, until_ms=may_run_until_ms)
         return self.classify_answer(request, pooled, started_ms)
 
     def _record_sent(self) -> None:
         self.metrics.count("target.sent")
         self.stated_limit.sent += 1
 
-    def _build_request(self, request: RunRequest, remaining_ms: float) -> TargetRequest:
-        """Return the HTTP request for the target, with the fields that the node sets."""
-        fields = (
-            f"{request.fields}{self.dialect.request_id}: {request.request_id}\r\n"
-            f"{self.dialect.remaining_ms}: {max(1, int(remaining_ms))}\r\n"
-            f"{self.dialect.expected_target}: {request.upstream_id}\r\n"
-        )
-        return make_request(
-            request.method,
-            request.target,
-            fields,
-            request.body,
-            request.request_id,
-            remaining_ms,
-        )
-
     def unknown_answer(self, request: RunRequest, error: Exception) -> RunAnswer:
         """Return the answer for a request that was sent and got no response from the target."""
         if isinstance(error, ConnectionLost):
@@ -493,8 +489,3 @@
 
     def _answer(self, outcome: RunOutcome, reason: str) -> RunAnswer:
         return RunAnswer(0, outcome, reason, 0, "", b"", self.load(), 0)
-
-
-def _idle_limit_ms(request: RunRequest) -> float | None:
-    """Return how long a kept connection may have been idle to be used for a request."""
-    return None if request.may_repeat else NO_RESEND_IDLE_LIMIT_MS
--- a/gentianthread/state/directory.py
+++ b/gentianthread/state/directory.py
@@ -183,7 +183,7 @@
                 for _, entry in sorted(self.entries.items())
                 if entry.service_id == service_id
                 and entry.state is UpstreamState.READY
-                and entry.availability_zone not in self.evacuated_zones
+                and not self.is_evacuated(entry)
             )
         return upstreams
 
@@ -195,12 +195,16 @@
         self._ready_by_service.clear()
         self.evacuations.on_next(zones)
 
+    def is_evacuated(self, entry: UpstreamEntry) -> bool:
+        """Return whether the zone of an upstream is evacuated."""
+        return entry.availability_zone in self.evacuated_zones
+
     def has_evacuated(self, service_id: ServiceId) -> bool:
         """Return whether an upstream of a service takes no new work as its zone is evacuated."""
         return bool(self.evacuated_zones) and any(
             entry.service_id == service_id
             and entry.state is UpstreamState.READY
-            and entry.availability_zone in self.evacuated_zones
+            and self.is_evacuated(entry)
             for entry in self.entries.values()
         )
 
--- a/gentianthread/state/overload_level.py
+++ b/gentianthread/state/overload_level.py
@@ -204,6 +204,10 @@
         if level > 0 or rate_per_s > 0 or upstream in reported:
             reported[upstream] = _ReportedLevel(level, now_ms, rate_per_s)
 
+    def forget(self, service_id: ServiceId, upstream: Hashable) -> None:
+        """Forget the level of an upstream that takes no more requests."""
+        self._reported.get(service_id, {}).pop(upstream, None)
+
     def level(self, service_id: ServiceId, now_ms: float, upstream_count: int) -> float:
         """Return the mean level over the upstreams of a service.
 
--- a/tests/coordination/mesh/test_started_run.py
+++ b/tests/coordination/mesh/test_started_run.py
@@ -2,6 +2,7 @@
 from gentianthread.errors import ConnectionLost
 from gentianthread.protocol.messages_mesh import RunAnswer, RunOutcome, RunRequest
 from gentianthread.state.balancer import LoadReport
+from gentianthread.state.placement import BoundRuns
 from gentianthread.transport.http_pipeline import BufferedResponse
 from gentianthread.transport.target_pool import PooledResponse, ReusedConnectionLost
 
@@ -16,6 +17,7 @@
     def __init__(self):
         self.released_slots = 0
         self.broken = False
+        self.bound_runs = BoundRuns()
 
     def _answer(self, outcome):
         return RunAnswer(0, outcome, "", 0, "", b"", LoadReport(0, 0, 1, 1.0, 0.0), 0)
