--- a/gentianthread/coordination/mesh/evacuation_documents.py
+++ b/gentianthread/coordination/mesh/evacuation_documents.py
@@ -102,6 +102,10 @@
         self._update(source)
         return removed
 
+    def note_first_documents(self, revision: int) -> None:
+        """Record the revision of the first documents, which came as changes from nothing."""
+        self.evacuations.note_complete_read(revision)
+
     def send_known(self, link: PeerLink) -> None:
         """Tell a node what is known of each zone; called as they begin to follow each other."""
         records = tuple(self.evacuations.records())
--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -369,6 +369,7 @@
         elif message.revision > self.revision:
             if not self.revision:
                 self._removals_known_from = message.revision
+                self.evacuations.note_first_documents(message.revision)
             self.note_store_return(message.store_return)
             documents = tuple(
                 Document(change.key, change.data, change.revision) for change in message.changes
--- a/gentianthread/coordination/mesh/target_notices.py
+++ b/gentianthread/coordination/mesh/target_notices.py
@@ -80,8 +80,9 @@
         # Starts in whose place another process answered, with the time until which they are not
         # asked again.
         self._misdirected_until_ms: dict[TargetStart, float] = {}
-        # Upstream that last said that it leaves, and wall clock at which it got that request.
-        self._last_notice: tuple[UpstreamId | None, float] = (None, 0.0)
+        # Upstream that last said that it leaves, and time at which it got that request, by the wall
+        # clock of that moment and by the clock of this node.
+        self._last_notice: tuple[UpstreamId | None, float, float] = (None, 0.0, 0.0)
         self._limit_field = dialect.rate_limit.lower()
         self._leaving_field = dialect.leaving.lower()
         self._clock = clock
@@ -111,10 +112,15 @@
     def _check_earlier_notice(self, start: TargetStart, service_id: ServiceId) -> None:
         """Mark a start that had said that it leaves before it was listed.
 
-        The target runs on the same instance, so that both read the same wall clock.
+        The target runs on the same instance, so that both read the same wall clock. It may have
+        jumped since the notice. A start that is wrongly taken for the one that leaves would get no
+        requests, while a missed one says so again: both times of the notice must be later.
         """
-        noticed_id, asked_at_ms = self._last_notice
-        if start.upstream_id == noticed_id and 0 < start.started_at_ms < asked_at_ms:
+        noticed_id, asked_at_ms, asked_ms = self._last_notice
+        if start.upstream_id != noticed_id:
+            return
+        asked_at_ms = min(asked_at_ms, wall_clock_ms() - (self._clock.now_ms() - asked_ms))
+        if 0 < start.started_at_ms < asked_at_ms:
             self._mark_leaving(start, service_id)
 
     def _forget_unknown_start(self, upstream_id: UpstreamId) -> None:
@@ -203,7 +209,7 @@
         if start is None:
             return
         asked_at_ms = wall_clock_ms() - (self._clock.now_ms() - started_ms)
-        self._last_notice = (request.upstream_id, asked_at_ms)
+        self._last_notice = (request.upstream_id, asked_at_ms, started_ms)
         self._mark_leaving(start, request.service_id)
 
     def _mark_leaving(self, start: TargetStart, service_id: ServiceId) -> None:
--- a/tests/coordination/mesh/test_unreadable_plan.py
+++ b/tests/coordination/mesh/test_unreadable_plan.py
@@ -33,6 +33,8 @@
             statuses[path] = reply.status
             if path == "service":
                 self.assertIn("Retry-After", reply.fields)
+        counters = self.sidecar("catalogue-0").metrics.counters
+        self.assertEqual(1, counters["entry.refused.route_is_not_readable"])
         # A configured route that cannot be used is not answered as if it did not exist.
         self.assertEqual({"good": 200, "kind": 200, "service": 503, "host": 404}, statuses)
         plan = self.sidecar("catalogue-0").follower.plan
