--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -256,6 +256,8 @@
         route = plan.match(request.find("host") or "", path)
         if route is None:
             return EntryReply(404, "no route")
+        if not route.service_weights:
+            return self._unavailable("route is not readable")
         organisation: FleetOrganisation | None = None
         if plan.organisations and not route.open_to_all:
             organisation = plan.organisation_of_key(request.find(self._key_field) or "")
@@ -281,6 +283,7 @@
             request.target,
             request.body,
             objective_missed=organisation is not None and self._misses_objective(route, stated_ms),
+            allowed_regions=self.forwarder.regions_for(route, organisation),
         )
 
     def _stated_timeout_ms(self, request: BufferedRequest) -> float | None:
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -23,6 +23,7 @@
     DocumentChanges,
     Documents,
     DocumentsWanted,
+    EvacuationRecords,
     FeedState,
     FollowFeed,
     Probe,
@@ -36,6 +37,7 @@
 from ...state.fleet_plan import CallerLimits, FleetPlan
 from ...state.fleet_rate import LimitChanges, NodeRates
 from ...state.overload_level import KnownLevels
+from ...state.placement import Placement
 from ...state.retry_window import RetryWindow
 from ...state.revisions import era_of, format_revision, number_of
 from ...transport.direct_websocket import DirectTransport
@@ -171,8 +173,9 @@
         )
         self.follower.feeds = self.feeds
         self.feeds.send_documents = self.follower.send_documents
-        self.feeds.on_neighbour = self.crash_reports.send_known
+        self.feeds.on_neighbour = self._inform_neighbour
         self.crash_reports.neighbours = self.feeds.neighbours
+        self.follower.evacuations.neighbours = self.feeds.neighbours
         self.balancer = Balancer(settings.availability_zone, clock.now_ms, random)
         self.levels = KnownLevels(random)
         self.retry_windows: dict[ServiceId, RetryWindow] = {}
@@ -185,6 +188,7 @@
             self.crash_reports,
             self._retry_window,
             lambda: self.follower.revision,
+            Placement(lambda: self.settings.regions, settings.availability_zone),
             clock,
             self.metrics,
             decisions,
@@ -244,12 +248,17 @@
             RateStates: self.rate_sharing.on_states,
             CrashReport: self.crash_reports.on_report,
             RequestCleared: self.crash_reports.on_cleared,
+            EvacuationRecords: self.follower.evacuations.on_records,
         }
         self.directory.changes.subscribe(self._forget_removed)
 
     def _make_probe(self, number: int = 0, answers: int = 0) -> Probe:
         return Probe(self.follower.revision, self.draining, number, answers)
 
+    def _inform_neighbour(self, link: PeerLink) -> None:
+        self.crash_reports.send_known(link)
+        self.follower.evacuations.send_known(link)
+
     def _on_feed_state(self, link: PeerLink, state: FeedState) -> None:
         self.follower.note_store_return(state.store_return)
         self.feeds.on_state(link, state)
@@ -280,7 +289,8 @@
     def _connection_limit(self) -> int:
         plan = self.follower.plan
         service = None if plan is None else plan.services.get(self.settings.service_id)
-        return self.target.limit() if service is None else service.max_connections
+        limit = 0 if service is None else service.max_connections
+        return limit or self.target.limit()
 
     def _retry_window(self, service_id: ServiceId) -> RetryWindow:
         window = self.retry_windows.get(service_id)
@@ -325,7 +335,10 @@
         self.metrics.gauge("entry.running", self.entry.running)
         blocked = self.crash_reports.suspects.blocked_count(self.clock.now_ms())
         self.metrics.gauge("crashes.blocked_requests", blocked)
-        self.metrics.gauge("plan.version", self.follower.plan.version if self.follower.plan else 0)
+        plan = self.follower.plan
+        self.metrics.gauge("plan.version", plan.version if plan else 0)
+        self.metrics.gauge("plan.unreadable_values", len(plan.problems) if plan else 0)
+        self.metrics.gauge("zones.evacuated", len(self.directory.evacuated_zones))
         self.metrics.gauge("store.era", era_of(self.follower.revision))
         self.metrics.gauge("store.revision", number_of(self.follower.revision))
         self.metrics.gauge("peers.links", len(self.peers.links()))
@@ -341,7 +354,9 @@
             "leaving": self.leaving,
             "draining": self.draining,
             "plan": None if plan is None else plan.version,
+            "plan_problems": [] if plan is None else [each.field for each in plan.problems],
             "revision": format_revision(self.follower.revision),
+            "evacuated_zones": sorted(self.directory.evacuated_zones),
             "upstreams": [
                 {
                     "upstream": entry.upstream_id,
