Limit the requests to a cold target, and check its health where its state is unknown

Cause: a target that is cold crashes under the load that it takes when warm. When all targets of a deployment start cold while callers return, they crash again and again.

A target whose state is unknown counts as cold; `target_health` resolves it by one health check at a time. Without `warmup_per_s` there is neither a limit nor a check. Building target requests and the record of failed dials move out of `target.py`.

--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -82,6 +82,7 @@
         ready: Set once a plan and at least one upstream are known.
         documents: Stored documents by key, undecoded, for sending to peers.
         feeds: Feeds of the zones' watchers; if None, this node always watches the store.
+        on_plan: Called after a plan was put in force.
         store_answered_ms: Time of the store's last answer; minus infinity while it is unavailable.
     """
 
@@ -117,6 +118,7 @@
         self.ready = asyncio.Event()
         self.documents: dict[str, Document] = {}
         self.feeds: DocumentFeeds | None = None
+        self.on_plan: Callable[[], None] = lambda: None
         self.store_answered_ms = float("-inf")
         self._history = EntryHistory(reader, heartbeat_ms, clock)
         # Revision of the last complete read, before which removals may be unknown.
@@ -420,6 +422,7 @@
             return
         self.documents[document.key] = document
         self.plan = plan
+        self.on_plan()
         log(PLAN_IN_FORCE, version=plan.version, source=source)
 
     def _apply_upstream(self, document: Document) -> None:
--- a/gentianthread/coordination/mesh/process.py
+++ b/gentianthread/coordination/mesh/process.py
@@ -136,6 +136,7 @@
             return
         self.sidecar.settings = settings
         self.sidecar.target.service_id = settings.service_id
+        self.sidecar.configure_warm_up()
         log(SETTINGS_RELOADED, outcome=f"{cause}: in force")
 
     def _print_dump(self) -> None:
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -246,6 +246,14 @@
             RequestCleared: self.crash_reports.on_cleared,
         }
         self.directory.changes.subscribe(self._forget_removed)
+        self.follower.on_plan = self.configure_warm_up
+        self.configure_warm_up()
+
+    def configure_warm_up(self) -> None:
+        """Set the limit of a cold target to what plan and settings state."""
+        plan, settings = self.follower.plan, self.settings
+        service = None if plan is None else plan.services.get(settings.service_id)
+        self.target.health.configure(service, settings.warm_up_overage, settings.warm_up_slack)
 
     def _make_probe(self, number: int = 0, answers: int = 0) -> Probe:
         return Probe(self.follower.revision, self.draining, number, answers)
@@ -322,6 +330,9 @@
         self.metrics.gauge(
             "target.stated_limit_per_s", -1 if stated_limit_per_s is None else stated_limit_per_s
         )
+        warm_up, now_ms = self.target.health.warm_up, self.clock.now_ms()
+        self.metrics.gauge("target.cold", int(warm_up.is_cold(now_ms)))
+        self.metrics.gauge("target.rate_limit_per_s", self.target.rate_limit.rate_per_s(now_ms))
         self.metrics.gauge("entry.running", self.entry.running)
         blocked = self.crash_reports.suspects.blocked_count(self.clock.now_ms())
         self.metrics.gauge("crashes.blocked_requests", blocked)
@@ -360,6 +371,8 @@
                 "service_ms": self.target.service_ms,
                 "level": self.target.control.level,
                 "stated_limit_per_s": self.target.stated_limit.per_s,
+                "rate_limit_per_s": self.target.rate_limit.rate_per_s(now_ms),
+                **self.target.health.describe(now_ms),
             },
             "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
             "counting": self.rate_sharing.counter_host,
@@ -382,6 +395,7 @@
             self.follower.maintain,
             self.feeds.run,
             self.rate_sharing.run,
+            self.target.health.run,
         )
         for work in background:
             self._tasks.append(asyncio.ensure_future(self._keep_running(work)))
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -15,19 +15,16 @@
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
 from ...state.overload_level import LevelControl
+from ...state.target_limit import TargetLimit
 from ...state.usable_slots import usable_slots
 from ...state.work_queue import QueuedWork, WorkQueue
 from ...transport.header_fields import render_fields
-from ...transport.target_connection import TargetRequest, make_request
-from ...transport.target_pool import (
-    NO_RESEND_IDLE_LIMIT_MS,
-    PooledResponse,
-    ReusedConnectionLost,
-    TargetPool,
-)
+from ...transport.target_pool import PooledResponse, ReusedConnectionLost, TargetPool
 from .crash_reports import REASON_BLOCKED, CrashReports
 from .started_run import StartedRun
+from .target_health import TargetHealth
 from .target_log import TargetLog
+from .target_message import build_target_request, idle_limit_ms
 from .target_notices import TargetNotices
 
 # Fraction of its remaining time that a request may wait for a slot. Inner calls may wait longer,
@@ -41,10 +38,6 @@
 # Assumed service time until the first request has ended.
 INITIAL_SERVICE_MS = 50.0
 
-# After this many consecutive failed dials, requests are refused without a dial for UNREACHABLE_MS.
-DIAL_FAILURES_LIMIT = 2
-UNREACHABLE_MS = 500.0
-
 # Requests that run at once after a start until the first answer of the target tells whether it
 # limits their rate.
 UNINFORMED_CONCURRENCY = 3
@@ -70,7 +63,9 @@
         queue: Requests that wait for a slot.
         control: Computes the overload level of the target.
         notices: What the target says of itself in its answers.
+        health: Whether the target is cold or gone.
         stated_limit: Limit of the request rate that it names.
+        rate_limit: That limit and the one of a cold target.
         service_ms: Moving average of the time that a request takes on the target.
         dependency_level: Returns the highest overload level of the services that the target calls.
         highest_level: Returns the rank of the most important requests, which bounds the level.
@@ -125,11 +120,13 @@
         self.notices = TargetNotices(address, directory, dialect, clock, metrics)
         self.notices.on_limit_change = self._on_limit_change
         self.stated_limit = self.notices.limit
+        self.health = TargetHealth(address, pool, dialect, clock, metrics)
+        self.health.reserve, self.health.release = self._reserve_check, self._release_check
+        self.health.on_change = self._on_limit_change
+        self.rate_limit = TargetLimit(self.stated_limit, self.health.warm_up)
         self.service_ms = INITIAL_SERVICE_MS
         self._low_latency = LowLatency()
         self._samples = 0
-        self._dial_failures = 0
-        self._unreachable_until_ms = float("-inf")
         self._logged_level = 0.0
         self._limit = 1
         self._dispatch_timer: asyncio.TimerHandle | None = None
@@ -138,6 +135,7 @@
     def _update_limit(self) -> None:
         entry = self.directory.find_by_address(*self.address)
         self._limit = 1 if entry is None else usable_slots(entry.slots)
+        self.health.record_entry(entry)
         self._dispatch(self.clock.now_ms())
 
     def limit(self) -> int:
@@ -153,6 +151,8 @@
 
     def _is_full(self) -> bool:
         """Return whether no further request may run now; before the first answer few may."""
+        if self.health.waiting:
+            return True
         limit = self._limit if self.notices.informed else min(self._limit, UNINFORMED_CONCURRENCY)
         return self.running >= limit
 
@@ -168,8 +168,8 @@
             self.limit(),
             self.service_ms,
             level,
-            self.stated_limit.rate_per_s,
-            self.stated_limit.tokens(now_ms) - queued,
+            self.rate_limit.rate_per_s(now_ms),
+            self.rate_limit.tokens(now_ms) - queued,
             None if leaving is None else leaving.upstream_id,
             0 if leaving is None else leaving.started_at_ms,
         )
@@ -197,6 +197,7 @@
             return self._refuse(request, reason)
         self._update_level(now_ms)
         self.control.record_arrival()
+        self.health.check_connections(now_ms)
         if len(self.queue) or not self._reserve_slot(now_ms):
             reason = await self._wait_for_slot(request, now_ms, deadline_ms)
             if reason:
@@ -208,7 +209,7 @@
             if deadline_ms - now_ms < 1:
                 reason = "no time left"
             if reason:
-                self.stated_limit.put_back()
+                self.rate_limit.put_back()
                 return self._refuse(request, reason)
             return await self._exchange(request, now_ms, deadline_ms - now_ms)
         finally:
@@ -228,13 +229,15 @@
         now_ms = self.clock.now_ms()
         if self._is_full() or len(self.queue) or now_ms >= self._refuse_peers_from_ms:
             return None
-        if self.stated_limit.wait_ms(1, now_ms):
+        if self.rate_limit.wait_ms(1, now_ms):
             return None
         if request.remaining_ms < 1 or self._refusal_reason(request, now_ms):
             return None
         run = StartedRun(self, request, now_ms, deliver)
         run.work = self.pool.start_exchange(
-            self._build_request(request, request.remaining_ms), _idle_limit_ms(request), run.end
+            build_target_request(request, request.remaining_ms, self.dialect),
+            idle_limit_ms(request),
+            run.end,
         )
         if run.work is None:
             return None
@@ -246,11 +249,24 @@
 
     def _reserve_slot(self, now_ms: float) -> bool:
         """Reserve a slot and, where the target limits its rate, the sending of one request."""
-        if self._is_full() or not self.stated_limit.take(now_ms):
+        if self._is_full() or not self.rate_limit.take(now_ms):
+            return False
+        self.running += 1
+        return True
+
+    def _reserve_check(self, now_ms: float) -> bool:
+        """Reserve a slot and the sending of one request for a health check."""
+        if self.running >= self._limit or not self.rate_limit.take(now_ms):
             return False
         self.running += 1
         return True
 
+    def _release_check(self, sent: bool) -> None:
+        if not sent:
+            self.rate_limit.put_back()
+        self.running -= 1
+        self._dispatch(self.clock.now_ms())
+
     def _refusal_reason(self, request: RunRequest, now_ms: float) -> str:
         """Return why the target cannot take a request, or an empty string."""
         if request.service_id != self.service_id:
@@ -262,7 +278,7 @@
             return "upstream is draining"
         if self.notices.is_misdirected(entry):
             return "another process has the address"
-        if now_ms < self._unreachable_until_ms:
+        if self.health.is_unreachable(now_ms):
             return "target is gone"
         if self.crash_reports.block_ms(request):
             return REASON_BLOCKED
@@ -303,7 +319,7 @@
     def _expected_wait_ms(self, position: int, now_ms: float) -> float:
         """Return the time until the request at a position in the queue can run."""
         slot_wait_ms = position * self.service_ms / self._limit
-        return max(slot_wait_ms, self.stated_limit.wait_ms(position, now_ms))
+        return max(slot_wait_ms, self.rate_limit.wait_ms(position, now_ms))
 
     def _leave_queue(self, work: QueuedWork) -> None:
         """Stop waiting; a slot that was assigned in the meantime goes to the next request."""
@@ -311,12 +327,12 @@
             return
         if work.slot.done() and not work.slot.cancelled() and work.slot.result():
             self.running -= 1
-            self.stated_limit.put_back()
+            self.rate_limit.put_back()
             self._dispatch(self.clock.now_ms())
 
     def _dispatch(self, now_ms: float) -> None:
         while len(self.queue) and not self._is_full():
-            wait_ms = self.stated_limit.wait_ms(1, now_ms)
+            wait_ms = self.rate_limit.wait_ms(1, now_ms)
             if wait_ms:
                 self._dispatch_after(wait_ms)
                 return
@@ -345,7 +361,9 @@
         """Free the slot of a request that has ended, and give it to the next one in the queue."""
         self.running -= 1
         self.control.record_completion()
-        if len(self.queue):
+        if self.health.waiting:
+            self.health.wake()
+        elif len(self.queue):
             self._dispatch(self.clock.now_ms())
 
     def _update_level(self, now_ms: float) -> None:
@@ -357,7 +375,7 @@
             wait_ms = max(wait_ms, self.queue.oldest_wait_ms(now_ms))
         utilisation = min(1.0, self.running / self._limit)
         self.control.observe(
-            max(utilisation, self.stated_limit.utilisation(now_ms)),
+            max(utilisation, self.rate_limit.utilisation(now_ms)),
             wait_ms,
             now_ms,
             self.highest_level(),
@@ -379,7 +397,7 @@
         self._record_sent()
         try:
             pooled = await self.pool.exchange(
-                self._build_request(request, timeout_ms), _idle_limit_ms(request)
+                build_target_request(request, timeout_ms, self.dialect), idle_limit_ms(request)
             )
         except DialError as error:
             return self._handle_dial_error(request, error)
@@ -391,26 +409,11 @@
         self.metrics.count("target.sent")
         self.stated_limit.sent += 1
 
-    def _build_request(self, request: RunRequest, remaining_ms: float) -> TargetRequest:
-        """Return the HTTP request for the target, with the fields that the node sets."""
-        fields = (
-            f"{request.fields}{self.dialect.request_id}: {request.request_id}\r\n"
-            f"{self.dialect.remaining_ms}: {max(1, int(remaining_ms))}\r\n"
-            f"{self.dialect.expected_target}: {request.upstream_id}\r\n"
-        )
-        return make_request(
-            request.method,
-            request.target,
-            fields,
-            request.body,
-            request.request_id,
-            remaining_ms,
-        )
-
     def unknown_answer(self, request: RunRequest, error: Exception) -> RunAnswer:
         """Return the answer for a request that was sent and got no response from the target."""
         if isinstance(error, ConnectionLost):
             self.crash_reports.record_loss(request)
+            self.health.record_loss()
             self.metrics.count("target.lost")
             on_kept = isinstance(error, ReusedConnectionLost)
             outcome = RunOutcome.CONNECTION_LOST if on_kept else RunOutcome.UNKNOWN
@@ -429,7 +432,7 @@
             pooled: The response.
             started_ms: Time at which the request was sent.
         """
-        self._dial_failures = 0
+        self.health.record_answer(self.clock.now_ms())
         answer, fields = pooled.response, pooled.fields
         echoes_id = fields.get(self._request_id_field) == request.request_id
         if self._is_rejection(answer.status, fields) and (echoes_id or pooled.on_new_connection):
@@ -466,6 +469,7 @@
 
     def _record_latency(self, took_ms: float, now_ms: float, *, successful: bool) -> None:
         self.metrics.timing_ms("target.took_ms", took_ms)
+        self.health.record_latency(took_ms, now_ms)
         if not self._samples:
             self.service_ms = took_ms
         self._samples += 1
@@ -474,9 +478,7 @@
             self._low_latency.record(took_ms, now_ms)
 
     def _handle_dial_error(self, request: RunRequest, error: DialError) -> RunAnswer:
-        self._dial_failures += 1
-        if self._dial_failures >= DIAL_FAILURES_LIMIT:
-            self._unreachable_until_ms = self.clock.now_ms() + UNREACHABLE_MS
+        self.health.record_dial_failure()
         return self._refuse(request, f"target is gone: {error.problem}")
 
     def _refuse(self, request: RunRequest, reason: str) -> RunAnswer:
@@ -493,8 +495,3 @@
 
     def _answer(self, outcome: RunOutcome, reason: str) -> RunAnswer:
         return RunAnswer(0, outcome, reason, 0, "", b"", self.load(), 0)
-
-
-def _idle_limit_ms(request: RunRequest) -> float | None:
-    """Return how long a kept connection may have been idle to be used for a request."""
-    return None if request.may_repeat else NO_RESEND_IDLE_LIMIT_MS
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -204,3 +204,19 @@
     "served; learned from {source}",
 )
 HISTORY_LOST = _event(716, Level.INFO, "changes after revision {revision} are lost: {problem}")
+TARGET_COLD = _event(
+    740,
+    Level.INFO,
+    "target of {service_id} counts as cold: {reason}; it gets at most {limit_per_s} requests per "
+    "second",
+)
+TARGET_WARM = _event(
+    741,
+    Level.INFO,
+    "target of {service_id} is warm; it got {sent} requests in the {period_ms:.0f} ms before",
+)
+HEALTH_CHECK_FAILED = _event(
+    742,
+    Level.INFO,
+    "health check of the target of {service_id} does not tell whether it is cold: {problem}",
+)
--- a/gentianthread/state/directory.py
+++ b/gentianthread/state/directory.py
@@ -89,7 +89,9 @@
         if self.is_leaving(entry):
             entry = attrs.evolve(entry, state=UpstreamState.DRAINING)
         self._removal_due_ms.pop(entry.upstream_id, None)
-        if self.entries.get(entry.upstream_id) == entry:
+        known = self.entries.get(entry.upstream_id)
+        # A cold upstream that becomes cold once more may write the same remaining time again.
+        if known == entry and (not entry.warm_up_ms or known.write_number == entry.write_number):
             return
         self.entries[entry.upstream_id] = entry
         self.first_seen_ms.setdefault(entry.upstream_id, self._now_ms())
--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -118,8 +118,14 @@
         self._dial_timeout_ms = dial_timeout_ms
         self._memory = ResponseMemory(memory_limit_bytes)
         self._idle: deque[TargetConnection] = deque()
+        self._dialling = 0
         self._idle_limit = IdleLimit()
 
+    def has_open_connection(self) -> bool:
+        """Return whether a connection to the target is open, idle or not."""
+        in_use = self.open_connections - len(self._idle) - self._dialling
+        return in_use > 0 or any(connection.usable for connection in reversed(self._idle))
+
     async def exchange(
         self, request: TargetRequest, idle_limit_ms: float | None = None
     ) -> PooledResponse:
@@ -315,6 +321,7 @@
             self._discard(self._idle.popleft())
         loop = asyncio.get_running_loop()
         self.open_connections += 1
+        self._dialling += 1
         try:
             async with asyncio.timeout(self._dial_timeout_ms / 1000):
                 _, connection = await loop.create_connection(
@@ -330,6 +337,8 @@
             if isinstance(error, OSError | TimeoutError):
                 raise DialError("target", str(error) or type(error).__name__) from error
             raise
+        finally:
+            self._dialling -= 1
         self.dialled += 1
         connection.number = self.dialled
         return connection
