--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -84,6 +84,7 @@
         ready: Set once a plan and at least one upstream are known.
         documents: Stored documents by key, undecoded, for sending to peers.
         feeds: Feeds of the zones' watchers; if None, this node always watches the store.
+        on_plan: Called after a plan was put in force.
         store_answered_ms: Time of the store's last answer; minus infinity while it is unavailable.
         evacuations: Applies the documents of evacuations.
     """
@@ -120,6 +121,7 @@
         self.ready = asyncio.Event()
         self.documents: dict[str, Document] = {}
         self.feeds: DocumentFeeds | None = None
+        self.on_plan: Callable[[], None] = lambda: None
         self.store_answered_ms = float("-inf")
         self._history = EntryHistory(reader, heartbeat_ms, clock)
         self._upstreams = UpstreamDocuments(reader, directory, self.documents, self._history)
@@ -432,6 +434,7 @@
             return
         self.documents[document.key] = document
         self.plan = plan
+        self.on_plan()
         log(PLAN_IN_FORCE, version=plan.version, source=source)
         log_plan_problems(document.key, plan)
 
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -231,3 +231,19 @@
     "metadata store came back with an evacuation of zone {zone} that had ended, at revision "
     "{revision}; it is ignored until its key is written again",
 )
+TARGET_COLD = _event(
+    750,
+    Level.INFO,
+    "target of {service_id} counts as cold: {reason}; it gets at most {limit_per_s} requests per "
+    "second",
+)
+TARGET_WARM = _event(
+    751,
+    Level.INFO,
+    "target of {service_id} is warm; it got {sent} requests in the {period_ms:.0f} ms before",
+)
+HEALTH_CHECK_FAILED = _event(
+    752,
+    Level.INFO,
+    "health check of the target of {service_id} does not tell whether it is cold: {problem}",
+)
