Carry the lineage of repeats, and let services without calls use what is left of the retry budget

Cause: each node used a quarter of the retry ratio, since the calls of repeated runs count as repeats behind them. At a deep service that rejects 30%, the budget was spread over repeats of whole upper runs, and 70% of the upper runs failed. Change: RunRequest carries whether a run repeats work and how deep it is, LoadReport whether a target makes calls. Runs that failed since one of their calls was refused are not repeated. RetryBudget holds the windows; event 740, metrics and the dump tell when a budget is used up.

--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -22,6 +22,7 @@
 from .outcomes import as_answer, refused_answer
 from .peer_link import OnEnd, PeerLink
 from .peers import PeerLinks
+from .retry_budget import RetryBudget, lacks_a_call
 from .started_forward import StartedForward
 from .target import LocalTarget
 
@@ -60,6 +61,8 @@
         objective_missed: Whether it can no longer meet its latency objective.
         send_count: How often it was sent to upstreams.
         may_have_run: Whether an upstream may have run it.
+        inherited: Whether the run that made this call may have been a repeat itself.
+        depth: Number of calls on the way from the root request to this one; 0 for a root request.
         attempts: Upstream and outcome of each attempt that has ended without an answer.
     """
 
@@ -77,6 +80,8 @@
     objective_missed: bool = False
     send_count: int = 0
     may_have_run: bool = False
+    inherited: bool = False
+    depth: int = 0
     attempts: tuple[str, ...] = ()
 
 
@@ -115,7 +120,7 @@
         peers: PeerLinks,
         local_target: LocalTarget,
         crash_reports: CrashReports,
-        retry_window: Callable[[ServiceId], RetryWindow],
+        retry_budget: RetryBudget,
         revision: Callable[[], int],
         clock: Clock,
         metrics: Metrics,
@@ -130,7 +135,7 @@
             peers: Links to the nodes beside other upstreams.
             local_target: Target of this node.
             crash_reports: Requests that crash targets.
-            retry_window: Returns the retry window of a service.
+            retry_budget: Limits repeats.
             revision: Returns the revision of the platform's documents that this node has.
             clock: Clock of deadlines.
             metrics: Counts retries.
@@ -142,15 +147,13 @@
         self.peers = peers
         self.local_target = local_target
         self.crash_reports = crash_reports
-        self.retry_window = retry_window
+        self.retry_budget = retry_budget
         self.revision = revision
         self.clock = clock
         self.metrics = metrics
         self.decisions = decisions
         # Called with the organisation of a request that may run again; the sidecar replaces it.
         self.on_second_run: Callable[[OrganisationId], None] = lambda organisation_id: None
-        # Services that this node's own target calls.
-        self.called_services: set[ServiceId] = set()
         self._upstream_cache: dict[ServiceId, tuple[float, tuple[UpstreamEntry, ...]]] = {}
         self._dependency_level_cache: tuple[float, float] = (float("-inf"), 0.0)
         directory.changes.subscribe(lambda _: self._upstream_cache.clear())
@@ -162,7 +165,8 @@
         if now_ms >= until_ms:
             # Unreachable upstreams accept no requests, so that they must not lower the mean level.
             sources = {
-                name: len(self.reachable_upstreams(name, now_ms)) for name in self.called_services
+                name: len(self.reachable_upstreams(name, now_ms))
+                for name in self.local_target.runs.called_services
             }
             level = self.levels.highest_level(now_ms, sources)
             self._dependency_level_cache = (now_ms + CACHE_TTL_MS, level)
@@ -208,10 +212,7 @@
         Returns:
             What cancels the request.
         """
-        if pending.inner:
-            self.called_services.add(pending.service_id)
-        retry_window = self.retry_window(pending.service_id)
-        retry_window.record_request(now_ms)
+        retry_window = self.retry_budget.begin(pending, now_ms)
         started_forward = StartedForward(
             self, Attempts(pending, retry_window, refused_answer("no upstream is left")), deliver
         )
@@ -225,7 +226,11 @@
         if upstream is None and attempts.connection_lost_by is not None:
             # The target closed a kept connection; on another one it may answer.
             upstream, attempts.connection_lost_by = attempts.connection_lost_by, None
-        if upstream is not None:
+        if upstream is None:
+            self.retry_budget.record_end(
+                attempts.pending, attempts.last_answer, self.clock.now_ms()
+            )
+        else:
             attempts.tried.add(upstream.upstream_id)
         return upstream
 
@@ -257,6 +262,7 @@
             attempts.last_answer = answer
         if not will_retry:
             self._log_failure(pending, upstream, answer, will_retry=False)
+            self.retry_budget.record_end(pending, answer, self.clock.now_ms())
             return attempts.last_answer
         if answer.outcome is not RunOutcome.NOT_SENT:
             self._log_failure(pending, upstream, answer, will_retry=True)
@@ -271,12 +277,15 @@
     ) -> bool:
         if pending.may_have_run and not pending.route.repeatable:
             return False
+        if lacks_a_call(answer):
+            self.metrics.count("forwarder.repeats_left_to_calls")
+            return False
         if pending.send_count >= pending.route.max_attempts:
             return False
         now_ms = self.clock.now_ms()
         if pending.deadline_ms - now_ms < max(MIN_RETRY_TIME_MS, answer.load.service_ms):
             return False
-        return retry_window.allows(now_ms)
+        return self.retry_budget.take(pending, retry_window, now_ms)
 
     def start_attempt(
         self, attempts: Attempts, upstream: UpstreamEntry, on_end: OnEnd
@@ -398,7 +407,7 @@
         may_repeat = (
             route.repeatable
             and pending.send_count < route.max_attempts
-            and retry_window.allows(now_ms)
+            and self.retry_budget.allows(pending, retry_window, now_ms)
         )
         return RunRequest(
             0,
@@ -416,6 +425,8 @@
             pending.fields,
             pending.body,
             self.revision(),
+            repeated=pending.inherited or pending.send_count > 1,
+            depth=pending.depth,
         )
 
     def _record_outcome(
@@ -431,6 +442,7 @@
                 now_ms,
                 answer.load.rate_per_s,
             )
+            self.retry_budget.leaf_services.record(pending.service_id, answer.load.makes_calls)
             if answer.load.leaving_id:
                 # The store may be away and list the upstream as ready for long.
                 self.directory.mark_leaving(answer.load.leaving_id, answer.load.leaving_start_ms)
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -14,7 +14,7 @@
     NODE_STOPPED,
     TASK_FAILED,
 )
-from ...ids import NodeIdentity, ServiceId, StartNumber, UpstreamId
+from ...ids import NodeIdentity, StartNumber, UpstreamId
 from ...logs import log
 from ...metrics_text import HistogramMetrics, format_prometheus
 from ...protocol.dialect import dialects
@@ -36,7 +36,7 @@
 from ...state.fleet_plan import CallerLimits, FleetPlan
 from ...state.fleet_rate import LimitChanges, NodeRates
 from ...state.overload_level import KnownLevels
-from ...state.retry_window import RetryWindow
+from ...state.retry_window import FleetBudget
 from ...state.revisions import era_of, format_revision, number_of
 from ...transport.direct_websocket import DirectTransport
 from ...transport.http_pipeline import (
@@ -55,12 +55,9 @@
 from .peer_link import PeerLink
 from .peers import PeerLinks
 from .rates import RateCoordinator
+from .retry_budget import RetryBudget
 from .target import LocalTarget
 
-# Fraction of the retry budget that a node uses. The calls of a retried request count as retries at
-# the services behind it, up to four hops deep.
-RETRY_BUDGET_FRACTION = 0.25
-
 # Time for which a draining node still accepts requests of peers, which may not yet know that it
 # drains: a path between zones takes up to about 20 ms, and peers cache upstreams for up to 20 ms.
 PEER_DRAIN_GRACE_MS = 100.0
@@ -175,7 +172,7 @@
         self.crash_reports.neighbours = self.feeds.neighbours
         self.balancer = Balancer(settings.availability_zone, clock.now_ms, random)
         self.levels = KnownLevels(random)
-        self.retry_windows: dict[ServiceId, RetryWindow] = {}
+        self.retry_budget = RetryBudget(self._fleet_retry_budget, self.target.runs, self.metrics)
         self.forwarder = Forwarder(
             self.directory,
             self.balancer,
@@ -183,7 +180,7 @@
             self.peers,
             self.target,
             self.crash_reports,
-            self._retry_window,
+            self.retry_budget,
             lambda: self.follower.revision,
             clock,
             self.metrics,
@@ -282,17 +279,14 @@
         service = None if plan is None else plan.services.get(self.settings.service_id)
         return self.target.limit() if service is None else service.max_connections
 
-    def _retry_window(self, service_id: ServiceId) -> RetryWindow:
-        window = self.retry_windows.get(service_id)
-        if window is None:
-            window = self.retry_windows[service_id] = RetryWindow(0.0, 0.0, 0.0)
+    def _fleet_retry_budget(self) -> FleetBudget:
         settings = self.settings
-        window.ratio = settings.retry_ratio * RETRY_BUDGET_FRACTION
-        window.slack = (
-            settings.retry_slack * RETRY_BUDGET_FRACTION / max(1, len(self.directory.hosts()))
+        return FleetBudget(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_ms,
+            len(self.directory.hosts()),
         )
-        window.window_ms = settings.retry_window_ms
-        return window
 
     async def _answer_ready(self, request: BufferedRequest) -> BufferedResponse:
         if request.target.partition("?")[0] != self._ready_path:
@@ -361,6 +355,7 @@
                 "level": self.target.control.level,
                 "stated_limit_per_s": self.target.stated_limit.per_s,
             },
+            "retry_budgets": self.retry_budget.describe(now_ms),
             "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
             "counting": self.rate_sharing.counter_host,
             "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
--- a/gentianthread/coordination/mesh/started_run.py
+++ b/gentianthread/coordination/mesh/started_run.py
@@ -7,12 +7,17 @@
 from ...logs import log
 from ...protocol.messages_mesh import RunAnswer, RunRequest
 from ...transport.callbacks import Cancellable
-from ...transport.target_pool import PooledResponse
+from ...transport.target_pool import NO_RESEND_IDLE_LIMIT_MS, PooledResponse
 
 if TYPE_CHECKING:
     from .target import LocalTarget
 
 
+def idle_limit_ms(request: RunRequest) -> float | None:
+    """Return how long a kept connection may have been idle to be used for a request."""
+    return None if request.may_repeat else NO_RESEND_IDLE_LIMIT_MS
+
+
 class StartedRun:
     """Run one request that needs no task, since a slot and a kept connection are available.
 
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -15,18 +15,14 @@
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
 from ...state.overload_level import LevelControl
+from ...state.target_runs import TargetRuns
 from ...state.usable_slots import usable_slots
 from ...state.work_queue import QueuedWork, WorkQueue
 from ...transport.header_fields import render_fields
 from ...transport.target_connection import TargetRequest, make_request
-from ...transport.target_pool import (
-    NO_RESEND_IDLE_LIMIT_MS,
-    PooledResponse,
-    ReusedConnectionLost,
-    TargetPool,
-)
+from ...transport.target_pool import PooledResponse, ReusedConnectionLost, TargetPool
 from .crash_reports import REASON_BLOCKED, CrashReports
-from .started_run import StartedRun
+from .started_run import StartedRun, idle_limit_ms
 from .target_log import TargetLog
 from .target_notices import TargetNotices
 
@@ -71,6 +67,7 @@
         control: Computes the overload level of the target.
         notices: What the target says of itself in its answers.
         stated_limit: Limit of the request rate that it names.
+        runs: What is known of the runs on it and of their calls.
         service_ms: Moving average of the time that a request takes on the target.
         dependency_level: Returns the highest overload level of the services that the target calls.
         highest_level: Returns the rank of the most important requests, which bounds the level.
@@ -125,6 +122,7 @@
         self.notices = TargetNotices(address, directory, dialect, clock, metrics)
         self.notices.on_limit_change = self._on_limit_change
         self.stated_limit = self.notices.limit
+        self.runs = TargetRuns()
         self.service_ms = INITIAL_SERVICE_MS
         self._low_latency = LowLatency()
         self._samples = 0
@@ -172,6 +170,7 @@
             self.stated_limit.tokens(now_ms) - queued,
             None if leaving is None else leaving.upstream_id,
             0 if leaving is None else leaving.started_at_ms,
+            makes_calls=self.runs.makes_calls,
         )
 
     def refuse_peers(self, from_ms: float) -> None:
@@ -183,11 +182,7 @@
         self._refuse_peers_from_ms = from_ms
 
     async def run(self, request: RunRequest) -> RunAnswer:
-        """Run a request of a peer or of this node's own entry, and return its answer.
-
-        Args:
-            request: The request; its `call` is 0 if it comes from this node.
-        """
+        """Run a request of a peer, or of this node if its `call` is 0, and return its answer."""
         now_ms = self.clock.now_ms()
         deadline_ms = now_ms + request.remaining_ms
         if request.call and now_ms >= self._refuse_peers_from_ms:
@@ -234,11 +229,11 @@
             return None
         run = StartedRun(self, request, now_ms, deliver)
         run.work = self.pool.start_exchange(
-            self._build_request(request, request.remaining_ms), _idle_limit_ms(request), run.end
+            self._build_request(request, request.remaining_ms), idle_limit_ms(request), run.end
         )
         if run.work is None:
             return None
-        self._record_sent()
+        self._record_sent(request, now_ms)
         self._update_level(now_ms)
         self.control.record_arrival()
         self._reserve_slot(now_ms)
@@ -376,10 +371,10 @@
         A request is never sent twice here: if the answer to the caller's node were lost, that node
         would not know of the second time and send the request more often than its route allows.
         """
-        self._record_sent()
+        self._record_sent(request, started_ms)
         try:
             pooled = await self.pool.exchange(
-                self._build_request(request, timeout_ms), _idle_limit_ms(request)
+                self._build_request(request, timeout_ms), idle_limit_ms(request)
             )
         except DialError as error:
             return self._handle_dial_error(request, error)
@@ -387,9 +382,10 @@
             return self.unknown_answer(request, error)
         return self.classify_answer(request, pooled, started_ms)
 
-    def _record_sent(self) -> None:
+    def _record_sent(self, request: RunRequest, now_ms: float) -> None:
         self.metrics.count("target.sent")
         self.stated_limit.sent += 1
+        self.runs.begin(request, now_ms)
 
     def _build_request(self, request: RunRequest, remaining_ms: float) -> TargetRequest:
         """Return the HTTP request for the target, with the fields that the node sets."""
@@ -433,6 +429,7 @@
         answer, fields = pooled.response, pooled.fields
         echoes_id = fields.get(self._request_id_field) == request.request_id
         if self._is_rejection(answer.status, fields) and (echoes_id or pooled.on_new_connection):
+            self.runs.end(request.request_id)
             if answer.status == MISDIRECTED_REQUEST:
                 self.notices.record_misdirected(request, started_ms)
             else:
@@ -450,10 +447,12 @@
             # A limit without the seal is not trusted, but leaving is passed on to the caller.
             self.notices.read_leaving(request, fields, started_ms)
         self.crash_reports.record_answer(request)
+        self.runs.end(request.request_id, answer.status)
         now_ms = self.clock.now_ms()
         self._record_latency(now_ms - started_ms, now_ms, successful=answer.status < 300)
         self.metrics.count("target.answered")
-        run_answer = self._answer(RunOutcome.ANSWERED, "")
+        reason = self.runs.error_reason(answer.status, started_ms)
+        run_answer = self._answer(RunOutcome.ANSWERED, reason)
         run_answer.status, run_answer.body = answer.status, answer.body
         run_answer.fields = render_fields(answer.headers)
         return run_answer
@@ -475,6 +474,7 @@
 
     def _handle_dial_error(self, request: RunRequest, error: DialError) -> RunAnswer:
         self._dial_failures += 1
+        self.runs.end(request.request_id)
         if self._dial_failures >= DIAL_FAILURES_LIMIT:
             self._unreachable_until_ms = self.clock.now_ms() + UNREACHABLE_MS
         return self._refuse(request, f"target is gone: {error.problem}")
@@ -493,8 +493,3 @@
 
     def _answer(self, outcome: RunOutcome, reason: str) -> RunAnswer:
         return RunAnswer(0, outcome, reason, 0, "", b"", self.load(), 0)
-
-
-def _idle_limit_ms(request: RunRequest) -> float | None:
-    """Return how long a kept connection may have been idle to be used for a request."""
-    return None if request.may_repeat else NO_RESEND_IDLE_LIMIT_MS
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -204,3 +204,9 @@
     "served; learned from {source}",
 )
 HISTORY_LOST = _event(716, Level.INFO, "changes after revision {revision} are lost: {problem}")
+RETRIES_OVER_BUDGET = _event(
+    740,
+    Level.INFO,
+    "retry budget of {service_id} is used up: {requests} requests, {repeats} repeats and "
+    "{inherited} inherited ones in the window; {refused} repeats were not made since the start",
+)
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -53,6 +53,7 @@
         body: The complete body.
         revision: Revision of the platform's documents that the sender knows.
         repeated: Whether the run repeats work: of this request, or of a run that made this call.
+        depth: Number of calls on the way from the root request to this one; 0 for a root request.
     """
 
     call: int
@@ -71,6 +72,7 @@
     body: bytes = attrs.field(repr=False)
     revision: int
     repeated: bool = False
+    depth: int = 0
 
 
 @message(101)
--- a/tests/coordination/mesh/test_changes.py
+++ b/tests/coordination/mesh/test_changes.py
@@ -243,7 +243,7 @@
         node = self.sidecar("orders-0")
         unreachable = {self.sidecar(f"catalogue-{place}").settings.host for place in (1, 2)}
         node.peers.reachable = lambda host: host not in unreachable
-        node.forwarder.called_services.add("catalogue")
+        node.target.runs.called_services.add("catalogue")
         # The list of reachable upstreams is cached for 20 ms.
         await asyncio.sleep(0.03)
         statuses = []
