--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -24,6 +24,7 @@
 from .outcomes import as_answer, refused_answer
 from .peer_link import OnEnd, PeerLink
 from .peers import PeerLinks
+from .retry_budget import RetryBudget, lacks_a_call
 from .started_forward import StartedForward
 from .target import LocalTarget
 from .target_evacuation import REASON_EVACUATED
@@ -59,6 +60,8 @@
         objective_missed: Whether it can no longer meet its latency objective.
         send_count: How often it was sent to upstreams.
         may_have_run: Whether an upstream may have run it.
+        inherited: Whether the run that made this call may have been a repeat itself.
+        depth: Number of calls on the way from the root request to this one; 0 for a root request.
         attempts: Upstream and outcome of each attempt that has ended without an answer.
         allowed_regions: Regions in which it may run, or None for all.
     """
@@ -77,6 +80,8 @@
     objective_missed: bool = False
     send_count: int = 0
     may_have_run: bool = False
+    inherited: bool = False
+    depth: int = 0
     attempts: tuple[str, ...] = ()
     allowed_regions: frozenset[RegionId] | None = None
 
@@ -116,7 +121,7 @@
         peers: PeerLinks,
         local_target: LocalTarget,
         crash_reports: CrashReports,
-        retry_window: Callable[[ServiceId], RetryWindow],
+        retry_budget: RetryBudget,
         revision: Callable[[], int],
         placement: Placement,
         clock: Clock,
@@ -132,7 +137,7 @@
             peers: Links to the nodes beside other upstreams.
             local_target: Target of this node.
             crash_reports: Requests that crash targets.
-            retry_window: Returns the retry window of a service.
+            retry_budget: Limits repeats.
             revision: Returns the revision of the platform's documents that this node has.
             placement: Regions of upstreams.
             clock: Clock of deadlines.
@@ -145,7 +150,7 @@
         self.peers = peers
         self.local_target = local_target
         self.crash_reports = crash_reports
-        self.retry_window = retry_window
+        self.retry_budget = retry_budget
         self.revision = revision
         self.placement = placement
         self.clock = clock
@@ -153,8 +158,6 @@
         self.decisions = decisions
         # Called with the organisation of a request that may run again; the sidecar replaces it.
         self.on_second_run: Callable[[OrganisationId], None] = lambda organisation_id: None
-        # Services that this node's own target calls.
-        self.called_services: set[ServiceId] = set()
         self.upstreams = AvailableUpstreams(
             directory, placement, peers.reachable, local_target.address[0]
         )
@@ -175,7 +178,8 @@
         if now_ms >= until_ms:
             # Unreachable upstreams accept no requests, so that they must not lower the mean level.
             sources = {
-                name: len(self.reachable_upstreams(name, now_ms)) for name in self.called_services
+                name: len(self.reachable_upstreams(name, now_ms))
+                for name in self.local_target.runs.called_services
             }
             level = self.levels.highest_level(now_ms, sources)
             self._dependency_level_cache = (now_ms + CACHE_TTL_MS, level)
@@ -206,10 +210,7 @@
         Returns:
             What cancels the request.
         """
-        if pending.inner:
-            self.called_services.add(pending.service_id)
-        retry_window = self.retry_window(pending.service_id)
-        retry_window.record_request(now_ms)
+        retry_window = self.retry_budget.begin(pending, now_ms)
         started_forward = StartedForward(
             self, Attempts(pending, retry_window, refused_answer("no upstream is left")), deliver
         )
@@ -226,9 +227,11 @@
             upstream, attempts.connection_lost_by = lost, None
         if upstream is not None:
             attempts.tried.add(upstream.upstream_id)
-        elif not upstreams and not pending.attempts:
+            return upstream
+        if not upstreams and not pending.attempts:
             attempts.last_answer = refused_answer(self.upstreams.missing_reason(pending))
-        return upstream
+        self.retry_budget.record_end(pending, attempts.last_answer, self.clock.now_ms())
+        return None
 
     def regions_for(
         self, route: HostRoute, organisation: FleetOrganisation | None
@@ -277,6 +280,7 @@
             attempts.last_answer = answer
         if not will_retry:
             self._log_failure(pending, upstream, answer, will_retry=False)
+            self.retry_budget.record_end(pending, answer, self.clock.now_ms())
             return attempts.last_answer
         if answer.outcome is not RunOutcome.NOT_SENT:
             self._log_failure(pending, upstream, answer, will_retry=True)
@@ -291,12 +295,15 @@
     ) -> bool:
         if pending.may_have_run and not pending.route.repeatable:
             return False
+        if lacks_a_call(answer):
+            self.metrics.count("forwarder.repeats_left_to_calls")
+            return False
         if pending.send_count >= pending.route.max_attempts:
             return False
         now_ms = self.clock.now_ms()
         if pending.deadline_ms - now_ms < max(MIN_RETRY_TIME_MS, answer.load.service_ms):
             return False
-        return retry_window.allows(now_ms)
+        return self.retry_budget.take(pending, retry_window, now_ms)
 
     def start_attempt(
         self, attempts: Attempts, upstream: UpstreamEntry, on_end: OnEnd
@@ -418,7 +425,7 @@
         may_repeat = (
             route.repeatable
             and pending.send_count < route.max_attempts
-            and retry_window.allows(now_ms)
+            and self.retry_budget.allows(pending, retry_window, now_ms)
         )
         return RunRequest(
             0,
@@ -437,6 +444,8 @@
             pending.body,
             self.revision(),
             allowed_regions=encode_regions(pending.allowed_regions),
+            repeated=pending.inherited or pending.send_count > 1,
+            depth=pending.depth,
         )
 
     def _record_outcome(
@@ -453,6 +462,7 @@
                     now_ms,
                     answer.load.rate_per_s,
                 )
+            self.retry_budget.leaf_services.record(pending.service_id, answer.load.makes_calls)
             if answer.load.leaving_id:
                 # The store may be away and list the upstream as ready for long.
                 self.directory.mark_leaving(answer.load.leaving_id, answer.load.leaving_start_ms)
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -14,7 +14,7 @@
     NODE_STOPPED,
     TASK_FAILED,
 )
-from ...ids import NodeIdentity, ServiceId, StartNumber, UpstreamId
+from ...ids import NodeIdentity, StartNumber, UpstreamId
 from ...logs import log
 from ...metrics_text import HistogramMetrics, format_prometheus
 from ...protocol.dialect import dialects
@@ -38,7 +38,7 @@
 from ...state.fleet_rate import LimitChanges, NodeRates
 from ...state.overload_level import KnownLevels
 from ...state.placement import Placement
-from ...state.retry_window import RetryWindow
+from ...state.retry_window import FleetBudget
 from ...state.revisions import era_of, format_revision, number_of
 from ...transport.direct_websocket import DirectTransport
 from ...transport.http_pipeline import (
@@ -57,12 +57,9 @@
 from .peer_link import PeerLink
 from .peers import PeerLinks
 from .rates import RateCoordinator
+from .retry_budget import RetryBudget
 from .target import LocalTarget
 
-# Fraction of the retry budget that a node uses. The calls of a retried request count as retries at
-# the services behind it, up to four hops deep.
-RETRY_BUDGET_FRACTION = 0.25
-
 # Time for which a draining node still accepts requests of peers, which may not yet know that it
 # drains: a path between zones takes up to about 20 ms, and peers cache upstreams for up to 20 ms.
 PEER_DRAIN_GRACE_MS = 100.0
@@ -178,7 +175,7 @@
         self.follower.evacuations.neighbours = self.feeds.neighbours
         self.balancer = Balancer(settings.availability_zone, clock.now_ms, random)
         self.levels = KnownLevels(random)
-        self.retry_windows: dict[ServiceId, RetryWindow] = {}
+        self.retry_budget = RetryBudget(self._fleet_retry_budget, self.target.runs, self.metrics)
         self.forwarder = Forwarder(
             self.directory,
             self.balancer,
@@ -186,7 +183,7 @@
             self.peers,
             self.target,
             self.crash_reports,
-            self._retry_window,
+            self.retry_budget,
             lambda: self.follower.revision,
             Placement(lambda: self.settings.regions, settings.availability_zone),
             clock,
@@ -300,17 +297,14 @@
         limit = 0 if service is None else service.max_connections
         return limit or self.target.limit()
 
-    def _retry_window(self, service_id: ServiceId) -> RetryWindow:
-        window = self.retry_windows.get(service_id)
-        if window is None:
-            window = self.retry_windows[service_id] = RetryWindow(0.0, 0.0, 0.0)
+    def _fleet_retry_budget(self) -> FleetBudget:
         settings = self.settings
-        window.ratio = settings.retry_ratio * RETRY_BUDGET_FRACTION
-        window.slack = (
-            settings.retry_slack * RETRY_BUDGET_FRACTION / max(1, len(self.directory.hosts()))
+        return FleetBudget(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_ms,
+            len(self.directory.hosts()),
         )
-        window.window_ms = settings.retry_window_ms
-        return window
 
     async def _answer_ready(self, request: BufferedRequest) -> BufferedResponse:
         if request.target.partition("?")[0] != self._ready_path:
@@ -389,6 +383,7 @@
                 "rate_limit_per_s": self.target.rate_limit.rate_per_s(now_ms),
                 **self.target.health.describe(now_ms),
             },
+            "retry_budgets": self.retry_budget.describe(now_ms),
             "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
             "counting": self.rate_sharing.counter_host,
             "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -17,6 +17,7 @@
 from ...state.overload_level import LevelControl
 from ...state.placement import BoundRuns
 from ...state.target_limit import TargetLimit
+from ...state.target_runs import TargetRuns
 from ...state.usable_slots import usable_slots
 from ...state.work_queue import QueuedWork, WorkQueue
 from ...transport.header_fields import render_fields
@@ -68,6 +69,7 @@
         health: Whether the target is cold or gone.
         stated_limit: Limit of the request rate that it names.
         rate_limit: That limit and the one of a cold target.
+        runs: What is known of the runs on it and of their calls.
         service_ms: Moving average of the time that a request takes on the target.
         dependency_level: Returns the highest overload level of the services that the target calls.
         highest_level: Returns the rank of the most important requests, which bounds the level.
@@ -131,6 +133,7 @@
         self.health.on_change = self._on_limit_change
         self.rate_limit = TargetLimit(self.stated_limit, self.health.warm_up)
         self.evacuation.on_evacuation_end = lambda: self.health.suspect("its evacuation has ended")
+        self.runs = TargetRuns()
         self.service_ms = INITIAL_SERVICE_MS
         self._low_latency = LowLatency()
         self._samples = 0
@@ -179,6 +182,7 @@
             self.rate_limit.tokens(now_ms) - queued,
             None if leaving is None else leaving.upstream_id,
             0 if leaving is None else leaving.started_at_ms,
+            makes_calls=self.runs.makes_calls,
         )
 
     def refuse_peers(self, from_ms: float) -> None:
@@ -190,11 +194,7 @@
         self._refuse_peers_from_ms = from_ms
 
     async def run(self, request: RunRequest) -> RunAnswer:
-        """Run a request of a peer or of this node's own entry, and return its answer.
-
-        Args:
-            request: The request; its `call` is 0 if it comes from this node.
-        """
+        """Run a request of a peer, or of this node if its `call` is 0, and return its answer."""
         now_ms = self.clock.now_ms()
         deadline_ms = now_ms + request.remaining_ms
         if request.call and now_ms >= self._refuse_peers_from_ms:
@@ -248,7 +248,7 @@
         )
         if run.work is None:
             return None
-        self._record_sent()
+        self._record_sent(request, now_ms)
         self.bound_runs.start(request.allowed_regions)
         self._update_level(now_ms)
         self.control.record_arrival()
@@ -404,7 +404,7 @@
         A request is never sent twice here: if the answer to the caller's node were lost, that node
         would not know of the second time and send the request more often than its route allows.
         """
-        self._record_sent()
+        self._record_sent(request, started_ms)
         self.bound_runs.start(request.allowed_regions)
         may_run_until_ms: float | None = started_ms + timeout_ms
         try:
@@ -421,9 +421,10 @@
             self.bound_runs.end(request.allowed_regions, until_ms=may_run_until_ms)
         return self.classify_answer(request, pooled, started_ms)
 
-    def _record_sent(self) -> None:
+    def _record_sent(self, request: RunRequest, now_ms: float) -> None:
         self.metrics.count("target.sent")
         self.stated_limit.sent += 1
+        self.runs.begin(request, now_ms)
 
     def unknown_answer(self, request: RunRequest, error: Exception) -> RunAnswer:
         """Return the answer for a request that was sent and got no response from the target."""
@@ -452,6 +453,7 @@
         answer, fields = pooled.response, pooled.fields
         echoes_id = fields.get(self._request_id_field) == request.request_id
         if self._is_rejection(answer.status, fields) and (echoes_id or pooled.on_new_connection):
+            self.runs.end(request.request_id)
             if answer.status == MISDIRECTED_REQUEST:
                 self.notices.record_misdirected(request, started_ms)
             else:
@@ -469,10 +471,12 @@
             # A limit without the seal is not trusted, but leaving is passed on to the caller.
             self.notices.read_leaving(request, fields, started_ms)
         self.crash_reports.record_answer(request)
+        self.runs.end(request.request_id, answer.status)
         now_ms = self.clock.now_ms()
         self._record_latency(now_ms - started_ms, now_ms, successful=answer.status < 300)
         self.metrics.count("target.answered")
-        run_answer = self._answer(RunOutcome.ANSWERED, "")
+        reason = self.runs.error_reason(answer.status, started_ms)
+        run_answer = self._answer(RunOutcome.ANSWERED, reason)
         run_answer.status, run_answer.body = answer.status, answer.body
         run_answer.fields = render_fields(answer.headers)
         return run_answer
@@ -495,6 +499,7 @@
 
     def _handle_dial_error(self, request: RunRequest, error: DialError) -> RunAnswer:
         self.health.record_dial_failure()
+        self.runs.end(request.request_id)
         return self._refuse(request, f"target is gone: {error.problem}")
 
     def _refuse(self, request: RunRequest, reason: str) -> RunAnswer:
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -247,3 +247,9 @@
     Level.INFO,
     "health check of the target of {service_id} does not tell whether it is cold: {problem}",
 )
+RETRIES_OVER_BUDGET = _event(
+    755,
+    Level.INFO,
+    "retry budget of {service_id} is used up: {requests} requests, {repeats} repeats and "
+    "{inherited} inherited ones in the window; {refused} repeats were not made since the start",
+)
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -56,6 +56,7 @@
         repeated: Whether the run repeats work: of this request, or of a run that made this call.
         allowed_regions: Names of the regions in which it and its calls may run, separated by
             newlines; empty if they are not limited. One text keeps the fast path of the decoder.
+        depth: Number of calls on the way from the root request to this one; 0 for a root request.
     """
 
     call: int
@@ -75,6 +76,7 @@
     revision: int
     repeated: bool = False
     allowed_regions: str = ""
+    depth: int = 0
 
 
 @message(101)
