--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -62,6 +62,7 @@
         may_have_run: Whether an upstream may have run it.
         inherited: Whether the run that made this call may have been a repeat itself.
         depth: Number of calls on the way from the root request to this one; 0 for a root request.
+        sent_ms: Time of the last send.
         attempts: Upstream and outcome of each attempt that has ended without an answer.
         allowed_regions: Regions in which it may run, or None for all.
     """
@@ -82,6 +83,7 @@
     may_have_run: bool = False
     inherited: bool = False
     depth: int = 0
+    sent_ms: float = 0.0
     attempts: tuple[str, ...] = ()
     allowed_regions: frozenset[RegionId] | None = None
 
@@ -422,6 +424,7 @@
         self, pending: PendingRequest, upstream: UpstreamEntry, retry_window: RetryWindow
     ) -> RunRequest:
         route, now_ms = pending.route, self.clock.now_ms()
+        pending.sent_ms = now_ms
         may_repeat = (
             route.repeatable
             and pending.send_count < route.max_attempts
@@ -454,6 +457,8 @@
         upstream_id = upstream.upstream_id
         if answer.load.limit:
             now_ms = self.clock.now_ms()
+            if answer.spent_ms:
+                self.balancer.record_exchange(upstream, now_ms - pending.sent_ms, answer.spent_ms)
             if not self.directory.is_evacuated(upstream):
                 self.levels.record(
                     pending.service_id,
@@ -475,6 +480,8 @@
         elif answer.outcome is RunOutcome.UNKNOWN:
             if self._remaining_ms(pending) > MIN_RETRY_TIME_MS:
                 self.balancer.record_failure(upstream_id)
+        elif answer.outcome is RunOutcome.REJECTED:
+            self.balancer.record_rejection(upstream_id)
         elif not answer.load.limit or "gone" in answer.reason:
             # The peer was unreachable, or it refused with "target is gone".
             self.balancer.record_failure(upstream_id, unreachable=True)
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -37,6 +37,7 @@
 from ...state.fleet_plan import CallerLimits, FleetPlan
 from ...state.fleet_rate import LimitChanges, NodeRates
 from ...state.overload_level import KnownLevels
+from ...state.path_delay import PathDelays
 from ...state.placement import Placement
 from ...state.retry_window import FleetBudget
 from ...state.revisions import era_of, format_revision, number_of
@@ -173,7 +174,12 @@
         self.feeds.on_neighbour = self._inform_neighbour
         self.crash_reports.neighbours = self.feeds.neighbours
         self.follower.evacuations.neighbours = self.feeds.neighbours
-        self.balancer = Balancer(settings.availability_zone, clock.now_ms, random)
+        self.balancer = Balancer(
+            settings.availability_zone,
+            clock.now_ms,
+            random,
+            PathDelays(settings.availability_zone, settings.regions),
+        )
         self.levels = KnownLevels(random)
         self.retry_budget = RetryBudget(self._fleet_retry_budget, self.target.runs, self.metrics)
         self.forwarder = Forwarder(
@@ -324,6 +330,7 @@
         return BufferedResponse(404, [])
 
     def _write_metrics(self) -> bytes:
+        now_ms = self.clock.now_ms()
         self.metrics.gauge("target.running", self.target.running)
         self.metrics.gauge("target.queued", len(self.target.queue))
         self.metrics.gauge("target.connections", self.pool.open_connections)
@@ -334,11 +341,13 @@
         self.metrics.gauge(
             "target.stated_limit_per_s", -1 if stated_limit_per_s is None else stated_limit_per_s
         )
-        warm_up, now_ms = self.target.health.warm_up, self.clock.now_ms()
-        self.metrics.gauge("target.cold", int(warm_up.is_cold(now_ms)))
+        self.metrics.gauge("target.cold", int(self.target.health.warm_up.is_cold(now_ms)))
         self.metrics.gauge("target.rate_limit_per_s", self.target.rate_limit.rate_per_s(now_ms))
+        self.metrics.gauge("target.throughput_per_s", self.target.capacity.throughput_per_s)
+        self.metrics.gauge("target.work_percent", self.target.capacity.pace.percent(now_ms))
+        self.metrics.gauge("target.invalid_load_figures", self.target.capacity.invalid_figures)
         self.metrics.gauge("entry.running", self.entry.running)
-        blocked = self.crash_reports.suspects.blocked_count(self.clock.now_ms())
+        blocked = self.crash_reports.suspects.blocked_count(now_ms)
         self.metrics.gauge("crashes.blocked_requests", blocked)
         plan = self.follower.plan
         self.metrics.gauge("plan.version", plan.version if plan else 0)
@@ -377,13 +386,16 @@
                 "running": self.target.running,
                 "queued": len(self.target.queue),
                 "limit": self.target.limit(),
-                "service_ms": self.target.service_ms,
+                "service_ms": self.target.capacity.service_ms,
                 "level": self.target.control.level,
                 "stated_limit_per_s": self.target.stated_limit.per_s,
                 "rate_limit_per_s": self.target.rate_limit.rate_per_s(now_ms),
                 **self.target.health.describe(now_ms),
+                "throughput_per_s": self.target.capacity.throughput_per_s,
+                "work_percent": self.target.capacity.pace.percent(now_ms),
             },
             "retry_budgets": self.retry_budget.describe(now_ms),
+            "path_ms": self.balancer.paths.describe(now_ms),
             "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
             "counting": self.rate_sharing.counter_host,
             "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -12,13 +12,13 @@
 from ...protocol.dialect import HttpDialect
 from ...protocol.messages_mesh import RunAnswer, RunOutcome, RunRequest
 from ...state.balancer import LoadReport
+from ...state.capacity import MeasuredCapacity
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
 from ...state.overload_level import LevelControl
 from ...state.placement import BoundRuns
 from ...state.target_limit import TargetLimit
 from ...state.target_runs import TargetRuns
-from ...state.usable_slots import usable_slots
 from ...state.work_queue import QueuedWork, WorkQueue
 from ...transport.header_fields import render_fields
 from ...transport.target_pool import PooledResponse, ReusedConnectionLost, TargetPool
@@ -35,11 +35,6 @@
 ROOT_WAIT_FRACTION = 0.3
 INNER_WAIT_FRACTION = 0.5
 
-# Weight of the newest sample in the moving average of the service time.
-SERVICE_TIME_WEIGHT = 0.05
-
-# Assumed service time until the first request has ended.
-INITIAL_SERVICE_MS = 50.0
 
 # Requests that run at once after a start until the first answer of the target tells whether it
 # limits their rate.
@@ -70,7 +65,7 @@
         stated_limit: Limit of the request rate that it names.
         rate_limit: That limit and the one of a cold target.
         runs: What is known of the runs on it and of their calls.
-        service_ms: Moving average of the time that a request takes on the target.
+        capacity: Measures how long requests take on the target, and how many may run.
         dependency_level: Returns the highest overload level of the services that the target calls.
         highest_level: Returns the rank of the most important requests, which bounds the level.
         evacuation: Whether the zone of the target is evacuated.
@@ -111,6 +106,7 @@
         self._request_id_field = dialect.request_id.lower()
         self._seal_field = dialect.seal.lower()
         self._not_run_field = dialect.not_run.lower()
+        self._load_field = dialect.load.lower()
         self.clock = clock
         self.metrics = metrics
         self.decisions = decisions
@@ -134,23 +130,21 @@
         self.rate_limit = TargetLimit(self.stated_limit, self.health.warm_up)
         self.evacuation.on_evacuation_end = lambda: self.health.suspect("its evacuation has ended")
         self.runs = TargetRuns()
-        self.service_ms = INITIAL_SERVICE_MS
+        self.capacity = MeasuredCapacity(clock.now_ms())
         self._low_latency = LowLatency()
-        self._samples = 0
         self._logged_level = 0.0
-        self._limit = 1
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self._subscription = directory.changes.subscribe(lambda _: self._update_limit())
 
     def _update_limit(self) -> None:
         entry = self.directory.find_by_address(*self.address)
-        self._limit = 1 if entry is None else usable_slots(entry.slots)
+        self.capacity.configure(1 if entry is None else entry.slots)
         self.health.record_entry(entry)
         self._dispatch(self.clock.now_ms())
 
     def limit(self) -> int:
         """Return how many requests may run at once."""
-        return self._limit
+        return self.capacity.limit
 
     def _on_limit_change(self, lifted: bool) -> None:
         now_ms = self.clock.now_ms()
@@ -163,8 +157,10 @@
         """Return whether no further request may run now; before the first answer few may."""
         if self.health.waiting:
             return True
-        limit = self._limit if self.notices.informed else min(self._limit, UNINFORMED_CONCURRENCY)
-        return self.running >= limit
+        limit = self.limit()
+        return self.running >= (
+            limit if self.notices.informed else min(limit, UNINFORMED_CONCURRENCY)
+        )
 
     def load(self) -> LoadReport:
         """Return the load that is reported with each answer."""
@@ -176,13 +172,15 @@
             self.running,
             queued,
             self.limit(),
-            self.service_ms,
+            self.capacity.service_ms,
             level,
             self.rate_limit.rate_per_s(now_ms),
             self.rate_limit.tokens(now_ms) - queued,
             None if leaving is None else leaving.upstream_id,
             0 if leaving is None else leaving.started_at_ms,
-            makes_calls=self.runs.makes_calls,
+            self.capacity.throughput_per_s,
+            self.capacity.pace.percent(now_ms),
+            self.runs.makes_calls,
         )
 
     def refuse_peers(self, from_ms: float) -> None:
@@ -195,7 +193,7 @@
 
     async def run(self, request: RunRequest) -> RunAnswer:
         """Run a request of a peer, or of this node if its `call` is 0, and return its answer."""
-        now_ms = self.clock.now_ms()
+        now_ms = received_ms = self.clock.now_ms()
         deadline_ms = now_ms + request.remaining_ms
         if request.call and now_ms >= self._refuse_peers_from_ms:
             return self._refuse(request, "node is leaving")
@@ -218,7 +216,9 @@
             if reason:
                 self.rate_limit.put_back()
                 return self._refuse(request, reason)
-            return await self._exchange(request, now_ms, deadline_ms - now_ms)
+            answer = await self._exchange(request, now_ms, deadline_ms - now_ms)
+            answer.spent_ms = self.clock.now_ms() - received_ms
+            return answer
         finally:
             self.release_slot()
 
@@ -260,11 +260,12 @@
         if self._is_full() or not self.rate_limit.take(now_ms):
             return False
         self.running += 1
+        self.capacity.record_running(self.running, now_ms)
         return True
 
     def _reserve_check(self, now_ms: float) -> bool:
         """Reserve a slot and the sending of one request for a health check."""
-        if self.running >= self._limit or not self.rate_limit.take(now_ms):
+        if self.running >= self.capacity.limit or not self.rate_limit.take(now_ms):
             return False
         self.running += 1
         return True
@@ -328,7 +329,7 @@
 
     def _expected_wait_ms(self, position: int, now_ms: float) -> float:
         """Return the time until the request at a position in the queue can run."""
-        slot_wait_ms = position * self.service_ms / self._limit
+        slot_wait_ms = position * self.capacity.service_ms / self.capacity.limit
         return max(slot_wait_ms, self.rate_limit.wait_ms(position, now_ms))
 
     def _leave_queue(self, work: QueuedWork) -> None:
@@ -336,9 +337,11 @@
         if self.queue.remove(work):
             return
         if work.slot.done() and not work.slot.cancelled() and work.slot.result():
+            now_ms = self.clock.now_ms()
             self.running -= 1
+            self.capacity.record_running(self.running, now_ms)
             self.rate_limit.put_back()
-            self._dispatch(self.clock.now_ms())
+            self._dispatch(now_ms)
 
     def _dispatch(self, now_ms: float) -> None:
         while len(self.queue) and not self._is_full():
@@ -371,10 +374,13 @@
         """Free the slot of a request that has ended, and give it to the next one in the queue."""
         self.running -= 1
         self.control.record_completion()
-        if self.health.waiting:
-            self.health.wake()
-        elif len(self.queue):
-            self._dispatch(self.clock.now_ms())
+        if len(self.queue) or self.capacity.active or self.health.waiting:
+            now_ms = self.clock.now_ms()
+            self.capacity.record_running(self.running, now_ms)
+            if self.health.waiting:
+                self.health.wake()
+            else:
+                self._dispatch(now_ms)
 
     def _update_level(self, now_ms: float) -> None:
         if not self.control.is_due(now_ms):
@@ -383,7 +389,7 @@
         if len(self.queue):
             wait_ms = self._expected_wait_ms(len(self.queue), now_ms)
             wait_ms = max(wait_ms, self.queue.oldest_wait_ms(now_ms))
-        utilisation = min(1.0, self.running / self._limit)
+        utilisation = min(1.0, self.running / self.capacity.limit)
         self.control.observe(
             max(utilisation, self.rate_limit.utilisation(now_ms)),
             wait_ms,
@@ -452,6 +458,9 @@
         self.health.record_answer(self.clock.now_ms())
         answer, fields = pooled.response, pooled.fields
         echoes_id = fields.get(self._request_id_field) == request.request_id
+        now_ms = self.clock.now_ms()
+        if echoes_id:
+            self.capacity.record_load(fields.get(self._load_field), self.running, now_ms)
         if self._is_rejection(answer.status, fields) and (echoes_id or pooled.on_new_connection):
             self.runs.end(request.request_id)
             if answer.status == MISDIRECTED_REQUEST:
@@ -472,8 +481,12 @@
             self.notices.read_leaving(request, fields, started_ms)
         self.crash_reports.record_answer(request)
         self.runs.end(request.request_id, answer.status)
-        now_ms = self.clock.now_ms()
-        self._record_latency(now_ms - started_ms, now_ms, successful=answer.status < 300)
+        took_ms = now_ms - started_ms
+        self.metrics.timing_ms("target.took_ms", took_ms)
+        self.health.record_latency(took_ms, now_ms)
+        self.capacity.record_answer(took_ms, now_ms)
+        if answer.status < 300:
+            self._low_latency.record(took_ms, now_ms)
         self.metrics.count("target.answered")
         reason = self.runs.error_reason(answer.status, started_ms)
         run_answer = self._answer(RunOutcome.ANSWERED, reason)
@@ -487,16 +500,6 @@
         # Only an upstream that has run the request seals its answer.
         return status == MISDIRECTED_REQUEST and self._seal_field not in fields
 
-    def _record_latency(self, took_ms: float, now_ms: float, *, successful: bool) -> None:
-        self.metrics.timing_ms("target.took_ms", took_ms)
-        self.health.record_latency(took_ms, now_ms)
-        if not self._samples:
-            self.service_ms = took_ms
-        self._samples += 1
-        self.service_ms += SERVICE_TIME_WEIGHT * (took_ms - self.service_ms)
-        if successful:
-            self._low_latency.record(took_ms, now_ms)
-
     def _handle_dial_error(self, request: RunRequest, error: DialError) -> RunAnswer:
         self.health.record_dial_failure()
         self.runs.end(request.request_id)
