--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -229,6 +229,7 @@
         now_ms = self.clock.now_ms()
         if self._is_full() or len(self.queue) or now_ms >= self._refuse_peers_from_ms:
             return None
+        self.health.check_connections(now_ms)
         if self.rate_limit.wait_ms(1, now_ms):
             return None
         if request.remaining_ms < 1 or self._refusal_reason(request, now_ms):
--- a/gentianthread/coordination/mesh/target_health.py
+++ b/gentianthread/coordination/mesh/target_health.py
@@ -44,6 +44,13 @@
 # Longest time for which a check waits for a wake-up before it tries to get a slot again.
 SLOT_POLL_MS = 50.0
 
+# Time after which the overload level of the target is mainly that of the limit. After a shorter
+# one, as that of a check, the level is still the one of the warm target.
+LEVEL_LAG_MS = 500.0
+
+# Shortest wait; rounding can leave a time that is too short for the clock of the event loop.
+MIN_SLEEP_MS = 1.0
+
 # Maximum log lines per second about changes of the state, and about failed checks.
 LINES_PER_S = 2
 
@@ -61,7 +68,8 @@
         may_check: Returns whether anything may be sent to the target at present.
         reserve: Reserves a slot and the sending of one check, and returns whether it did.
         release: Called when a check has ended, with whether it was sent.
-        on_change: Called after the target became cold or warm, with whether it is warm.
+        on_change: Called after the target became cold or warm, with whether it became warm after
+            so long a time that its overload level is that of the limit.
     """
 
     def __init__(
@@ -108,7 +116,8 @@
         self._check_wanted = False
         # Targets that do not echo the id of a check need a connection of their own for it.
         self._echoes_id = True
-        self._answered_ms = float("-inf")
+        # Time at which the start whose state is known was last seen to be there.
+        self._alive_ms = float("-inf")
         self._dial_failures = 0
         self._unreachable_until_ms = float("-inf")
         self._was_cold = False
@@ -167,12 +176,11 @@
 
         A crash ends all connections, so that one which is still open leads to the same start.
         """
-        if (
-            self.warm_up.enabled
-            and not self.warm_up.unknown
-            and now_ms - self._answered_ms > MIN_RESTART_MS
-            and not self._pool.has_open_connection()
-        ):
+        if not self.warm_up.enabled or self.warm_up.unknown:
+            return
+        if self._pool.has_open_connection():
+            self._alive_ms = now_ms
+        elif now_ms - self._alive_ms > MIN_RESTART_MS:
             self._record_connections_lost("no connection to it is left", now_ms)
 
     def record_loss(self) -> None:
@@ -201,7 +209,7 @@
     def record_answer(self, now_ms: float) -> None:
         """Record that the target answered a request."""
         self._dial_failures = 0
-        self._answered_ms = now_ms
+        self._alive_ms = now_ms
 
     def record_latency(self, took_ms: float, now_ms: float) -> None:
         """Record the time of a request, and check a warm target that became slow."""
@@ -274,6 +282,8 @@
     async def _sleep(self, duration_ms: float | None) -> None:
         """Wait until the next wake-up, or until a time has passed."""
         try:
+            if duration_ms is not None:
+                duration_ms = max(MIN_SLEEP_MS, duration_ms)
             async with asyncio.timeout(None if duration_ms is None else duration_ms / 1_000):
                 await self._wake.wait()
         except TimeoutError:
@@ -285,7 +295,7 @@
         while not self.reserve(now_ms := self._clock.now_ms()):
             self._wake.clear()
             wait_ms = self.warm_up.wait_ms(1, now_ms) or SLOT_POLL_MS
-            await self._sleep(min(wait_ms, SLOT_POLL_MS) + 1)
+            await self._sleep(min(wait_ms, SLOT_POLL_MS))
             if not self._is_due(self._clock.now_ms()):
                 return
         self.waiting = False
@@ -384,7 +394,7 @@
                 sent=self.warm_up.sent - self._sent_cold,
                 period_ms=now_ms - self._cold_since_ms,
             )
-        self.on_change(not is_cold)
+        self.on_change(not is_cold and now_ms - self._cold_since_ms >= LEVEL_LAG_MS)
 
 
 def _start_of(entry: UpstreamEntry) -> tuple[str, int]:
--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -69,6 +69,10 @@
         return network
 
 
+# Path of the health checks, and time for which a cold target that got too much does not serve.
+HEALTH_PATH = "/healthz"
+CRASH_DOWN_S = 0.3
+
 Behaviour = Callable[["MeshTarget", BufferedRequest], Awaitable[BufferedResponse | None]]
 
 # Gets a request and its answer before the answer is written. It may change the answer, and write
@@ -94,6 +98,12 @@
         crashes: Number of its crashes.
         down: Whether it has crashed and does not serve.
         crash_task: Task of its last crash; see `crash`.
+        warm_up_ms: Time for which it is cold after a start.
+        warm_up_factor: Factor by which it is slower while it is cold.
+        cold_until_s: Time of the event loop until which it is cold.
+        cold_bound: Requests in any second with more of which it crashes while it is cold.
+        cold_at_s: Times at which requests and health checks came while it was cold.
+        checks: Number of health checks that it answered.
         refusal_status: Returns the status with which a request is refused without running it, or 0.
         behave: Answers a request that passed the checks.
         before_answer: Called before an answer is written.
@@ -117,6 +127,12 @@
         self.crashes = 0
         self.down = False
         self.crash_task: asyncio.Task | None = None
+        self.warm_up_ms = 0.0
+        self.warm_up_factor = 4.0
+        self.cold_until_s = float("-inf")
+        self.cold_bound = float("inf")
+        self.cold_at_s: list[float] = []
+        self.checks = 0
         self.refusal_status: Callable[[BufferedRequest], int] = lambda request: 0
         self.behave: Behaviour = answer_sealed
         self.before_answer: AnswerHook = _write_nothing_else
@@ -164,11 +180,24 @@
         self.start_again(next_id)
         await self.open()
         self.down = False
+        if self.warm_up_ms:
+            self.become_cold()
+
+    def become_cold(self) -> None:
+        """Begin a cold time."""
+        self.cold_until_s = asyncio.get_running_loop().time() + self.warm_up_ms / 1_000
+        self.cold_at_s = []
+
+    def cold_left_ms(self) -> float:
+        """Return the remaining cold time; 0 if it is warm."""
+        if self.cold_until_s == float("-inf"):
+            return 0.0
+        return max(0.0, self.cold_until_s - asyncio.get_running_loop().time()) * 1_000
 
     def entry(self, state: str = "ready", zone: str = "a") -> dict[str, Any]:
         """Return what it writes next to the store."""
         self._writes += 1
-        return {
+        entry = {
             "service": self.service_id,
             "address": f"{self.host}:{self.listed_port}",
             "zone": zone,
@@ -178,6 +207,8 @@
             "sequence": self._writes,
             "born": self.started_at_ms,
         }
+        left_ms = self.cold_left_ms()
+        return entry | {"warmup_left": f"{left_ms:.3f}ms"} if left_ms else entry
 
     def notices(self) -> list[tuple[str, str]]:
         """Return the header fields in which it tells of a limit, and that it leaves."""
@@ -192,7 +223,13 @@
 
     async def _refuse_or_run(self, request: BufferedRequest) -> BufferedResponse | None:
         request_id = request.find(DIALECT.request_id.lower()) or ""
-        if request.find(DIALECT.expected_target.lower()) != self.upstream_id:
+        is_own = request.find(DIALECT.expected_target.lower()) == self.upstream_id
+        if is_own and self._crashes_under_next():
+            await asyncio.shield(self.crash(CRASH_DOWN_S))
+            return None
+        if is_own and request.target == HEALTH_PATH:
+            return self._answer_check(request_id)
+        if not is_own:
             status = 421
         else:
             status = 503 if self.running >= self.slots else self.refusal_status(request)
@@ -210,11 +247,32 @@
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
-            await asyncio.sleep(self.work_ms / 1000)
+            factor = self.warm_up_factor if self.cold_left_ms() else 1.0
+            await asyncio.sleep(self.work_ms * factor / 1000)
             return await self.behave(self, request)
         finally:
             self.running -= 1
 
+    def _crashes_under_next(self) -> bool:
+        """Count a request that came, and return whether it is one too many for a cold target."""
+        if not self.cold_left_ms():
+            return False
+        now_s = asyncio.get_running_loop().time()
+        self.cold_at_s.append(now_s)
+        return sum(time_s > now_s - 1 for time_s in self.cold_at_s) > self.cold_bound
+
+    def _answer_check(self, request_id: str) -> BufferedResponse:
+        self.checks += 1
+        headers = [
+            (DIALECT.request_id, request_id),
+            (DIALECT.instance, self.upstream_id),
+            (DIALECT.load, f"{self.running},0,{self.slots}"),
+        ]
+        left_ms = self.cold_left_ms()
+        if left_ms:
+            headers.append((DIALECT.warm_up, f"{left_ms:.0f}"))
+        return BufferedResponse(200, headers)
+
 
 def render_answer(answer: BufferedResponse, *, keeps_id: bool = True) -> bytes:
     """Return the bytes of an answer of a target.
@@ -358,9 +416,11 @@
         network: First three numbers of the addresses of this process.
         store: The store.
         instances: Instances by the id of their upstream.
+        warm_up: Overage and slack in the settings of new instances.
     """
 
     def __init__(self) -> None:
+        self.warm_up = (1.0, 0.0)
         self.network = private_network()
         self.store = MeshStore(f"{self.network}.250")
         self.instances: dict[str, MeshInstance] = {}
@@ -392,6 +452,7 @@
 
     def settings(self, host: str, service: str, zone: str) -> SidecarSettings:
         """Return the settings of the sidecar of an instance."""
+        overage, slack = self.warm_up
         return SidecarSettings(
             host=host,
             availability_zone=AvailabilityZoneId(zone),
@@ -414,6 +475,8 @@
             log_level="error",
             log_lines_per_s=20,
             memory_mb=512,
+            warm_up_overage=overage,
+            warm_up_slack=slack,
         )
 
     async def wait_ready(self) -> None:
--- a/tests/transport/test_target_pool.py
+++ b/tests/transport/test_target_pool.py
@@ -146,6 +146,45 @@
         self.assertEqual((1, 1), (self.connections, pool.dialled))
 
     # Guards against the copy of an answer that is taken for that of the next attempt.
+    async def test_open_connections_are_known_while_idle_and_in_use(self):
+        """Guards against a target that started again unnoticed, or is suspected without need."""
+        hanging = asyncio.Event()
+
+        async def end_later(reader, writer):
+            await hanging.wait()
+            writer.close()
+
+        pool = await self.open_pool(OK % b"a", end_later)
+        self.assertFalse(pool.has_open_connection())
+        await self.get(pool)
+        self.assertTrue(pool.has_open_connection())
+        request = asyncio.ensure_future(self.get(pool, "b"))
+        await wait_until(lambda: len(self.requests) == 2)
+        self.assertTrue(pool.has_open_connection())
+        hanging.set()
+        with self.assertRaisesType(ConnectionLost):
+            await request
+        self.assertFalse(pool.has_open_connection())
+        self.server.close()
+        with self.assertRaisesType(DialError):
+            await self.get(pool, "c")
+        self.assertFalse(pool.has_open_connection())
+
+    async def test_idle_connection_that_the_target_closed_does_not_count_as_open(self):
+        """Guards against a crash of an idle target that is noticed only by its entry."""
+
+        async def respond_then_close(reader, writer):
+            writer.write(OK % b"a")
+            await asyncio.sleep(0.05)
+            writer.close()
+
+        pool = await self.open_pool(respond_then_close)
+        await self.get(pool)
+        self.assertTrue(pool.has_open_connection())
+        await wait_until(lambda: not pool.has_open_connection())
+        pool.close()
+        self.server.close()
+
     async def test_connection_carries_a_request_only_once(self):
         """Guards against two attempts of a request that the id in an answer cannot tell apart."""
         pool = await self.open_pool(OK % b"a", OK % b"a", OK % b"b", OK % b"a")
