--- a/gentianthread/coordination/mesh/target_health.py
+++ b/gentianthread/coordination/mesh/target_health.py
@@ -17,7 +17,7 @@
 from ...state.latency_shift import LatencyShift
 from ...state.stated_limit import parse_limit
 from ...state.warm_up import WarmUp
-from ...transport.target_pool import PooledResponse, TargetPool
+from ...transport.target_pool import PooledResponse, ReusedConnectionLost, TargetPool
 from .target_message import build_health_check
 
 # After this many consecutive failed dials, requests are refused without a dial for UNREACHABLE_MS.
@@ -52,7 +52,7 @@
 MIN_SLEEP_MS = 1.0
 
 # Maximum log lines per second about changes of the state, and about failed checks.
-LINES_PER_S = 2
+LINES_PER_S = 4
 
 HTTP_OK = 200
 
@@ -109,6 +109,7 @@
         self._service: FleetService | None = None
         self._entry: UpstreamEntry | None = None
         self._wake = asyncio.Event()
+        self._logged_problem = ""
         self._numbers = count(1)
         self._next_check_ms = float("-inf")
         self._latency = LatencyShift()
@@ -299,19 +300,24 @@
             if not self._is_due(self._clock.now_ms()):
                 return
         self.waiting = False
-        revision, was_unknown = self.warm_up.revision, self.warm_up.unknown
+        # Requests that waited behind the check do not wait for its answer.
+        self.on_change(False)
+        entry, revision, was_unknown = self._entry, self.warm_up.revision, self.warm_up.unknown
         self._check_wanted = False
         self._metrics.count("target.health_checks")
-        is_sent = True
+        is_sent, retry_delay_ms = True, RETRY_DELAY_MS
         try:
-            pooled = await self._exchange(self._entry, self._service)
-            problem = self._apply(pooled, self._entry, revision)
+            pooled = await self._exchange(entry, self._service)
+            problem = self._apply(pooled, entry, revision)
         except DialError as error:
-            is_sent = False
+            is_sent, retry_delay_ms = False, DIAL_RETRY_DELAY_MS
             problem = error.problem
             self.record_dial_failure()
         except ConnectionLost as error:
             problem = error.problem
+            if isinstance(error, ReusedConnectionLost):
+                # The target may only have closed a connection that was idle for long.
+                retry_delay_ms = 0.0
             self.record_loss()
         except TimeoutError:
             problem = "no answer in time"
@@ -320,16 +326,22 @@
         now_ms = self._clock.now_ms()
         if problem:
             self._metrics.count("target.health_checks_failed")
-            self._failures.write(
-                HEALTH_CHECK_FAILED,
-                service_id="" if self._service is None else self._service.service_id,
-                problem=problem,
-            )
+            self._log_failure(problem)
             if not was_unknown:
                 self.suspect(f"health check failed: {problem}")
-            self._next_check_ms = now_ms + (RETRY_DELAY_MS if is_sent else DIAL_RETRY_DELAY_MS)
+            self._next_check_ms = now_ms + retry_delay_ms
+        else:
+            self._logged_problem = ""
         self._note_change()
 
+    def _log_failure(self, problem: str) -> None:
+        """Log why a check failed, once for a series of checks that fail for the same reason."""
+        if problem == self._logged_problem:
+            return
+        self._logged_problem = problem
+        service_id = "" if self._service is None else self._service.service_id
+        self._failures.write(HEALTH_CHECK_FAILED, service_id=service_id, problem=problem)
+
     async def _exchange(self, entry: UpstreamEntry, service: FleetService) -> PooledResponse:
         request_id = f"health-{entry.upstream_id}-{next(self._numbers)}-{self._clock.now_ms():.0f}"
         host, port = self._address
--- a/tests/coordination/mesh/test_cold_targets.py
+++ b/tests/coordination/mesh/test_cold_targets.py
@@ -1,12 +1,16 @@
 import asyncio
 
+import logbook
+
 from gentianthread.coordination.mesh.target_health import (
     HEALTH_TIMEOUT_MS,
     LATENCY_CHECK_INTERVAL_MS,
     RETRY_DELAY_MS,
 )
+from gentianthread.events import HEALTH_CHECK_FAILED, TARGET_COLD, TARGET_WARM
 from gentianthread.platform.names import DIALECT
 from gentianthread.protocol.messages_mesh import RunOutcome, RunRequest
+from gentianthread.transport.target_pool import ReusedConnectionLost
 
 from ...base import VirtualTimeTestCase
 from .cold_fleet import BOUND, WARM_UP_MS, ColdFleet
@@ -277,6 +281,33 @@
         self.assertFalse(self.is_cold)
         self.fleet.stop()
 
+    async def test_check_is_repeated_at_once_after_the_loss_of_a_kept_connection(self):
+        """Guards against a limit that lasts longer as the target closed an idle connection."""
+        self.start()
+        usual, attempts = self.target.exchange, []
+
+        async def lose_first(request, idle_limit_ms=None):
+            attempts.append(request)
+            if len(attempts) == 1:
+                raise ReusedConnectionLost("target", "closed")
+            return await usual(request, idle_limit_ms)
+
+        self.target.exchange = lose_first
+        await asyncio.sleep(0.1)
+        self.assertEqual(2, len(attempts))
+        self.assertFalse(self.is_cold)
+        self.fleet.stop()
+
+    async def test_waiting_requests_run_while_a_check_has_no_answer(self):
+        """Guards against requests that wait for the answer of a check that got a place first."""
+        self.start()
+        self.target.answer_check = lambda: None
+        calls = asyncio.ensure_future(self.fleet.burst(6))
+        await asyncio.sleep(0.7)
+        self.assertEqual(6, self.target.served)
+        self.assertEqual(6, (await calls).answered)
+        self.fleet.stop()
+
     async def test_requests_run_while_a_check_has_no_answer(self):
         """Guards against a cold target that gets nothing until a check succeeds."""
         self.start()
@@ -366,6 +397,20 @@
         self.assertTrue(self.is_cold)
         self.fleet.stop()
 
+    async def test_changes_and_failed_checks_are_logged_once(self):
+        """Guards against an outage of a target that fills the log, or leaves no trace in it."""
+        with logbook.TestHandler() as records:
+            await self.start_warm()
+            await asyncio.sleep(1)
+            self.target.crash(restart_ms=5_000)
+            await self.fleet.send(20, 10_000)
+        numbers = [record.extra["number"] for record in records.records]
+        # Once for the start of the node, and once for the crash.
+        for event in (TARGET_COLD, TARGET_WARM):
+            self.assertEqual(2, numbers.count(event.number))
+        self.assertIn(numbers.count(HEALTH_CHECK_FAILED.number), (1, 2))
+        self.fleet.stop()
+
     async def test_check_gets_the_next_slot(self):
         """Guards against a check that never gets a slot beside waiting requests."""
         await self.start_warm()
