Test that waiting requests go on while a health check has no answer

Cause: the test before passed without the dispatch after a check is sent. Change: the second check becomes due while requests wait for the limit.

--- a/tests/coordination/mesh/test_cold_targets.py
+++ b/tests/coordination/mesh/test_cold_targets.py
@@ -302,10 +302,12 @@
         """Guards against requests that wait for the answer of a check that got a place first."""
         self.start()
         self.target.answer_check = lambda: None
-        calls = asyncio.ensure_future(self.fleet.burst(6))
-        await asyncio.sleep(0.7)
-        self.assertEqual(6, self.target.served)
-        self.assertEqual(6, (await calls).answered)
+        # The second check becomes due while three of four requests wait for the limit.
+        await asyncio.sleep((HEALTH_TIMEOUT_MS + RETRY_DELAY_MS - 10) / 1_000)
+        calls = asyncio.ensure_future(self.fleet.burst(4))
+        await asyncio.sleep(0.5)
+        self.assertEqual((2, 4), (len(self.target.checks_ms), self.target.served))
+        self.assertEqual(4, (await calls).answered)
         self.fleet.stop()
 
     async def test_requests_run_while_a_check_has_no_answer(self):
