Test that the loss of all connections makes a target cold

Cause: no test failed with the report of a lost connection taken out, as a refused dial followed. Change: the target starts again before the next dial.

--- a/tests/coordination/mesh/test_cold_targets.py
+++ b/tests/coordination/mesh/test_cold_targets.py
@@ -159,6 +159,21 @@
             self.assertFalse(self.is_cold)
         self.fleet.stop()
 
+    async def test_loss_of_all_connections_makes_the_target_cold(self):
+        """Guards against full load on a target that started again before the next dial."""
+        await self.start_warm()
+        self.target.on_start = lambda: None
+        lost = asyncio.ensure_future(self.fleet.burst(1))
+        await asyncio.sleep(0.01)
+        self.target.crash(restart_ms=30)
+        self.assertEqual(1, (await lost).failed)
+        self.assertTrue(self.is_cold)
+        await asyncio.sleep(0.05)
+        served = await self.fleet.burst(60)
+        self.assertEqual((1, 0), (self.target.crashes, served.failed))
+        self.assertLessEqual(self.target.most_in_second(), BOUND)
+        self.fleet.stop()
+
     async def test_restart_while_idle_makes_the_target_cold(self):
         """Guards against a target that started again between two requests without notice."""
         await self.start_warm()
