Promise refused callers a place in a virtual queue, and let those that return go before new ones

Cause: Retry-After was drawn at random and added to by the refused fraction. It did not follow the room that there would be, could pass the deadline of a caller, and a caller that had waited was refused like a new one. Change: ReturnTimes keeps a virtual queue for each service and priority, drained at the rate of admissions; the time is at most a third of what the caller has left. Callers that state less than the full timeout of their route get the better ranks of their priority. Requests that miss their objective are still refused first.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -14,6 +14,7 @@
 from ...state.fleet_plan import FleetOrganisation, FleetPlan, HostRoute
 from ...state.fleet_rate import LimitChanges, NodeRates
 from ...state.overload_level import KnownLevels, rank_of
+from ...state.return_times import ReturnTimes, has_returned
 from ...state.timeout_estimate import TimeoutEstimate
 from ...transport.callbacks import Cancellable
 from ...transport.header_fields import render_fields
@@ -46,14 +47,6 @@
 # together do not retry together.
 RETRY_AFTER_RANGE_MS = (150.0, 450.0)
 
-# Wait that an overload adds to Retry-After: about this long if half of the requests are refused,
-# and longer the more are.
-OVERLOAD_WAIT_MS = 1_000.0
-
-# If a fraction f of the requests is refused, the added wait is OVERLOAD_WAIT_MS * f / (this - f):
-# ten times OVERLOAD_WAIT_MS if all are refused.
-REFUSED_FRACTION_BOUND = 1.1
-
 # A request that used more than this fraction of its latency objective before it arrived counts as
 # missing the objective.
 OBJECTIVE_MISSED_FRACTION = 0.6
@@ -108,6 +101,7 @@
         requests: Requests that have no answer yet.
         ends_at_ms: Time at which a stopping node ends; infinity before.
         refuses_callers: Whether new requests are refused, except those of this node's own target.
+        return_times: When refused callers are to return.
     """
 
     def __init__(
@@ -161,6 +155,7 @@
         self.ends_at_ms = float("inf")
         self.refuses_callers = False
         self.service_chooser = WeightedRoundRobin(random)
+        self.return_times = ReturnTimes(random)
         # Timeouts of the callers' first attempts, by route.
         self._full_timeouts: dict[RouteId, TimeoutEstimate] = {}
         self._request_id_field = dialect.request_id.lower()
@@ -269,7 +264,7 @@
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
-        return PendingRequest(
+        pending = PendingRequest(
             route,
             service_id,
             _NO_ORGANISATION if organisation is None else organisation.organisation_id,
@@ -280,8 +275,10 @@
             request.method,
             request.target,
             request.body,
-            objective_missed=organisation is not None and self._misses_objective(route, stated_ms),
         )
+        if organisation is not None and stated_ms is not None:
+            self._classify_attempt(pending, stated_ms)
+        return pending
 
     def _stated_timeout_ms(self, request: BufferedRequest) -> float | None:
         """Return how long the caller waits for the answer, or None if it does not say."""
@@ -290,21 +287,22 @@
             return None
         return min(float(stated), MAX_TIMEOUT_MS)
 
-    def _misses_objective(self, route: HostRoute, timeout_ms: float | None) -> bool:
-        """Return whether a request used up most of its latency objective before it arrived.
+    def _classify_attempt(self, pending: PendingRequest, timeout_ms: float) -> None:
+        """Find out whether a root request was sent before, and how much of its time is used.
 
         A caller that retries states only the time that is left of its full timeout.
         """
-        if timeout_ms is None:
-            return False
+        route = pending.route
         estimate = self._full_timeouts.get(route.route_id)
         if estimate is None:
             estimate = self._full_timeouts[route.route_id] = TimeoutEstimate(timeout_ms)
         estimate.record(timeout_ms)
-        if route.latency_objective_ms is None:
-            return False
-        used_ms = estimate.value_ms - timeout_ms
-        return used_ms > OBJECTIVE_MISSED_FRACTION * route.latency_objective_ms
+        pending.returned = has_returned(estimate.value_ms, timeout_ms)
+        if route.latency_objective_ms is not None:
+            used_ms = estimate.value_ms - timeout_ms
+            pending.objective_missed = (
+                used_ms > OBJECTIVE_MISSED_FRACTION * route.latency_objective_ms
+            )
 
     def target_fields(self, request: BufferedRequest, organisation_id: OrganisationId) -> str:
         """Return the header fields for the target: those of the caller and those of the node.
@@ -352,15 +350,22 @@
         refused_fraction = self.levels.refused_fraction(
             pending.service_id, pending.priority, lowest_priority, now_ms, upstream_count
         )
-        draw = self.levels.draw(objective_missed=pending.objective_missed)
-        pending.rank = rank_of(pending.priority, lowest_priority, draw)
+        service_id, priority = pending.service_id, pending.priority
+        draw = self.return_times.draw(
+            service_id,
+            priority,
+            now_ms,
+            returned=pending.returned,
+            objective_missed=pending.objective_missed,
+        )
+        pending.rank = rank_of(priority, lowest_priority, draw)
         if draw >= refused_fraction:
+            self.return_times.record_admitted(service_id, priority, now_ms)
             return None
-        return self._refusal(
-            503,
-            "overload",
-            OVERLOAD_WAIT_MS * refused_fraction / (REFUSED_FRACTION_BOUND - refused_fraction),
-        )
+        remaining_ms = pending.deadline_ms - now_ms
+        wait_ms = self.return_times.next_wait_ms(service_id, priority, remaining_ms, now_ms)
+        self.metrics.timing_ms("entry.promised_wait_ms", wait_ms)
+        return self._refusal_after(503, "overload", wait_ms)
 
     def _rate_limit_wait_ms(self, pending: PendingRequest, now_ms: float) -> float | None:
         """Return the wait for a request over its organisation's rate, or None if it is within."""
@@ -419,5 +424,8 @@
 
     def _refusal(self, status: int, reason: str, min_wait_ms: float = 0.0) -> EntryReply:
         shortest_ms, longest_ms = RETRY_AFTER_RANGE_MS
-        wait_ms = min_wait_ms + shortest_ms + (longest_ms - shortest_ms) * self.random.random()
+        spread_ms = shortest_ms + (longest_ms - shortest_ms) * self.random.random()
+        return self._refusal_after(status, reason, min_wait_ms + spread_ms)
+
+    def _refusal_after(self, status: int, reason: str, wait_ms: float) -> EntryReply:
         return EntryReply(status, reason, [(self.dialect.retry_after, f"{wait_ms / 1000:.3f}")])
--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -59,6 +59,7 @@
         body: Its body.
         fields: Header fields for the target as lines of an HTTP head; set before it is sent.
         objective_missed: Whether it can no longer meet its latency objective.
+        returned: Whether its caller has sent it before.
         send_count: How often it was sent to upstreams.
         may_have_run: Whether an upstream may have run it.
         inherited: Whether the run that made this call may have been a repeat itself.
@@ -79,6 +80,7 @@
     body: bytes
     fields: str = ""
     objective_missed: bool = False
+    returned: bool = False
     send_count: int = 0
     may_have_run: bool = False
     inherited: bool = False
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -171,7 +171,7 @@
         self.feeds.on_neighbour = self.crash_reports.send_known
         self.crash_reports.neighbours = self.feeds.neighbours
         self.balancer = Balancer(settings.availability_zone, clock.now_ms, random)
-        self.levels = KnownLevels(random)
+        self.levels = KnownLevels()
         self.retry_budget = RetryBudget(
             self._fleet_retry_budget, self.target.runs, self.metrics, random
         )
@@ -359,6 +359,7 @@
                 "limited_level": self.target.control.limited_level,
                 "stated_limit_per_s": self.target.stated_limit.per_s,
             },
+            "promised_return_ms": self.entry.return_times.waiting(now_ms),
             "retry_budgets": self.retry_budget.describe(now_ms),
             "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
             "counting": self.rate_sharing.counter_host,
--- a/gentianthread/state/overload_level.py
+++ b/gentianthread/state/overload_level.py
@@ -9,7 +9,6 @@
 from collections import deque
 from collections.abc import Hashable
 from math import exp
-from random import Random
 
 import attrs
 
@@ -201,13 +200,8 @@
     # Time for which the computed level of a service is used again.
     CACHE_TTL_MS = 20.0
 
-    def __init__(self, random: Random):
-        """Create an empty store.
-
-        Args:
-            random: Source of the random draws of requests.
-        """
-        self._random = random
+    def __init__(self) -> None:
+        """Create an empty store."""
         self._reported: dict[ServiceId, dict[Hashable, _ReportedLevel]] = {}
         # Time of the last report of a level above 0 or of a limit; services in calm have none.
         self._raised_at_ms: dict[ServiceId, float] = {}
@@ -377,12 +371,3 @@
         """Return the fraction of the root requests of a priority that the entry refuses."""
         level = self.level(service_id, now_ms, upstream_count)
         return min(1.0, max(0.0, level - rank_of(priority, lowest_priority, 0.0)))
-
-    def draw(self, *, objective_missed: bool = False) -> float:
-        """Return a random number that orders the root requests of one priority.
-
-        Args:
-            objective_missed: Whether the request can no longer meet its latency objective. Such
-                requests are refused before the others of their priority.
-        """
-        return 0.0 if objective_missed else self._random.random()
--- a/tests/coordination/mesh/test_entry.py
+++ b/tests/coordination/mesh/test_entry.py
@@ -182,3 +182,38 @@
             )
         self.assertEqual([False] * 6 + [True], late)
         await self.stop()
+
+
+class TestOrderOfReturn(MeshTestCase):
+    async def call_under_overload(self, path, timeout_ms):
+        entry = self.sidecar("orders-0").entry
+        entry.levels.record("catalogue", "catalogue-0", 1.5, entry.clock.now_ms())
+        return await self.call("orders-0", path, Timeout_Ms=timeout_ms)
+
+    async def test_refused_callers_are_told_times_that_they_follow(self):
+        """Guards against a caller that is told to return after its deadline."""
+        await self.start({"catalogue": 1, "orders": 1})
+        waits = []
+        for number in range(30):
+            reply = await self.call_under_overload(f"/stock/{number}", 600)
+            if reply.status == 503:
+                waits.append(float(reply.fields["Retry-After"]))
+        self.assertTrue(waits)
+        self.assertLessEqual(max(waits), 0.2)
+        await self.stop()
+
+    async def test_callers_with_less_than_the_full_timeout_have_returned(self):
+        """Guards against callers that waited as told and are refused like new ones."""
+        await self.start({"catalogue": 1, "orders": 1})
+        entry = self.sidecar("orders-0").entry
+        returned = []
+        check = entry.check_admission
+        with mock.patch.object(
+            entry,
+            "check_admission",
+            lambda pending, now_ms: (returned.append(pending.returned), check(pending, now_ms))[1],
+        ):
+            for timeout_ms in (1500, 1500, 1200, 1500):
+                await self.call("orders-0", "/stock/1", Timeout_Ms=timeout_ms)
+        self.assertEqual([False, False, True, False], returned)
+        await self.stop()
