--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -58,11 +58,13 @@
         body: Its body.
         fields: Header fields for the target as lines of an HTTP head; set before it is sent.
         objective_missed: Whether it can no longer meet its latency objective.
+        returned: Whether its caller has sent it before.
         send_count: How often it was sent to upstreams.
         may_have_run: Whether an upstream may have run it.
         inherited: Whether the run that made this call may have been a repeat itself.
         depth: Number of calls on the way from the root request to this one; 0 for a root request.
         sent_ms: Time of the last send.
+        rank: Rank of the root request; see `state.overload_level.rank_of`.
         attempts: Upstream and outcome of each attempt that has ended without an answer.
         allowed_regions: Regions in which it may run, or None for all.
     """
@@ -79,11 +81,13 @@
     body: bytes
     fields: str = ""
     objective_missed: bool = False
+    returned: bool = False
     send_count: int = 0
     may_have_run: bool = False
     inherited: bool = False
     depth: int = 0
     sent_ms: float = 0.0
+    rank: float = 0.0
     attempts: tuple[str, ...] = ()
     allowed_regions: frozenset[RegionId] | None = None
 
@@ -163,29 +167,36 @@
         self.upstreams = AvailableUpstreams(
             directory, placement, peers.reachable, local_target.address[0]
         )
-        self._dependency_level_cache: tuple[float, float] = (float("-inf"), 0.0)
+        self._dependency_level_cache = (float("-inf"), (0.0, 0.0))
         directory.evacuations.subscribe(self._forget_levels)
 
     def _forget_levels(self, zones: frozenset[AvailabilityZoneId]) -> None:
         """Forget the overload levels of the upstreams that get no more requests."""
-        self._dependency_level_cache = (float("-inf"), 0.0)
+        self._dependency_level_cache = (float("-inf"), (0.0, 0.0))
         for entry in self.directory.entries.values():
             if entry.availability_zone in zones:
                 self.levels.forget(entry.service_id, entry.upstream_id)
 
-    def dependency_level(self) -> float:
-        """Return the highest overload level of the services that this node's own target calls."""
+    def dependency_level(self) -> tuple[float, float]:
+        """Return the highest overload level of the services that this node's own target calls.
+
+        Returns:
+            The level, and the part of it that is due to targets that limit their callers.
+        """
         now_ms = self.clock.now_ms()
-        until_ms, level = self._dependency_level_cache
+        until_ms, levels = self._dependency_level_cache
         if now_ms >= until_ms:
             # Unreachable upstreams accept no requests, so that they must not lower the mean level.
-            sources = {
+            counts = {
                 name: len(self.reachable_upstreams(name, now_ms))
                 for name in self.local_target.runs.called_services
             }
-            level = self.levels.highest_level(now_ms, sources)
-            self._dependency_level_cache = (now_ms + CACHE_TTL_MS, level)
-        return level
+            levels = (
+                self.levels.highest_level(now_ms, counts),
+                self.levels.highest_limited_level(now_ms, counts),
+            )
+            self._dependency_level_cache = (now_ms + CACHE_TTL_MS, levels)
+        return levels
 
     def reachable_upstreams(
         self, service_id: ServiceId, now_ms: float
@@ -449,6 +460,7 @@
             allowed_regions=encode_regions(pending.allowed_regions),
             repeated=pending.inherited or pending.send_count > 1,
             depth=pending.depth,
+            rank=pending.rank,
         )
 
     def _record_outcome(
@@ -466,6 +478,7 @@
                     answer.load.level,
                     now_ms,
                     answer.load.rate_per_s,
+                    answer.load.limited_level,
                 )
             self.retry_budget.leaf_services.record(pending.service_id, answer.load.makes_calls)
             if answer.load.leaving_id:
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -180,8 +180,10 @@
             random,
             PathDelays(settings.availability_zone, settings.regions),
         )
-        self.levels = KnownLevels(random)
-        self.retry_budget = RetryBudget(self._fleet_retry_budget, self.target.runs, self.metrics)
+        self.levels = KnownLevels()
+        self.retry_budget = RetryBudget(
+            self._fleet_retry_budget, self.target.runs, self.metrics, random
+        )
         self.forwarder = Forwarder(
             self.directory,
             self.balancer,
@@ -336,6 +338,7 @@
         self.metrics.gauge("target.connections", self.pool.open_connections)
         self.metrics.gauge("target.connections_opened", self.pool.dialled)
         self.metrics.gauge("target.level", self.target.control.level)
+        self.metrics.gauge("target.limited_level", self.target.control.limited_level)
         # -1 while the target names no limit, as a limit may be 0.
         stated_limit_per_s = self.target.stated_limit.per_s
         self.metrics.gauge(
@@ -388,12 +391,14 @@
                 "limit": self.target.limit(),
                 "service_ms": self.target.capacity.service_ms,
                 "level": self.target.control.level,
+                "limited_level": self.target.control.limited_level,
                 "stated_limit_per_s": self.target.stated_limit.per_s,
                 "rate_limit_per_s": self.target.rate_limit.rate_per_s(now_ms),
                 **self.target.health.describe(now_ms),
                 "throughput_per_s": self.target.capacity.throughput_per_s,
                 "work_percent": self.target.capacity.pace.percent(now_ms),
             },
+            "promised_return_ms": self.entry.return_times.waiting(now_ms),
             "retry_budgets": self.retry_budget.describe(now_ms),
             "path_ms": self.balancer.paths.describe(now_ms),
             "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -15,8 +15,8 @@
 from ...state.capacity import MeasuredCapacity
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
-from ...state.overload_level import LevelControl
 from ...state.placement import BoundRuns
+from ...state.target_level import TargetLevel
 from ...state.target_limit import TargetLimit
 from ...state.target_runs import TargetRuns
 from ...state.work_queue import QueuedWork, WorkQueue
@@ -66,7 +66,7 @@
         rate_limit: That limit and the one of a cold target.
         runs: What is known of the runs on it and of their calls.
         capacity: Measures how long requests take on the target, and how many may run.
-        dependency_level: Returns the highest overload level of the services that the target calls.
+        dependency_level: Returns `Forwarder.dependency_level`.
         highest_level: Returns the rank of the most important requests, which bounds the level.
         evacuation: Whether the zone of the target is evacuated.
         bound_runs: Runs that are bound to regions.
@@ -115,12 +115,12 @@
         self._refuse_peers_from_ms = float("inf")
         self.running = 0
         # The sidecar replaces both once the forwarder exists.
-        self.dependency_level: Callable[[], float] = lambda: 0.0
+        self.dependency_level: Callable[[], tuple[float, float]] = lambda: (0.0, 0.0)
         self.highest_level: Callable[[], float] = lambda: 0.0
         self.queue = WorkQueue()
         self.bound_runs = BoundRuns()
         self.evacuation = TargetEvacuation(address, directory, self.queue)
-        self.control = LevelControl(clock.now_ms())
+        self.control = TargetLevel(clock.now_ms())
         self.notices = TargetNotices(address, directory, dialect, clock, metrics)
         self.notices.on_limit_change = self._on_limit_change
         self.stated_limit = self.notices.limit
@@ -150,7 +150,7 @@
         now_ms = self.clock.now_ms()
         if lifted:
             # The level was computed for the limit.
-            self.control = LevelControl(now_ms)
+            self.control = TargetLevel(now_ms)
         self._dispatch(now_ms)
 
     def _is_full(self) -> bool:
@@ -166,21 +166,24 @@
         """Return the load that is reported with each answer."""
         now_ms = self.clock.now_ms()
         self._update_level(now_ms)
-        level = max(self.control.level, self.dependency_level())
-        queued, leaving = len(self.queue), self.notices.leaving
+        dependency_level, limited_level = self.dependency_level()
+        limited_level = max(limited_level, self.control.limited_level)
+        level = max(self.control.level, dependency_level, limited_level)
+        leaving = self.notices.leaving
         return LoadReport(
             self.running,
-            queued,
+            len(self.queue),
             self.limit(),
             self.capacity.service_ms,
             level,
             self.rate_limit.rate_per_s(now_ms),
-            self.rate_limit.tokens(now_ms) - queued,
+            self.rate_limit.tokens(now_ms) - len(self.queue),
             None if leaving is None else leaving.upstream_id,
             0 if leaving is None else leaving.started_at_ms,
             self.capacity.throughput_per_s,
             self.capacity.pace.percent(now_ms),
-            self.runs.makes_calls,
+            limited_level=limited_level,
+            makes_calls=self.runs.makes_calls,
         )
 
     def refuse_peers(self, from_ms: float) -> None:
@@ -200,8 +203,7 @@
         reason = self._refusal_reason(request, now_ms)
         if reason:
             return self._refuse(request, reason)
-        self._update_level(now_ms)
-        self.control.record_arrival()
+        self._record_arrival(request, now_ms)
         self.health.check_connections(now_ms)
         if len(self.queue) or not self._reserve_slot(now_ms):
             reason = await self._wait_for_slot(request, now_ms, deadline_ms)
@@ -251,8 +253,7 @@
             return None
         self._record_sent(request, now_ms)
         self.bound_runs.start(request.allowed_regions)
-        self._update_level(now_ms)
-        self.control.record_arrival()
+        self._record_arrival(request, now_ms)
         self._reserve_slot(now_ms)
         return run
 
@@ -301,11 +302,12 @@
 
         A request is refused at once if its expected wait exceeds its share of the remaining time.
         """
-        ahead = self.queue.ahead_of(request.inner, request.priority)
-        wait_ms = self._expected_wait_ms(ahead + 1, now_ms)
         low_latency_ms = self._low_latency.value_ms(now_ms)
-        wait_fraction = INNER_WAIT_FRACTION if request.inner else ROOT_WAIT_FRACTION
-        if wait_ms > wait_fraction * (request.remaining_ms - low_latency_ms):
+        drop_at_ms = deadline_ms - low_latency_ms
+        ahead = self.queue.ahead_of(request.inner, request.priority, drop_at_ms)
+        wait_ms = self._expected_wait_ms(ahead + 1, now_ms)
+        fraction = INNER_WAIT_FRACTION if request.inner else ROOT_WAIT_FRACTION
+        if wait_ms > fraction * (request.remaining_ms - low_latency_ms):
             return "queue is too long"
         slot = asyncio.get_running_loop().create_future()
         work = QueuedWork(
@@ -313,7 +315,7 @@
             request.priority,
             request.organisation_id,
             now_ms,
-            deadline_ms - low_latency_ms,
+            drop_at_ms,
             slot,
         )
         self.queue.push(work)
@@ -383,6 +385,10 @@
             else:
                 self._dispatch(now_ms)
 
+    def _record_arrival(self, request: RunRequest, now_ms: float) -> None:
+        self._update_level(now_ms)
+        self.control.record_arrival(request.rank, now_ms)
+
     def _update_level(self, now_ms: float) -> None:
         if not self.control.is_due(now_ms):
             return
@@ -396,12 +402,13 @@
             wait_ms,
             now_ms,
             self.highest_level(),
+            self.rate_limit.rate_per_s(now_ms),
+            len(self.queue),
         )
-        if abs(self.control.level - self._logged_level) >= LOGGED_LEVEL_STEP:
-            self._logged_level = self.control.level
-            self.decisions.write(
-                LEVEL_CHANGED, service_id=self.service_id, overload_level=self.control.level
-            )
+        level = max(self.control.level, self.control.limited_level)
+        if abs(level - self._logged_level) >= LOGGED_LEVEL_STEP:
+            self._logged_level = level
+            self.decisions.write(LEVEL_CHANGED, service_id=self.service_id, overload_level=level)
 
     async def _exchange(
         self, request: RunRequest, started_ms: float, timeout_ms: float
@@ -489,17 +496,16 @@
         if answer.status < 300:
             self._low_latency.record(took_ms, now_ms)
         self.metrics.count("target.answered")
-        reason = self.runs.error_reason(answer.status, started_ms)
-        run_answer = self._answer(RunOutcome.ANSWERED, reason)
+        error_reason = self.runs.error_reason(answer.status, started_ms)
+        run_answer = self._answer(RunOutcome.ANSWERED, error_reason)
         run_answer.status, run_answer.body = answer.status, answer.body
         run_answer.fields = render_fields(answer.headers)
         return run_answer
 
     def _is_rejection(self, status: int, fields: dict[str, str]) -> bool:
-        if self._not_run_field in fields:
-            return True
         # Only an upstream that has run the request seals its answer.
-        return status == MISDIRECTED_REQUEST and self._seal_field not in fields
+        is_misdirected = status == MISDIRECTED_REQUEST and self._seal_field not in fields
+        return is_misdirected or self._not_run_field in fields
 
     def _handle_dial_error(self, request: RunRequest, error: DialError) -> RunAnswer:
         self.health.record_dial_failure()
