--- a/gentianthread/ini.py
+++ b/gentianthread/ini.py
@@ -5,7 +5,7 @@
 """
 
 import configparser
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import Enum
 from pathlib import Path
 from typing import Any, TypeVar
@@ -18,6 +18,8 @@
 
 MISSING: Any = object()
 
+VARIABLE_PREFIX = "GENTIAN_"
+
 
 @attrs.frozen
 class FieldFormat:
@@ -98,10 +100,22 @@
     raise ValueError(found)
 
 
+def variable_name(section: str, field: str) -> str:
+    """Return the environment variable from which a field that the file lacks is read."""
+    return f"{VARIABLE_PREFIX}{section}_{field}".upper()
+
+
 class Section:
     """Read the fields of a section and detect unknown ones."""
 
-    def __init__(self, file: str, name: str, fields: dict[str, str], errors: list[FieldError]):
+    def __init__(
+        self,
+        file: str,
+        name: str,
+        fields: dict[str, str],
+        errors: list[FieldError],
+        environment: Mapping[str, str] | None = None,
+    ):
         """Create a reader of a section.
 
         Args:
@@ -109,11 +123,13 @@
             name: Name of the section.
             fields: Texts of the fields by name.
             errors: List to which errors are appended.
+            environment: Environment variables, from which fields that the file lacks are read.
         """
         self.file = file
         self.name = name
         self._fields = fields
         self._errors = errors
+        self._environment = environment or {}
         self._known_fields: set[str] = set()
 
     def get(self, field: str, field_format: FieldFormat, default: Any = MISSING) -> Any:
@@ -129,6 +145,9 @@
         """
         self._known_fields.add(field)
         found = self._fields.get(field)
+        if found is None:
+            # An empty variable is one for which the platform had no value.
+            found = self._environment.get(variable_name(self.name, field)) or None
         if found is None:
             if default is MISSING:
                 self.add_error(field, None, field_format.expected)
@@ -155,17 +174,19 @@
 class IniFile:
     """Parse an INI file and collect the errors in its fields."""
 
-    def __init__(self, path: Path):
+    def __init__(self, path: Path, environment: Mapping[str, str] | None = None):
         """Parse a file.
 
         Args:
             path: Path of the file.
+            environment: Environment variables, from which fields that the file lacks are read.
 
         Raises:
             DeclarationErrors: The file cannot be read or is not an INI file.
         """
         self.name = path.name
         self.errors: list[FieldError] = []
+        self._environment = environment
         parser = configparser.ConfigParser(
             interpolation=None, default_section="\0", inline_comment_prefixes=(";",)
         )
@@ -183,7 +204,8 @@
 
     def section(self, name: str) -> Section:
         """Return a section; a missing section has no fields."""
-        return Section(self.name, name, self._sections.get(name, {}), self.errors)
+        fields = self._sections.get(name, {})
+        return Section(self.name, name, fields, self.errors, self._environment)
 
     def raise_errors(self) -> None:
         """Raise the recorded errors, if any.
--- a/gentianthread/sidecar_settings.py
+++ b/gentianthread/sidecar_settings.py
@@ -1,5 +1,6 @@
 """Read the settings of a sidecar process from an INI file."""
 
+import os
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -98,16 +99,19 @@
     warm_up_slack: float = 0.0
 
 
-def read_sidecar_settings(path: Path) -> SidecarSettings:
+def read_sidecar_settings(
+    path: Path, environment: Mapping[str, str] = os.environ
+) -> SidecarSettings:
     """Read and validate a settings file.
 
     Args:
         path: Path of the INI file.
+        environment: Environment variables, from which fields that the file lacks are read.
 
     Raises:
         DeclarationErrors: Sections or fields are unknown, missing or invalid; the error lists all.
     """
-    file = IniFile(path)
+    file = IniFile(path, environment)
     sections = {name: file.section(name) for name in SECTIONS}
     settings = _build_settings(sections)
     for section in sections.values():
