--- a/tests/test_sidecar_settings.py
+++ b/tests/test_sidecar_settings.py
@@ -85,7 +85,7 @@
         )
 
     def test_variables_of_the_deploy_file_complete_the_settings(self):
-        """Guards against descriptors, regions and rates that the platform states and nobody reads."""
+        """Guards against figures that the platform states and nobody reads."""
         settings = self.read(render_template(), render_environment(**WARM_UP_BOUNDS))
         self.assertEqual((4_100, TEMPLATE_TABLES["zones"]), (settings.max_fds, settings.regions))
         self.assertEqual((1.5, 8.0), (settings.warm_up_overage, settings.warm_up_slack))
