Let reports from before a restart not hide that all targets of a service are cold

Cause: an entry took a service for one with room for up to 5 s after an upstream had last reported that it has no limit, longer than its targets are cold. Change: only reports of the last second count for this.

--- a/gentianthread/state/overload_level.py
+++ b/gentianthread/state/overload_level.py
@@ -192,8 +192,9 @@
     # so that few answers renew them.
     LIMITED_HOLD_MS = 1_000.0
     LIMITED_FADE_MS = 4_000.0
-    # Upstreams of a service, or all of fewer, that must be known to limit their callers, and none
-    # that does not, before their levels count. Otherwise the others may have room.
+    # Upstreams of a service, or all of fewer, that must be known to limit their callers before
+    # their levels count, while none has reported within LIMITED_HOLD_MS that it does not. Otherwise
+    # the others may have room.
     LIMITED_SAMPLE_SIZE = 3
     # Reports on a service above which those of upstreams that have gone are removed.
     MAX_REPORTS = 512
@@ -317,10 +318,11 @@
         """Return the mean over the upstreams heard from, which stand for those not heard.
 
         The levels of a service behind are the same on all upstreams of the service before it, so
-        that one report is enough. Upstreams of a cold service are cold together.
+        that one report is enough. Upstreams of a cold service are cold together, whatever they
+        reported before.
         """
         limited_total = limited_weight = weighted_rate = total = weight = 0.0
-        limited_count = 0
+        limited_count, has_room = 0, False
         for entry in reported.values():
             age_ms = now_ms - entry.reported_at_ms
             fraction = 1 - max(0.0, age_ms - self.LIMITED_HOLD_MS) / self.LIMITED_FADE_MS
@@ -334,10 +336,10 @@
             else:
                 total += entry.limited_level * fraction
                 weight += fraction
-        if weight:
+                has_room = has_room or age_ms < self.LIMITED_HOLD_MS
+        needed_count = max(1, min(upstream_count, self.LIMITED_SAMPLE_SIZE))
+        if has_room or limited_count < needed_count:
             return total / max(1.0, weight)
-        if limited_count < max(1, min(upstream_count, self.LIMITED_SAMPLE_SIZE)):
-            return 0.0
         return limited_total / weighted_rate * min(1.0, limited_weight)
 
     def highest_level(self, now_ms: float, upstream_counts: dict[ServiceId, int]) -> float:
--- a/tests/state/test_overload_level.py
+++ b/tests/state/test_overload_level.py
@@ -255,3 +255,11 @@
         for number in range(3 * KnownLevels.MAX_REPORTS):
             self.levels.record(CATALOGUE, number, 0.0, number * 20.0)
         self.assertLessEqual(len(self.levels._reported[CATALOGUE]), KnownLevels.MAX_REPORTS)
+
+    def test_reports_from_before_a_restart_do_not_hide_that_all_upstreams_are_cold(self):
+        """Guards against seconds of whole demand at a service whose targets have all restarted."""
+        self.levels.record(CATALOGUE, "before", 0.0, 0.0)
+        now_ms = KnownLevels.LIMITED_HOLD_MS
+        for number in range(3):
+            self.levels.record(CATALOGUE, number, 0.0, now_ms, 6.0, 3.2)
+        self.assertAlmostEqual(3.2, self.levels.level(CATALOGUE, now_ms, 30))
