--- a/tests/run.py
+++ b/tests/run.py
@@ -18,6 +18,9 @@
 # Some tests start processes of their own; more workers than half of the cores would slow them down.
 DEFAULT_WORKERS = max(1, min(5, (os.cpu_count() or 2) // 2))
 
+# These modules take much memory and processor time; each runs alone, after all others.
+SERIAL_MODULES = ("tests.coordination.mesh.test_untrusted_callers",)
+
 SLOWEST_MODULES_SHOWN = 5
 
 
@@ -100,13 +103,20 @@
     return reports
 
 
+def is_serial(name: str) -> bool:
+    """Return whether a module, or the module of a class or method, runs alone."""
+    return any(name == module or name.startswith(f"{module}.") for module in SERIAL_MODULES)
+
+
 def main() -> int:
     """Run the named tests, or all of them, and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("names", nargs="*", help="modules, classes or methods; all by default")
     parser.add_argument("--workers", type=int, default=DEFAULT_WORKERS)
     arguments = parser.parse_args()
-    reports = run_all(arguments.names or test_modules(), arguments.workers)
+    names = arguments.names or test_modules()
+    reports = run_all([name for name in names if not is_serial(name)], arguments.workers)
+    reports += run_all([name for name in names if is_serial(name)], 1)
     for report in sorted(reports, key=lambda report: -report.duration_s)[:SLOWEST_MODULES_SHOWN]:
         print(f"{report.duration_s:6.1f} s {report.name}")
     for report in reports:
