--- /dev/null
+++ b/gentianthread/transport/http_messages.py
@@ -0,0 +1,92 @@
+"""Store buffered HTTP messages of callers, and connect handlers to listeners."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from .callbacks import Cancellable
+from .header_fields import HeaderFields, HeaderPairs
+
+# The classes below are instantiated for every request. They are not frozen, since the constructor
+# of a frozen attrs class makes a call for each field.
+
+
+@attrs.define(eq=False)
+class BufferedRequest:
+    """Store a request with its complete body.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as sent.
+        fields: Header fields.
+        body: The body.
+        transport: Transport of the caller's connection.
+    """
+
+    method: str
+    target: str
+    fields: HeaderFields = attrs.field(repr=False)
+    body: bytes = attrs.field(repr=False)
+    transport: asyncio.BaseTransport | None = attrs.field(default=None, repr=False)
+
+    @property
+    def peer_host(self) -> str:
+        """Return the IP address of the caller, or an empty string if the connection is closed."""
+        address = None if self.transport is None else self.transport.get_extra_info("peername")
+        return address[0] if address else ""
+
+    @property
+    def headers(self) -> HeaderPairs:
+        """Return the header fields in order."""
+        return self.fields.pairs
+
+    def find(self, name: str) -> str | None:
+        """Return the first value of a header field, or None.
+
+        Args:
+            name: Name of the field in lower case.
+        """
+        return self.fields.first.get(name)
+
+
+@attrs.define(eq=False)
+class BufferedResponse:
+    """Store a response with its complete body.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header fields without hop-by-hop fields.
+        body: The body.
+        fields: Serialized lines of further header fields.
+    """
+
+    status: int
+    headers: HeaderPairs
+    body: bytes = attrs.field(default=b"", repr=False)
+    fields: str = ""
+
+
+# Returns the response to a request, or None to close the connection without a response.
+Handler = Callable[[BufferedRequest], Awaitable[BufferedResponse | None]]
+
+# Receives the result of a handler; called once.
+DeliverResponse = Callable[[BufferedResponse | None], None]
+
+# Starts to handle a request. The response must be delivered after the call has returned, but not
+# after the returned work was cancelled.
+RequestStarter = Callable[[BufferedRequest, DeliverResponse], Cancellable]
+
+
+def start_in_task(handler: Handler) -> RequestStarter:
+    """Return a starter that creates a task for each request, which runs a handler."""
+
+    async def run(request: BufferedRequest, deliver: DeliverResponse) -> None:
+        try:
+            response = await handler(request)
+        except Exception:
+            deliver(None)
+            raise
+        deliver(response)
+
+    return lambda request, deliver: asyncio.ensure_future(run(request, deliver))
