Bound what callers and slow readers hold in the memory of a sidecar

Cause: each request and response was limited, but nothing counted what all of them hold, and small fields and chunks took many times their size.

Change: one MemoryBudget per process (state/memory_budget.py) is charged by real cost for heads and bodies being read, requests that wait, answers being read and answers that callers read slowly. Bodies grow in one buffer and are no longer joined or copied to their head. While memory is short, connections that hold much stop reading except the oldest that progresses; stalled requests get 503 and have not run; large requests leave a reserve to small ones. Large answers of the target are read one after the other. A connection whose output is full reads no further requests. Callers beyond max_fds less what targets, peers and the store need take the place of the longest inactive ones. A planned stop waits within its grace time for answers that are not sent completely. A request with an Upgrade field is handled without the upgrade, its body and the requests after it included; before, the library took these for another protocol. Settings reserved_fds, stalled_request and memory_wait; event 740; gauges and a part of the dump.

test_entry looked for tasks of _Connection, which is now CallerConnection.

--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -35,6 +35,7 @@
 from ...state.directory import Directory
 from ...state.fleet_plan import CallerLimits, FleetPlan
 from ...state.fleet_rate import LimitChanges, NodeRates
+from ...state.memory_budget import MemoryBudget, capacity_of
 from ...state.overload_level import KnownLevels
 from ...state.retry_window import RetryWindow
 from ...state.revisions import era_of, format_revision, number_of
@@ -52,6 +53,7 @@
 from .feeds import DocumentFeeds
 from .follower import DocumentFollower
 from .forwarding import Forwarder
+from .memory_report import MemoryReport
 from .peer_link import PeerLink
 from .peers import PeerLinks
 from .rates import RateCoordinator
@@ -69,6 +71,12 @@
 # up to four times while it is joined, encoded and sent.
 RESPONSE_MEMORY_FRACTION = 1 / 8
 
+# Descriptors for the links to each peer: one in each direction, and one that replaces a silent one.
+LINKS_PER_PEER = 3
+
+# Callers that may be connected also if `max_fds` is too small for targets and peers.
+MIN_CALLER_CONNECTIONS = 8
+
 # Delay before a background task that failed is started again.
 TASK_RESTART_MS = 500.0
 
@@ -98,6 +106,8 @@
         self.leaving = False
         self.draining = False
         random = Random(seed)
+        self.memory = MemoryBudget(capacity_of(settings.memory_mb * 1024 * 1024), clock.now_ms)
+        self.memory_report = MemoryReport(self.memory, self.metrics, clock)
         dialect = dialects.get(settings.adapter)
         adapter = store_adapters.get(settings.adapter)
         decisions = DecisionLog(clock, settings.log_lines_per_s)
@@ -136,6 +146,7 @@
             # The entry node adds the request id itself; the load is only for nodes.
             removed_fields=(dialect.request_id, dialect.load),
             memory_limit_bytes=int(settings.memory_mb * 1024 * 1024 * RESPONSE_MEMORY_FRACTION),
+            memory=self.memory,
         )
         self.crash_reports = CrashReports(
             settings.host,
@@ -219,7 +230,13 @@
             random,
         )
         self._ready_path = dialect.ready_path
-        self.outbound_listener = PipelineListener(self.entry.start, clock, self._caller_limits)
+        self.outbound_listener = PipelineListener(
+            self.entry.start, clock, self._caller_limits, self.memory, random
+        )
+        self.outbound_listener.max_connections = self._max_caller_connections
+        self.outbound_listener.stalled_ms = settings.stalled_request_ms
+        self.outbound_listener.memory_wait_ms = settings.memory_wait_ms
+        self.outbound_listener.on_refusal = self.memory_report.record_refusal
         self.ready_listener = PipelineListener(start_in_task(self._answer_ready), clock)
         self.operator_listener = PipelineListener(start_in_task(self._answer_operator), clock)
         self._tasks: list[asyncio.Task] = []
@@ -277,6 +294,12 @@
         plan = self.follower.plan
         return CallerLimits() if plan is None else plan.limits
 
+    def _max_caller_connections(self) -> int:
+        """Return how many callers may be connected, less what targets, peers and the store need."""
+        hosts, settings = len(self.directory.hosts()), self.settings
+        needed = self._connection_limit() + LINKS_PER_PEER * hosts + settings.reserved_fds
+        return max(MIN_CALLER_CONNECTIONS, settings.max_fds - needed)
+
     def _connection_limit(self) -> int:
         plan = self.follower.plan
         service = None if plan is None else plan.services.get(self.settings.service_id)
@@ -323,6 +346,7 @@
             "target.stated_limit_per_s", -1 if stated_limit_per_s is None else stated_limit_per_s
         )
         self.metrics.gauge("entry.running", self.entry.running)
+        self.memory_report.write_metrics()
         blocked = self.crash_reports.suspects.blocked_count(self.clock.now_ms())
         self.metrics.gauge("crashes.blocked_requests", blocked)
         self.metrics.gauge("plan.version", self.follower.plan.version if self.follower.plan else 0)
@@ -361,6 +385,7 @@
                 "level": self.target.control.level,
                 "stated_limit_per_s": self.target.stated_limit.per_s,
             },
+            "memory": self.memory_report.describe(),
             "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
             "counting": self.rate_sharing.counter_host,
             "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -197,6 +197,12 @@
     "metadata store: an answer on a kept connection does not fit {call}, which is sent again on a "
     "new one",
 )
+MEMORY_SHORT = _event(
+    740,
+    Level.WARNING,
+    "memory is short: {held_mb:.1f} of {capacity_mb:.1f} MB held, by owner in MB (holders): "
+    "{owners}; refused so far: {refused}",
+)
 STORE_RESTORED = _event(
     720,
     Level.WARNING,
--- a/gentianthread/sidecar_settings.py
+++ b/gentianthread/sidecar_settings.py
@@ -66,6 +66,10 @@
         log_lines_per_s: Maximum number of log lines about single requests per second.
         memory_mb: Memory that the instance gives the process.
         max_fds: Descriptors that the process may open.
+        reserved_fds: Descriptors that callers never take, beside those for targets and peers.
+        stalled_request_ms: Time without progress after which an incomplete request is refused if
+            others wait for memory.
+        memory_wait_ms: Time after which an incomplete request that itself waits is refused.
         regions: Region of each availability zone; zones without one are missing.
         warm_up_overage: Factor by which the requests to a cold target may exceed its rate.
         warm_up_slack: Requests to a cold target that are allowed in a second in addition.
@@ -93,6 +97,9 @@
     log_lines_per_s: int
     memory_mb: int
     max_fds: int = 4_096
+    reserved_fds: int = 40
+    stalled_request_ms: float = 1_000.0
+    memory_wait_ms: float = 5_000.0
     regions: Mapping[AvailabilityZoneId, RegionId] = attrs.field(factory=dict)
     warm_up_overage: float = 1.0
     warm_up_slack: float = 0.0
@@ -146,6 +153,11 @@
         log_lines_per_s=sections["limits"].get("log_lines_per_s", integer(1, 100_000), 20),
         memory_mb=sections["limits"].get("memory_mb", integer(16, 1_000_000), 512),
         max_fds=sections["limits"].get("max_fds", integer(64, 10_000_000), 4_096),
+        reserved_fds=sections["limits"].get("reserved_fds", integer(16, 1_000_000), 40),
+        stalled_request_ms=sections["limits"].get(
+            "stalled_request", duration(100, 3_600_000), 1_000.0
+        ),
+        memory_wait_ms=sections["limits"].get("memory_wait", duration(100, 3_600_000), 5_000.0),
         regions=sections["zones"].get("regions", zone_regions(), {}),
         warm_up_overage=sections["warm_up"].get("overage", number(1, 100), 1.0),
         warm_up_slack=sections["warm_up"].get("slack", number(0, 100_000), 0.0),
--- a/gentianthread/state/crash_suspects.py
+++ b/gentianthread/state/crash_suspects.py
@@ -38,6 +38,9 @@
 MAX_BLOCKED = 10_000
 MAX_CRASHES = 1_000
 
+# Shorter bodies are hashed together with the rest of their request, which takes less time.
+HASHED_AT_ONCE_BYTES = 64 * 1024
+
 
 class Identifiable(Protocol):
     """Describe the parts of a request by which its retries are recognised.
@@ -58,8 +61,13 @@
 def fingerprint_request(request: Identifiable) -> RequestFingerprint:
     """Return the fingerprint of a request."""
     head = "\0".join((request.organisation_id, request.method, request.target, ""))
-    data = head.encode("utf-8", "surrogateescape") + request.body
-    return RequestFingerprint(xxhash.xxh3_64_intdigest(data))
+    if len(request.body) < HASHED_AT_ONCE_BYTES:
+        data = head.encode("utf-8", "surrogateescape") + request.body
+        return RequestFingerprint(xxhash.xxh3_64_intdigest(data))
+    # A large body is not copied.
+    digest = xxhash.xxh3_64(head.encode("utf-8", "surrogateescape"))
+    digest.update(request.body)
+    return RequestFingerprint(digest.intdigest())
 
 
 @attrs.frozen
--- a/gentianthread/state/memory_budget.py
+++ b/gentianthread/state/memory_budget.py
@@ -1,7 +1,7 @@
 """Account for the memory of a process that callers, peers and targets make it hold.
 
-Handles crowds of untrusted callers: many requests that are each within the limits, and that fill the
-memory together. Memory is charged by what it takes, not by the number of received bytes.
+Handles crowds of untrusted callers: many requests that are each within the limits, and that fill
+the memory together. Memory is charged by what it takes, not by the number of received bytes.
 """
 
 from collections.abc import Callable, Hashable
@@ -23,8 +23,16 @@
 # A text with one character outside the basic plane takes four bytes for each character.
 TEXT_BYTES_PER_BYTE = 4
 
-# A bytearray is allocated an eighth longer than its content.
-BUFFER_BYTES_PER_BYTE = 1.125
+# A bytearray is allocated an eighth longer than its content. Of a large one this part is never
+# written to, so that it takes no memory.
+BUFFER_EXTRA_FRACTION = 1 / 8
+MAX_BUFFER_EXTRA_BYTES = 128 * 1024
+
+# Memory of an idle sidecar, and the fraction of the rest of its memory that may be charged. What is
+# left covers free blocks between used ones, bytes that the event loop has just read, and copies.
+PROCESS_BYTES = 48 * 1024 * 1024
+CHARGED_FRACTION = 0.6
+MIN_CAPACITY_BYTES = 8 * 1024 * 1024
 
 
 class MemoryOwner(Enum):
@@ -63,6 +71,20 @@
     return count * FIELD_BYTES + text_bytes * TEXT_BYTES_PER_BYTE
 
 
+def buffer_bytes(length: int) -> int:
+    """Return the memory that a bytearray takes."""
+    return length + min(int(length * BUFFER_EXTRA_FRACTION), MAX_BUFFER_EXTRA_BYTES)
+
+
+def capacity_of(memory_bytes: float) -> int:
+    """Return the capacity of the budget of a process.
+
+    Args:
+        memory_bytes: Memory that the instance gives the process.
+    """
+    return int(max(MIN_CAPACITY_BYTES, (memory_bytes - PROCESS_BYTES) * CHARGED_FRACTION))
+
+
 class MemoryBudget:
     """Count the memory that is held, by owner and holder, and tell who must give way.
 
@@ -173,16 +195,38 @@
 
     def incomplete_bytes(self, holder: Hashable) -> int:
         """Return how much a holder holds for a request that it has sent in part."""
-        return sum(self._held[owner].get(holder, 0) for owner in INCOMPLETE_OWNERS)
+        held = self._held
+        return held[MemoryOwner.HEAD].get(holder, 0) + held[MemoryOwner.BODY].get(holder, 0)
 
-    def victim(self) -> Hashable | None:
-        """Return the holder of an incomplete request that holds most and progresses least."""
+    def victim(self, min_bytes: int = 0) -> Hashable | None:
+        """Return the holder of an incomplete request that holds most and progresses least.
+
+        Args:
+            min_bytes: Smallest memory of a holder that is considered.
+        """
         now_ms = self._now_ms()
+        best, best_score = None, 0.0
+        for holder, progress_ms in self._progress_ms.items():
+            held_bytes = self.incomplete_bytes(holder)
+            score = held_bytes * (1.0 + now_ms - progress_ms)
+            if held_bytes >= min_bytes and score > best_score:
+                best, best_score = holder, score
+        return best
 
-        def score(holder: Hashable) -> float:
-            return self.incomplete_bytes(holder) * (1.0 + now_ms - self._progress_ms[holder])
+    def overfull_victim(self) -> Hashable | None:
+        """Return who must give way at once, or None if nobody must or can.
+
+        The part of the capacity that is reserved for small requests is used up only by these.
+        """
+        if self.total_bytes > self.capacity_bytes:
+            return self.victim()
+        if self.total_bytes > self.capacity_bytes * LARGE_FRACTION:
+            return self.victim(SMALL_HOLDER_BYTES)
+        return None
 
-        return max(self._progress_ms, key=score, default=None)
+    def room_bytes(self) -> float:
+        """Return how much more may be held before the process is short of memory."""
+        return max(0.0, self.capacity_bytes * SHORT_FRACTION - self.total_bytes)
 
     def favoured(self, max_idle_ms: float) -> Hashable | None:
         """Return the oldest holder of much memory that still progresses.
--- a/gentianthread/transport/caller_connection.py
+++ b/gentianthread/transport/caller_connection.py
@@ -9,10 +9,20 @@
 
 from ..errors import GentianError
 from ..state.fleet_plan import CallerLimits
-from .callbacks import Cancellable
+from ..state.memory_budget import (
+    MemoryOwner,
+    buffer_bytes,
+    fields_bytes,
+)
 from .header_fields import HeaderFields, render_fields
-from .http_messages import BufferedRequest, BufferedResponse
-from .http_names import BODILESS_STATUS, PHRASES, decode_text
+from .http_messages import (
+    LARGE_BODY_BYTES,
+    BufferedRequest,
+    BufferedResponse,
+    PendingResponse,
+    serialize_response,
+)
+from .http_names import decode_text
 
 if TYPE_CHECKING:
     from .http_pipeline import PipelineListener
@@ -20,29 +30,21 @@
 # Number of pending requests at which a connection stops reading; further ones stay in the socket.
 MAX_PIPELINED_REQUESTS = 64
 
-# Header field with which a caller waits for permission to send its body (RFC 9110, section 10.1.1).
-_EXPECT_FIELD = b"expect"
+# Reasons for which a connection reads no further bytes; a bit mask.
+PAUSED_BY_PIPELINE, PAUSED_BY_OUTPUT, PAUSED_BY_MEMORY = 1, 2, 4
 
+# Memory of a request or a response beside its text and body.
+MESSAGE_BYTES = 2_048
 
-class _PendingResponse:
-    """Store the state of a request until its response is written.
+# Time for which the rest of a refused request is read and dropped. Closing the connection earlier
+# would reset it, and the caller might lose the response.
+LINGER_MS = 2_000.0
 
-    Attributes:
-        method: HTTP method of the request.
-        closes: Whether the connection closes after the response.
-        response: The response; None to close the connection without one.
-        done: Whether the handler has ended.
-        work: Running work for the request, if any.
-    """
+# Range of the time in Retry-After for requests that are refused for lack of memory.
+RETRY_AFTER_RANGE_S = (0.5, 2.0)
 
-    __slots__ = ("closes", "done", "method", "response", "work")
-
-    def __init__(self, method: str, closes: bool):
-        self.method = method
-        self.closes = closes
-        self.response: BufferedResponse | None = None
-        self.done = False
-        self.work: Cancellable | None = None
+# Header field with which a caller waits for permission to send its body (RFC 9110, section 10.1.1).
+_EXPECT_FIELD = b"expect"
 
 
 class _LimitExceeded(GentianError):
@@ -57,54 +59,69 @@
     """Read the requests of one connection and write their responses in order."""
 
     def __init__(self, listener: "PipelineListener"):
+        """Create a connection that is not made yet."""
         self.transport: asyncio.Transport | None = None
         self._listener = listener
+        self._memory = listener.memory
         self._limits = listener.limits()
         self._parser = HttpRequestParser(self)
-        self._pending: deque[_PendingResponse] = deque()
+        self._pending: deque[PendingResponse] = deque()
         self._closing = False
-        self._paused = False
+        self._pauses = 0
         self._active_at_ms = listener.clock.now_ms()
+        # Since when the connection only waits for its caller to close it.
+        self._lingering_since_ms: float | None = None
+        # Whether the caller reads responses more slowly than they come, and what they hold.
+        self._output_full = False
+        self._output_bytes = 0
+        # Bytes that the transport held at the last sweep, and since when these are so many.
+        self._unsent_bytes = 0
+        self._unsent_since_ms = 0.0
         # The request that is being received, and since when its head is incomplete.
         self._target = b""
         self._fields = HeaderFields()
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._head_bytes = 0
         self._raw_head_bytes = 0
-        self._body_bytes = 0
         self._in_body = False
         self._head_since_ms: float | None = None
         self._expects_continue = False
+        self._holds_incomplete = False
+        # Whether the parser reads the head of a request with an Upgrade field again.
+        self._replaying = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport."""
         self.transport = transport
         self._listener.connections.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the work for the caller and give back all memory."""
         self.transport = None
         # Breaks the reference cycle, which would otherwise wait for the garbage collector.
         self._parser = None
-        self._listener.connections.discard(self)
+        self._listener.forget(self)
         self._closing = True
+        self._drop_incomplete()
         self._cancel_pending()
+        self._release_output()
 
     def _cancel_pending(self) -> None:
         pending, self._pending = self._pending, deque()
         for pending_response in pending:
             if pending_response.work is not None:
                 pending_response.work.cancel()
+            self._release(pending_response)
 
     def data_received(self, data: bytes) -> None:
+        """Parse bytes of requests, and charge the memory of an incomplete one."""
         if self._closing:
             return
         now_ms = self._listener.clock.now_ms()
         self._active_at_ms = now_ms
         pending_before = len(self._pending)
         try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            # The request is handled without the upgrade; the bytes after it are not HTTP.
-            self._closing = True
+            self._feed(data)
         except HttpParserError as error:
             if not self._closing:
                 cause = error.__context__
@@ -112,25 +129,63 @@
             return
         if self._in_body or len(self._pending) > pending_before:
             self._head_since_ms = None
+        else:
+            # The parser buffers an incomplete field without reporting its size.
+            self._raw_head_bytes += len(data)
+            if self._head_since_ms is None:
+                self._head_since_ms = now_ms
+            if self._raw_head_bytes > self._limits.header_bytes:
+                self._refuse(431)
+                return
+        if self._in_body or self._raw_head_bytes or self._head_bytes or self._holds_incomplete:
+            self._charge_incomplete()
+
+    def _feed(self, data: bytes) -> None:
+        """Parse bytes; requests with an Upgrade field are handled without the upgrade."""
+        while not self._closing:
+            try:
+                self._parser.feed_data(data)
+            except HttpParserUpgrade as upgrade:
+                if self._closing:
+                    return
+                # The library takes all further bytes for another protocol, the body included.
+                data = data[upgrade.args[0] :]
+                head = self._head_without_upgrade()
+                self._parser, self._replaying = HttpRequestParser(self), True
+                self._parser.feed_data(head)
+                self._replaying = False
+                continue
             return
-        # The parser buffers an incomplete field without reporting its size.
-        self._raw_head_bytes += len(data)
-        if self._head_since_ms is None:
-            self._head_since_ms = now_ms
-        if self._raw_head_bytes > self._limits.header_bytes:
-            self._refuse(431)
+
+    def _head_without_upgrade(self) -> bytes:
+        """Return a head with only the framing of the present request."""
+        fields = self._fields
+        framing = [
+            (name, value)
+            for (_, value), name in zip(fields.pairs, fields.names, strict=True)
+            if name in ("content-length", "transfer-encoding")
+        ]
+        if not self._parser.should_keep_alive():
+            framing.append(("connection", "close"))
+        version = self._parser.get_http_version()
+        line = f"{self._parser.get_method().decode()} / HTTP/{version}\r\n"
+        return f"{line}{render_fields(framing)}\r\n".encode("utf-8", "surrogateescape")
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Start a request with the current limits."""
+        if self._replaying:
+            return
         self._limits = self._listener.limits()
-        self._target, self._fields, self._body = b"", HeaderFields(), []
-        self._head_bytes = self._raw_head_bytes = self._body_bytes = 0
+        self._target, self._fields, self._body = b"", HeaderFields(), bytearray()
+        self._head_bytes = self._raw_head_bytes = 0
         self._expects_continue = False
 
     def on_url(self, url: bytes) -> None:
         """Append bytes of the path and query."""
+        if self._replaying:
+            return
         self._target += url
         self._head_bytes += len(url)
         if self._head_bytes > self._limits.header_bytes:
@@ -138,6 +193,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field."""
+        if self._replaying:
+            return
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > self._limits.header_bytes:
             raise _LimitExceeded(431)
@@ -147,106 +204,285 @@
 
     def on_headers_complete(self) -> None:
         """Send an interim response 100 if the caller waits for it before its body."""
+        if self._parser.should_upgrade() and not self._is_tunnel():
+            # The head is read again.
+            return
         self._in_body = True
         if self._expects_continue and not self._pending:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _is_tunnel(self) -> bool:
+        return self._parser.get_method() == b"CONNECT"
+
     def on_body(self, data: bytes) -> None:
         """Append bytes of the body."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits.body_bytes:
+        # Chunks are not kept apart, as each would be an object of its own.
+        self._body += data
+        if len(self._body) > self._limits.body_bytes:
             raise _LimitExceeded(413)
-        self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Start the work for the request."""
+        upgrades = self._parser.should_upgrade()
+        if upgrades and not self._is_tunnel():
+            return
         self._in_body = False
         method = self._parser.get_method().decode()
-        closes = not self._parser.should_keep_alive()
-        pending = _PendingResponse(method, closes)
+        # The bytes after a CONNECT request are not HTTP.
+        closes = upgrades or not self._parser.should_keep_alive()
+        pending = PendingResponse(method, closes)
         self._pending.append(pending)
+        body, self._body = self._body, bytearray()
+        if self._holds_incomplete:
+            self._holds_incomplete = False
+            self._memory.end_incomplete(self)
+        pending.held_bytes = self._head_cost_bytes() + len(body)
+        self._memory.charge(MemoryOwner.WAITING, self, pending.held_bytes)
         request = BufferedRequest(
-            method, decode_text(self._target), self._fields, b"".join(self._body), self.transport
+            method,
+            decode_text(self._target),
+            self._fields,
+            body if len(body) >= LARGE_BODY_BYTES else bytes(body),
+            self.transport,
         )
-        self._body = []
-        pending.work = self._listener.start(request, partial(self._set_response, pending))
+        self._head_bytes = self._raw_head_bytes = 0
         if closes:
             # The bytes after this request are ignored.
             self._closing = True
-        if len(self._pending) >= MAX_PIPELINED_REQUESTS and not self._paused:
-            self._paused = True
+        if self._memory.is_short() and not self._listener.admits(self, pending.held_bytes):
+            self._set_response(pending, self._out_of_memory())
+            return
+        pending.work = self._listener.start(request, partial(self._set_response, pending))
+        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            self._pause(PAUSED_BY_PIPELINE)
+
+    # Memory.
+
+    def _head_cost_bytes(self) -> int:
+        return MESSAGE_BYTES + fields_bytes(len(self._fields.pairs), self._head_bytes)
+
+    def _charge_incomplete(self) -> None:
+        """Charge the request that is being received, and give way if memory is short."""
+        memory = self._memory
+        if self._in_body or self._raw_head_bytes or self._head_bytes:
+            self._holds_incomplete = True
+            size_bytes = self._head_cost_bytes() + self._raw_head_bytes
+            if self._in_body:
+                memory.release(MemoryOwner.HEAD, self)
+                size_bytes += buffer_bytes(len(self._body))
+                memory.hold(MemoryOwner.BODY, self, size_bytes)
+            else:
+                memory.hold(MemoryOwner.HEAD, self, size_bytes)
+        else:
+            self._drop_incomplete()
+        if memory.is_short():
+            self._listener.give_way(self)
+
+    def _drop_incomplete(self) -> None:
+        """Forget the request that is being received, with its memory."""
+        if self._holds_incomplete:
+            self._holds_incomplete = False
+            self._memory.end_incomplete(self)
+        self._body, self._fields = bytearray(), HeaderFields()
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that is held for requests of this connection."""
+        memory = self._memory
+        return memory.incomplete_bytes(self) + memory.held_by(MemoryOwner.WAITING, self)
+
+    @property
+    def paused_by_memory(self) -> bool:
+        """Return whether the connection reads nothing since memory is short."""
+        return bool(self._pauses & PAUSED_BY_MEMORY)
+
+    @property
+    def incomplete(self) -> bool:
+        """Return whether a request is partly received, or the connection is being closed."""
+        return self._holds_incomplete or self._closing
+
+    @property
+    def active_at_ms(self) -> float:
+        """Return when the caller last sent something, or was last answered."""
+        return self._active_at_ms
+
+    def pause_for_memory(self) -> None:
+        """Read no further bytes until memory is free."""
+        self._pause(PAUSED_BY_MEMORY)
+
+    def resume_for_memory(self) -> None:
+        """Read on, if no other reason forbids it."""
+        self._resume(PAUSED_BY_MEMORY)
+
+    def evict(self) -> None:
+        """Refuse the incomplete request, which has not run, for lack of memory."""
+        self._drop_incomplete()
+        if self.transport is not None and not self._closing:
+            self._listener.record_refusal("incomplete request evicted")
+            self._refuse(503, self._out_of_memory())
+
+    def _out_of_memory(self) -> BufferedResponse:
+        shortest_s, longest_s = RETRY_AFTER_RANGE_S
+        wait_s = shortest_s + (longest_s - shortest_s) * self._listener.random.random()
+        return BufferedResponse(503, [("Retry-After", f"{wait_s:.3f}")])
+
+    def _pause(self, reason: int) -> None:
+        if not self._pauses and self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
+        self._pauses |= reason
+
+    def _resume(self, reason: int) -> None:
+        if not self._pauses & reason:
+            return
+        self._pauses &= ~reason
+        if not self._pauses and self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _release(self, pending: PendingResponse) -> None:
+        owner = MemoryOwner.ANSWER_OUT if pending.done else MemoryOwner.WAITING
+        self._memory.release(owner, self, pending.held_bytes)
+        pending.held_bytes = 0
+
+    # Responses.
+
+    def pause_writing(self) -> None:
+        """Write no further responses, and read no further requests."""
+        self._output_full = True
+        self._pause(PAUSED_BY_OUTPUT)
+
+    def resume_writing(self) -> None:
+        """Write the next responses, as the caller has read most of the last one."""
+        self._output_full = False
+        self._active_at_ms = self._listener.clock.now_ms()
+        self._release_output()
+        self._resume(PAUSED_BY_OUTPUT)
+        self._flush()
 
-    def _set_response(self, pending: _PendingResponse, response: BufferedResponse | None) -> None:
+    def _release_output(self) -> None:
+        self._memory.release(MemoryOwner.ANSWER_OUT, self, self._output_bytes)
+        self._output_bytes = 0
+
+    def _set_response(self, pending: PendingResponse, response: BufferedResponse | None) -> None:
+        self._release(pending)
         pending.response, pending.done, pending.work = response, True, None
+        if response is not None and (self._output_full or pending is not self._pending[0]):
+            pending.held_bytes = MESSAGE_BYTES + len(response.body)
+            self._memory.charge(MemoryOwner.ANSWER_OUT, self, pending.held_bytes)
         self._flush()
 
     def _flush(self) -> None:
         """Write the responses that are ready, in the order of their requests."""
-        while self._pending and self._pending[0].done and self.transport is not None:
+        while (
+            self._pending
+            and self._pending[0].done
+            and self.transport is not None
+            and not self._output_full
+        ):
             pending = self._pending.popleft()
+            self._release(pending)
             if pending.response is None:
                 self.transport.abort()
                 return
             # Closing while later requests are pending would leave them without a response.
             closes = pending.closes or (self._listener.leaving and not self._pending)
-            self.transport.write(_serialize(pending, closes))
+            self._write(pending, closes)
             self._active_at_ms = self._listener.clock.now_ms()
             if closes:
-                self.close()
+                self._close_after_output()
                 return
-        if (
-            self._paused
-            and len(self._pending) < MAX_PIPELINED_REQUESTS
-            and self.transport is not None
-        ):
-            self._paused = False
-            self.transport.resume_reading()
+        if len(self._pending) < MAX_PIPELINED_REQUESTS:
+            self._resume(PAUSED_BY_PIPELINE)
+
+    def _write(self, pending: PendingResponse, closes: bool) -> None:
+        head, body = serialize_response(pending, closes)
+        if len(body) < LARGE_BODY_BYTES:
+            self.transport.write(head + body)
+        else:
+            self.transport.write(head)
+            # The transport keeps the body itself, without a copy.
+            self.transport.write(body)
+        if self._output_full:
+            self._output_bytes += len(head) + len(body)
+            self._memory.charge(MemoryOwner.ANSWER_OUT, self, len(head) + len(body))
+
+    def _close_after_output(self) -> None:
+        """Close once the output is sent; drop what the caller still sends for a while.
+
+        Closing a socket with unread bytes resets the connection, and the caller may lose the end
+        of the response.
+        """
+        has_unread = self._output_full or self._pauses or self._lingering_since_ms is not None
+        if not has_unread or not self.transport.can_write_eof():
+            self.close()
+            return
+        self._closing = True
+        self._cancel_pending()
+        self._lingering_since_ms = self._listener.clock.now_ms()
+        self.transport.write_eof()
+        # Reading on shows when the caller closes.
+        self._resume(self._pauses)
 
     def close(self) -> None:
+        """Close the connection once its output is sent."""
         self._closing = True
         self._cancel_pending()
         if self.transport is not None:
             self.transport.close()
 
-    def _refuse(self, status: int) -> None:
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._closing = True
+        self._drop_incomplete()
+        self._cancel_pending()
+        self._listener.forget(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _refuse(self, status: int, response: BufferedResponse | None = None) -> None:
         """Queue an error response after those to earlier requests, and read no more requests."""
-        pending = _PendingResponse("GET", True)
-        pending.response, pending.done = BufferedResponse(status, []), True
+        self._drop_incomplete()
+        pending = PendingResponse("GET", True)
+        pending.response, pending.done = response or BufferedResponse(status, []), True
         self._pending.append(pending)
         self._closing = True
+        self._lingering_since_ms = self._listener.clock.now_ms()
         self._flush()
 
+    def unsent_bytes(self) -> int:
+        """Return the length of responses that the caller has not read."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
     @property
     def busy(self) -> bool:
-        """Return whether a request has no response yet."""
-        return bool(self._pending)
+        """Return whether a request has no response yet, or one that is not sent completely."""
+        return bool(self._pending) or self.unsent_bytes() > 0
 
     def sweep(self, now_ms: float, limits: CallerLimits) -> None:
         """Close the connection if it was idle, or refuse an incomplete head, after a timeout."""
-        if self._pending or self.transport is None:
+        if self.transport is None:
+            return
+        unsent_bytes = self.unsent_bytes()
+        if unsent_bytes:
+            # A slow reader has as much time as it needs; one that reads nothing at all is gone.
+            if unsent_bytes != self._unsent_bytes:
+                self._unsent_bytes, self._unsent_since_ms = unsent_bytes, now_ms
+            elif now_ms - self._unsent_since_ms > limits.idle_timeout_ms:
+                self._listener.record_refusal("response not read")
+                self.abort()
             return
-        if self._head_since_ms is not None:
+        self._unsent_bytes = 0
+        if self._pending:
+            return
+        if self._lingering_since_ms is not None:
+            if now_ms - max(self._lingering_since_ms, self._active_at_ms) > LINGER_MS:
+                self.abort()
+        elif self._head_since_ms is not None:
             if now_ms - self._head_since_ms > limits.header_timeout_ms:
                 self._refuse(408)
-        elif now_ms - self._active_at_ms > limits.idle_timeout_ms:
+        elif now_ms - self._active_at_ms > limits.idle_timeout_ms and not self._pauses:
             self.close()
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is pending or partly received."""
-        if not self._pending and self._head_since_ms is None:
+        if not self.busy and self._head_since_ms is None:
             self.close()
-
-
-def _serialize(pending: _PendingResponse, closes: bool) -> bytes:
-    response = pending.response
-    text = (
-        f"HTTP/1.1 {response.status} {PHRASES.get(response.status, 'Unknown')}\r\n{response.fields}"
-    )
-    if response.headers:
-        text += render_fields(response.headers)
-    if response.status not in BODILESS_STATUS and pending.method != "HEAD":
-        text += f"Content-Length: {len(response.body)}\r\n"
-    text += "Connection: close\r\n\r\n" if closes else "\r\n"
-    head = text.encode("utf-8", "surrogateescape")
-    return head if pending.method == "HEAD" else head + response.body
--- a/gentianthread/transport/http_messages.py
+++ b/gentianthread/transport/http_messages.py
@@ -6,7 +6,11 @@
 import attrs
 
 from .callbacks import Cancellable
-from .header_fields import HeaderFields, HeaderPairs
+from .header_fields import HeaderFields, HeaderPairs, render_fields
+from .http_names import BODILESS_STATUS, PHRASES
+
+# A body of this size or more is not copied: neither to an immutable object nor to its head.
+LARGE_BODY_BYTES = 64 * 1024
 
 # The classes below are instantiated for every request. They are not frozen, since the constructor
 # of a frozen attrs class makes a call for each field.
@@ -90,3 +94,41 @@
         deliver(response)
 
     return lambda request, deliver: asyncio.ensure_future(run(request, deliver))
+
+
+class PendingResponse:
+    """Store the state of a request until its response is written.
+
+    Attributes:
+        method: HTTP method of the request.
+        closes: Whether the connection closes after the response.
+        response: The response; None to close the connection without one.
+        done: Whether the handler has ended.
+        work: Running work for the request, if any.
+        held_bytes: Memory that is charged for the request, or for the response once it is done.
+    """
+
+    __slots__ = ("closes", "done", "held_bytes", "method", "response", "work")
+
+    def __init__(self, method: str, closes: bool):
+        self.method = method
+        self.closes = closes
+        self.response: BufferedResponse | None = None
+        self.done = False
+        self.work: Cancellable | None = None
+        self.held_bytes = 0
+
+
+def serialize_response(pending: PendingResponse, closes: bool) -> tuple[bytes, bytes]:
+    """Return the head and the body of a response."""
+    response = pending.response
+    text = (
+        f"HTTP/1.1 {response.status} {PHRASES.get(response.status, 'Unknown')}\r\n{response.fields}"
+    )
+    if response.headers:
+        text += render_fields(response.headers)
+    if response.status not in BODILESS_STATUS and pending.method != "HEAD":
+        text += f"Content-Length: {len(response.body)}\r\n"
+    text += "Connection: close\r\n\r\n" if closes else "\r\n"
+    head = text.encode("utf-8", "surrogateescape")
+    return head, b"" if pending.method == "HEAD" else response.body
--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -15,14 +15,13 @@
 from ..state.carried_requests import CarriedRequests
 from .callbacks import settle
 from .header_fields import HeaderFields
+from .http_messages import LARGE_BODY_BYTES
+from .response_memory import BODY_LIMIT_BYTES, ResponseMemory
 from .sockets import enable_keepalive, is_reset
 
 # Longest head of a response.
 HEAD_LIMIT_BYTES = 32 * 1024
 
-# Longest body of a response; a longer one would fill the memory of the node.
-BODY_LIMIT_BYTES = 64 * 1024 * 1024
-
 # Bytes that may come before the head of a response: interim responses and late copies of responses
 # to earlier requests.
 SKIPPED_LIMIT_BYTES = 1024 * 1024
@@ -49,16 +48,18 @@
     """Store a serialized request; `make_request` creates it.
 
     Attributes:
-        data: The head and body.
+        data: The head, and the body unless it is large.
         method: HTTP method.
         request_id: Id that the response must echo.
         timeout_ms: Time until the response must be complete.
+        large_body: A large body, which is not copied; else empty.
     """
 
     data: bytes
     method: str
     request_id: str
     timeout_ms: float
+    large_body: bytes = b""
 
 
 def make_request(
@@ -78,42 +79,10 @@
     if body or method in ("POST", "PUT", "PATCH"):
         length = f"Content-Length: {len(body)}\r\n"
     head = f"{method} {target} HTTP/1.1\r\n{fields}{length}\r\n"
-    data = head.encode("utf-8", "surrogateescape") + body
-    return TargetRequest(data, method, request_id, timeout_ms)
-
-
-class ResponseMemory:
-    """Limit the bytes of all incomplete responses together, for any number of connections.
-
-    Attributes:
-        held_bytes: Bytes of bodies and header fields of incomplete responses.
-    """
-
-    def __init__(self, limit_bytes: int = BODY_LIMIT_BYTES):
-        """Create the limit.
-
-        Args:
-            limit_bytes: Bytes from which the connection with the longest response is failed.
-        """
-        self.held_bytes = 0
-        self._limit_bytes = limit_bytes
-        self._held_by_connection: dict[TargetConnection, int] = {}
-
-    def add(self, connection: "TargetConnection", count: int) -> "TargetConnection | None":
-        """Count bytes of a response, and return the connection to fail if there are too many.
-
-        Args:
-            connection: The connection on which they came.
-            count: Number of bytes.
-        """
-        held = self._held_by_connection
-        held[connection] = held.get(connection, 0) + count
-        self.held_bytes += count
-        return None if self.held_bytes <= self._limit_bytes else max(held, key=held.__getitem__)
-
-    def release(self, connection: "TargetConnection") -> None:
-        """Forget the bytes of a connection whose response is complete or lost."""
-        self.held_bytes -= self._held_by_connection.pop(connection, 0)
+    data = head.encode("utf-8", "surrogateescape")
+    if len(body) < LARGE_BODY_BYTES:
+        return TargetRequest(data + body, method, request_id, timeout_ms)
+    return TargetRequest(data, method, request_id, timeout_ms, body)
 
 
 class TargetResponse:
@@ -240,6 +209,8 @@
         # asyncio.timeout would need a task.
         self._timer = self._loop.call_later(request.timeout_ms / 1000, self._finish, TimeoutError())
         self.transport.write(request.data)
+        if request.large_body:
+            self.transport.write(request.large_body)
 
     def abandon_exchange(self) -> None:
         """Stop waiting for the current response without calling `on_result`."""
@@ -252,6 +223,8 @@
         on_result = self._on_result
         if on_result is None:
             return
+        if isinstance(result, TargetResponse):
+            self._memory.hand_over(self)
         self.abandon_exchange()
         on_result(result)
 
@@ -302,6 +275,18 @@
         problem = self._exceeded_limit()
         if problem:
             self._fail(problem)
+        elif self._on_result is not None and self._memory.must_pause(self):
+            self._memory.pause(self)
+
+    def pause(self) -> None:
+        """Read nothing, so that the target stops to send."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def _exceeded_limit(self) -> str:
         """Return which limit the incomplete response exceeds, or an empty string."""
--- a/gentianthread/transport/target_pool.py
+++ b/gentianthread/transport/target_pool.py
@@ -10,12 +10,12 @@
 from ..clock import Clock
 from ..errors import ConnectionLost, DialError
 from ..state.idle_limit import MIN_IDLE_MS, IdleLimit
+from ..state.memory_budget import MemoryBudget
+from .http_messages import LARGE_BODY_BYTES, BufferedResponse
 from .http_names import HOP_BY_HOP
-from .http_pipeline import BufferedResponse
+from .response_memory import BODY_LIMIT_BYTES, ResponseMemory
 from .target_connection import (
-    BODY_LIMIT_BYTES,
     OnStray,
-    ResponseMemory,
     TargetConnection,
     TargetRequest,
     TargetResponse,
@@ -91,6 +91,7 @@
         removed_fields: Iterable[str] = (),
         dial_timeout_ms: float = DIAL_TIMEOUT_MS,
         memory_limit_bytes: int = BODY_LIMIT_BYTES,
+        memory: MemoryBudget | None = None,
     ):
         """Create an empty pool.
 
@@ -104,6 +105,7 @@
             removed_fields: Names of header fields to remove from responses.
             dial_timeout_ms: Timeout for opening a connection.
             memory_limit_bytes: Limit of the incomplete bodies of all connections together.
+            memory: Memory of the process; a budget of its own by default.
         """
         self.host = host
         self.port = port
@@ -116,7 +118,7 @@
         self._removed_fields = _REMOVED_FIELDS | {name.lower() for name in removed_fields}
         self._local_address = None if source_address is None else (source_address, 0)
         self._dial_timeout_ms = dial_timeout_ms
-        self._memory = ResponseMemory(memory_limit_bytes)
+        self._memory = ResponseMemory(memory_limit_bytes, memory)
         self._idle: deque[TargetConnection] = deque()
         self._idle_limit = IdleLimit()
 
@@ -234,7 +236,10 @@
     ) -> PooledResponse:
         """Return the last response of a connection without the removed header fields."""
         headers = response.fields.without(self._removed_fields)
-        buffered = BufferedResponse(response.status, headers, bytes(response.body))
+        body = response.body
+        if len(body) < LARGE_BODY_BYTES:
+            body = bytes(body)
+        buffered = BufferedResponse(response.status, headers, body)
         return PooledResponse(
             buffered, response.fields.first, connection.number, connection.request_count
         )
--- a/tests/coordination/mesh/memory_network.py
+++ b/tests/coordination/mesh/memory_network.py
@@ -40,6 +40,9 @@
                 self.paused = True
                 self.protocol.pause_writing()
 
+    def get_write_buffer_size(self):
+        return sum(len(data) for _, data in self.under_way if isinstance(data, bytes))
+
     def close(self):
         if not self.closing:
             self.closing = True
--- a/tests/coordination/mesh/test_entry.py
+++ b/tests/coordination/mesh/test_entry.py
@@ -25,7 +25,7 @@
         request_tasks = [
             name
             for name in created_tasks
-            if "_run_attempts" in name or "Entry" in name or "_Connection" in name
+            if "_run_attempts" in name or "Entry" in name or "CallerConnection" in name
         ]
         self.assertEqual([], request_tasks)
         await self.stop()
--- /dev/null
+++ b/tests/transport/test_caller_memory.py
@@ -0,0 +1,205 @@
+import asyncio
+import socket
+
+from gentianthread.clock import SystemClock
+from gentianthread.standins.mesh import wait_until
+from gentianthread.state.fleet_plan import CallerLimits
+from gentianthread.state.memory_budget import MemoryBudget, MemoryOwner
+from gentianthread.transport.event_loop import new_event_loop
+from gentianthread.transport.http_pipeline import BufferedResponse, PipelineListener, start_in_task
+
+from ..base import SocketTestCase, TestCase
+
+MB = 1024 * 1024
+
+
+class ListenerCase(SocketTestCase):
+    async def open(self, capacity_bytes=float("inf"), handler=None, **limits):
+        clock = SystemClock()
+        self.memory = MemoryBudget(capacity_bytes, clock.now_ms)
+        self.requests = []
+        self.listener = PipelineListener(
+            start_in_task(handler or self.answer),
+            clock,
+            lambda: CallerLimits(**limits),
+            self.memory,
+        )
+        await self.listener.open("127.0.0.1", 0)
+
+    async def answer(self, request):
+        self.requests.append((request.method, request.target, bytes(request.body)))
+        return BufferedResponse(200, [("X-Length", str(len(request.body)))])
+
+    async def connect(self, receive_bytes=None):
+        raw = socket.socket()
+        if receive_bytes:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        raw.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(raw, ("127.0.0.1", self.listener.port))
+        return await asyncio.open_connection(sock=raw, limit=MB)
+
+    async def read_response(self, reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        fields = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line)
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        return int(head.split()[1]), fields, body
+
+
+class TestUpgrade(ListenerCase):
+    offer = b"Host: a\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+
+    async def test_connection_goes_on_after_an_offer_to_upgrade(self):
+        """Guards against a connection that ignores all bytes after an Upgrade field."""
+        await self.open()
+        chunked = b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        data = (
+            b"GET /1 HTTP/1.1\r\n" + self.offer + b"\r\n"
+            b"POST /2 HTTP/1.1\r\n" + self.offer + b"Content-Length: 5\r\n\r\nhello"
+            b"POST /3 HTTP/1.1\r\n" + self.offer + b"Transfer-Encoding: chunked\r\n\r\n" + chunked
+        ) + b"GET /4 HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+        data += b"POST /5 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"
+        expected = [
+            ("GET", "/1", b""),
+            ("POST", "/2", b"hello"),
+            ("POST", "/3", b"abcde"),
+            ("GET", "/4", b""),
+            ("POST", "/5", b"ok"),
+        ]
+        for step in (len(data), 7, 1):
+            self.requests.clear()
+            reader, writer = await self.connect()
+            for start in range(0, len(data), step):
+                writer.write(data[start : start + step])
+                await writer.drain()
+                if step == 1:
+                    await asyncio.sleep(0.0001)
+            statuses = [(await self.read_response(reader))[0] for _ in expected]
+            self.assertEqual(([200] * 5, expected), (statuses, self.requests))
+            writer.close()
+        await self.listener.close()
+
+    async def test_offer_on_a_connection_that_closes(self):
+        """Guards against a connection that stays open though its caller asked to close it."""
+        await self.open()
+        reader, writer = await self.connect()
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close, Upgrade\r\n")
+        writer.write(b"Upgrade: h2c\r\n\r\n")
+        self.assertEqual(200, (await self.read_response(reader))[0])
+        self.assertEqual(b"", await reader.read())
+        await self.listener.close()
+
+    async def test_tunnel_is_answered_and_closed(self):
+        """Guards against bytes of a tunnel that are taken for requests."""
+        await self.open()
+        reader, writer = await self.connect()
+        writer.write(b"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+        status, fields, _ = await self.read_response(reader)
+        self.assertEqual((200, "close", 1), (status, fields["connection"], len(self.requests)))
+        await self.listener.close()
+
+
+class TestCallerMemory(ListenerCase):
+    async def test_all_memory_is_returned(self):
+        """Guards against memory that stays charged after a caller was served, refused or left."""
+        await self.open(header_bytes=2_000, body_bytes=1_000)
+        for data in (
+            b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+            b"POST / HTTP/1.1\r\nContent-Length: 500\r\n\r\n" + b"x" * 500,
+            b"POST / HTTP/1.1\r\nContent-Length: 500\r\n\r\n" + b"x" * 100,
+            b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + b"x" * 3_000,
+            b"GET / HTTP/1.1\r\nA: " + b"x" * 3_000,
+            b"GET / HTTP/1.1\r\nA: b",
+            b"GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\nA: b\r\nC",
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhe",
+            b"no request\r\n\r\n",
+        ):
+            _, writer = await self.connect()
+            half = len(data) // 2
+            writer.write(data[:half])
+            await asyncio.sleep(0.01)
+            writer.write(data[half:])
+            await asyncio.sleep(0.01)
+            writer.close()
+            await wait_until(lambda: not self.listener.connections)
+            self.assertEqual(0, self.memory.total_bytes, data)
+        await self.listener.close()
+
+    async def test_single_slow_caller_is_served_in_calm(self):
+        """Guards against refusing a slow body though nobody else needs the memory."""
+        await self.open(capacity_bytes=3 * MB)
+        reader, writer = await self.connect()
+        writer.write(b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (2 * MB))
+        for pause_s in (0.0, 1.5, 1.5):
+            writer.write(b"x" * (2 * MB // 3))
+            await asyncio.sleep(pause_s)
+        writer.write(b"x" * (2 * MB - 2 * MB // 3 * 3))
+        status, fields, _ = await self.read_response(reader)
+        self.assertEqual((200, str(2 * MB)), (status, fields["x-length"]))
+        await self.listener.close()
+
+    async def test_stalled_body_gives_way_to_one_that_progresses(self):
+        """Guards against a few stalled bodies that keep all others from being read."""
+        await self.open(capacity_bytes=3 * MB)
+        stalled, stalled_writer = await self.connect()
+        stalled_writer.write(b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (2 * MB))
+        stalled_writer.write(b"x" * (2 * MB - 1))
+        await asyncio.sleep(0.3)
+        reader, writer = await self.connect()
+        writer.write(b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (2 * MB))
+        writer.write(b"x" * (2 * MB))
+        self.assertEqual(200, (await self.read_response(reader))[0])
+        status, fields, _ = await self.read_response(stalled)
+        self.assertEqual((503, True), (status, float(fields["retry-after"]) > 0))
+        self.assertEqual(1, len(self.requests))
+        await self.listener.close()
+
+    async def test_new_connection_takes_the_place_of_an_inactive_one(self):
+        """Guards against callers that keep others out by connections that they leave open."""
+        await self.open()
+        self.listener.max_connections = lambda: 10
+        crowd = [await self.connect() for _ in range(30)]
+        reader, writer = await self.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertEqual(200, (await self.read_response(reader))[0])
+        self.assertLessEqual(len(self.listener.connections), 10)
+        self.assertEqual(31, len(crowd) + 1)
+        await self.listener.close()
+
+
+class TestSlowReaders(TestCase):
+    """Run on the event loop of the sidecar, whose transports write without copies."""
+
+    def test_slow_reader_is_charged_and_busy_until_it_has_read(self):
+        """Guards against responses that nothing counts, and a stop that cuts them off."""
+        case = ListenerCase("run")
+
+        async def large(request):
+            return BufferedResponse(200, [], bytearray(8 * MB))
+
+        async def play():
+            await case.open(handler=large)
+            reader, writer = await case.connect(receive_bytes=16_384)
+            writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" * 3)
+            await asyncio.sleep(0.2)
+            held_bytes = case.memory.sum_of(MemoryOwner.ANSWER_OUT)
+            self.assertGreater(held_bytes, 24 * MB)
+            self.assertLess(held_bytes, 25 * MB)
+            # A request after them stays in the socket.
+            writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, case.listener.busy)
+            self.assertEqual(held_bytes, case.memory.sum_of(MemoryOwner.ANSWER_OUT))
+            case.listener.leaving = True
+            for _ in range(3):
+                status, fields, body = await case.read_response(reader)
+                self.assertEqual((200, 8 * MB), (status, len(body)))
+            self.assertEqual("close", fields["connection"])
+            await wait_until(lambda: not case.listener.busy)
+            writer.close()
+            await wait_until(lambda: not case.listener.connections)
+            self.assertEqual(0, case.memory.total_bytes)
+            await case.listener.close()
+
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(play())
