Send large bodies between nodes in parts, as the receiver has memory for them

Cause: a body was joined, encoded, masked and decoded as one message, four copies at either end; any number of them reached a node that had no memory for them. An idle connection to the target kept its last request and response (130 MB beside a target that had nothing to do).

Change: bodies of 64 KB or more are offered (BodyOffer), permitted (BodyCredit) and sent in parts of 32 KB (BodyPart) between the other messages of the link; the message follows its body. A receiver that is short of memory takes one body after the other, and declines requests, which have not run, while it is full. Batches are cut at 512 KB of bodies. Messages on links are charged in both directions. The fingerprint of the mesh messages changes, so nodes before and after this commit refuse each other.

--- a/gentianthread/coordination/mesh/peer_link.py
+++ b/gentianthread/coordination/mesh/peer_link.py
@@ -6,18 +6,27 @@
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
-import attrs
-
 from ...errors import ConnectionLost, MessageError, PeerUnreachable, TransportError
 from ...events import PEER_SILENT, TASK_FAILED
 from ...ids import UpstreamId
 from ...logs import log
 from ...protocol.codec import decode_batch, encode_batch
 from ...protocol.compression import COMPRESSED_MARK, MIN_COMPRESSED_BYTES, Compressor, Decompressor
-from ...protocol.messages_mesh import CancelRun, Probe, RunAnswer, RunRequest
+from ...protocol.messages_mesh import (
+    BodyCredit,
+    BodyOffer,
+    BodyPart,
+    CancelRun,
+    Probe,
+    RunAnswer,
+    RunRequest,
+)
+from ...state.memory_budget import MemoryOwner
 from ...transport.callbacks import Cancellable, settle
 from ...transport.direct_websocket import DirectWebSocket
-from .outcomes import unknown_answer
+from .body_transfers import LARGE_BODY_BYTES, BodyTransfers
+from .outcomes import refused_answer, unknown_answer
+from .peer_call import LinkSilent, OnEnd, PeerCall
 
 if TYPE_CHECKING:
     from .peers import PeerLinks
@@ -45,37 +54,16 @@
 # Delay before the next attempt to write to a connection whose send buffer is full.
 WRITE_RETRY_MS = 5.0
 
-# Allows one answer with a body of 64 MB and its head; bodies are not split.
+# Longest message of a peer. Large bodies are sent in parts, but documents are not.
 MAX_MESSAGE_BYTES = 70 * 1024 * 1024
 
+# A batch is encoded, compressed and masked as a whole, so that it is held several times.
+MAX_BATCH_MESSAGES = 32
+MAX_BATCH_BODY_BYTES = 512 * 1024
+BATCH_PART_BYTES = 256 * 1024
 
-class LinkSilent(ConnectionLost):
-    """Report a call whose link went silent; the peer may have run the request."""
-
-
-# Called once with the peer's answer, or with the error that prevented it.
-OnEnd = Callable[[RunAnswer | Exception], None]
-
-
-@attrs.define(eq=False)
-class PeerCall:
-    """Track a request that a peer runs.
-
-    Attributes:
-        link: The link that the request was sent over.
-        number: Number of the call on the link.
-        repeatable: Whether the request may run more than once.
-        on_end: Called with the answer or the error.
-    """
-
-    link: "PeerLink"
-    number: int
-    repeatable: bool
-    on_end: OnEnd
-
-    def cancel(self) -> None:
-        """Ask the peer to stop the request; `on_end` is not called."""
-        self.link.cancel(self.number)
+# Memory of a request of a peer beside its fields and body.
+RUN_BYTES = 4_096
 
 
 # Runs a request of a peer and returns the answer.
@@ -112,7 +100,14 @@
         self._numbers = count(1)
         self._calls: dict[int, PeerCall] = {}
         self._runs: dict[int, Cancellable] = {}
+        # Memory that is charged for each of them.
+        self._run_bytes: dict[int, int] = {}
         self._outgoing: list[Any] = []
+        self._memory = owner.memory
+        self._transfers = BodyTransfers(owner.intake, self.post, owner.clock.now_ms)
+        # Memory that is charged for queued answers, and whether it is for the last batch.
+        self._queued_bytes = 0
+        self._charged_output = False
         self._compressor: Compressor | None = None
         self._decompressor: Decompressor | None = None
         self._flushing = False
@@ -175,9 +170,7 @@
     def post(self, message: Any) -> None:
         """Queue a message for the next batch."""
         self._outgoing.append(message)
-        if not self._flushing:
-            self._flushing = True
-            asyncio.get_running_loop().call_soon(self._flush)
+        self._flush_soon()
 
     def begin(self, request: RunRequest, on_end: OnEnd) -> PeerCall:
         """Send a request.
@@ -199,7 +192,7 @@
             self._owner.monitor(self)
         self._calls[number] = call
         request.call = number
-        self.post(request)
+        self._send(request)
         return call
 
     async def run(self, request: RunRequest) -> RunAnswer:
@@ -228,12 +221,14 @@
     def cancel(self, number: int) -> None:
         """Ask the peer to stop a request that is not yet answered."""
         if self._calls.pop(number, None) is not None and not self.closed:
+            self._transfers.cancel(number)
             self.post(CancelRun(number))
 
     def _fail_calls(self, calls: list[PeerCall], error: Exception) -> None:
         for call in calls:
             # An earlier callback may have cancelled this call.
             if self._calls.pop(call.number, None) is not None:
+                self._transfers.cancel(call.number)
                 call.on_end(error)
 
     def start(self) -> None:
@@ -252,11 +247,52 @@
             asyncio.get_running_loop().call_later(WRITE_RETRY_MS / 1000, self._flush)
             return
         self._flushing = False
-        batch, self._outgoing = self._outgoing, []
+        if self._charged_output:
+            self._charged_output = False
+            self._memory.release(MemoryOwner.LINK_OUT, self._connection)
+        data = self._compress(self._encode(self._take_batch()))
         try:
-            self._connection.post(self._compress(self._encode(batch)))
+            self._connection.post(data)
         except TransportError as error:
             self._on_connection_end(str(error))
+            return
+        if self._connection.full:
+            self._charged_output = True
+            self._memory.charge(MemoryOwner.LINK_OUT, self._connection, len(data))
+        if self._outgoing or self._transfers.has_parts:
+            self._flush_soon()
+
+    def _flush_soon(self) -> None:
+        if not self._flushing:
+            self._flushing = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _take_batch(self) -> list[Any]:
+        """Return the next messages to send: queued ones, then parts of large bodies."""
+        batch, self._outgoing = self._outgoing, []
+        if len(batch) > MAX_BATCH_MESSAGES:
+            end = body_bytes = 0
+            while end < len(batch) and body_bytes < MAX_BATCH_BODY_BYTES:
+                body_bytes += len(getattr(batch[end], "body", b""))
+                end += 1
+            batch, self._outgoing = batch[:end], batch[end:]
+        if self._queued_bytes:
+            sent_bytes = sum(len(each.body) for each in batch if isinstance(each, RunAnswer))
+            self._queued_bytes -= sent_bytes
+            self._memory.release(MemoryOwner.LINK_OUT, self, sent_bytes)
+        if self._transfers.has_parts:
+            batch.extend(self._transfers.next_parts(BATCH_PART_BYTES))
+        return batch
+
+    def _send(self, message: RunRequest | RunAnswer) -> None:
+        """Send a message whose body may be large."""
+        if len(message.body) >= LARGE_BODY_BYTES:
+            self._transfers.offer(message)
+            return
+        if message.body and isinstance(message, RunAnswer):
+            self._queued_bytes += len(message.body)
+            self._memory.charge(MemoryOwner.LINK_OUT, self, len(message.body))
+        self.post(message)
 
     def _encode(self, batch: list[Any]) -> bytes:
         try:
@@ -320,22 +356,46 @@
         if isinstance(message, RunAnswer):
             self._record_answer()
             self._owner.on_revision(self, message.revision)
+            body = self._transfers.take(message.call, of_answer=True)
+            if body is not None:
+                message.body = body
+            # The peer may refuse a request before its body is sent.
+            self._transfers.cancel(message.call)
             call = self._calls.pop(message.call, None)
             if call is not None:
                 call.on_end(message)
         elif isinstance(message, RunRequest):
             self._owner.on_revision(self, message.revision)
+            body = self._transfers.take(message.call, of_answer=False)
+            if body is not None:
+                message.body = body
             self._start_run(message)
         elif isinstance(message, CancelRun):
-            run = self._runs.pop(message.call, None)
+            self._transfers.cancel(message.call)
+            run = self._end_run(message.call)
             if run is not None:
                 run.cancel()
+        elif isinstance(message, BodyPart):
+            self._transfers.on_part(message)
+        elif isinstance(message, BodyCredit):
+            self._transfers.on_credit(message)
+            if self._transfers.has_parts:
+                self._flush_soon()
+        elif isinstance(message, BodyOffer):
+            self._on_offer(message)
         elif isinstance(message, Probe):
             self._on_probe(message)
             self._owner.on_revision(self, message.revision)
         else:
             self._owner.on_message(self, message)
 
+    def _on_offer(self, offer: BodyOffer) -> None:
+        if offer.of_answer and offer.call not in self._calls:
+            # Nobody waits for it any more.
+            self.post(CancelRun(offer.call))
+        elif not self._transfers.on_offer(offer):
+            self._send_answer(offer.call, refused_answer("no memory"))
+
     def _on_probe(self, probe: Probe) -> None:
         self.leaving = probe.leaving
         if probe.number:
@@ -353,12 +413,25 @@
         self.silent = False
 
     def _send_answer(self, call: int, answer: RunAnswer) -> None:
-        self._runs.pop(call, None)
+        self._end_run(call)
         answer.call = call
         answer.revision = self._owner.revision()
-        self.post(answer)
+        self._send(answer)
+
+    def _end_run(self, call: int) -> Cancellable | None:
+        """Return the memory of a request of the peer, and return the request if it runs."""
+        run_bytes = self._run_bytes.pop(call, 0)
+        if run_bytes:
+            self._memory.release(MemoryOwner.LINK_IN, self, run_bytes)
+        return self._runs.pop(call, None)
 
     def _start_run(self, request: RunRequest) -> None:
+        run_bytes = RUN_BYTES + len(request.fields) + len(request.body)
+        if self._memory.is_short() and self._memory.is_full(run_bytes):
+            self._send_answer(request.call, refused_answer("no memory"))
+            return
+        self._run_bytes[request.call] = run_bytes
+        self._memory.charge(MemoryOwner.LINK_IN, self, run_bytes)
         try:
             run = self._owner.starter(request, partial(self._send_answer, request.call))
         except Exception as error:
@@ -374,7 +447,7 @@
         except Exception as error:
             self._fail_run(request, error)
         finally:
-            self._runs.pop(request.call, None)
+            self._end_run(request.call)
 
     def _fail_run(self, request: RunRequest, error: Exception) -> None:
         """Answer a request that failed in this node; the others on the link go on."""
@@ -407,6 +480,11 @@
         self._fail_calls(list(self._calls.values()), ConnectionLost(self.host, problem))
         for run in list(self._runs.values()):
             run.cancel()
+        self._transfers.close()
+        self._run_bytes.clear()
+        for holder in (self, self._connection):
+            self._memory.release(MemoryOwner.LINK_IN, holder)
+            self._memory.release(MemoryOwner.LINK_OUT, holder)
         self._owner.on_link_closed(self, problem)
 
     def abort(self) -> None:
--- a/gentianthread/coordination/mesh/peers.py
+++ b/gentianthread/coordination/mesh/peers.py
@@ -19,8 +19,10 @@
 from ...metrics import Metrics
 from ...protocol.handshake import accept_peer, dial_peer
 from ...protocol.messages_mesh import MESH_VERSION, Probe, RunAnswer, RunRequest
+from ...state.memory_budget import MemoryBudget
 from ...transport.connections import Listener
 from ...transport.direct_websocket import DirectTransport, DirectWebSocket
+from .body_transfers import BodyIntake
 from .peer_link import MAX_MESSAGE_BYTES, PROBE_AFTER_MS, PeerLink, Runner, Starter
 
 # Opening a link takes four round trips, under 60 ms between zones.
@@ -38,6 +40,8 @@
     """Open links on demand, accept those of peers, and monitor links with pending calls.
 
     Attributes:
+        memory: Memory of the process.
+        intake: Permits peers to send large bodies.
         version: Version of the message format; peers with another version are refused.
         runner: Runs a request of a peer in a task.
         starter: Starts a request that needs no task; returns None for others.
@@ -58,6 +62,7 @@
         clock: Clock,
         metrics: Metrics,
         random: Random,
+        memory: MemoryBudget | None = None,
     ):
         """Create the links without accepting any; see `open`.
 
@@ -69,11 +74,14 @@
             clock: Clock for silence detection and backoff.
             metrics: Counts opened links, failed dials and refused connections.
             random: Source of the jitter of backoff.
+            memory: Memory of the process; unbounded by default.
         """
         self.local = local
         self.version = MESH_VERSION
         self.clock = clock
         self.metrics = metrics
+        self.memory = MemoryBudget() if memory is None else memory
+        self.intake = BodyIntake(self.memory, clock.now_ms)
         self.runner: Runner = _refuse_request
         self.starter: Starter = lambda request, deliver: None
         self.handlers: dict[type, Callable[[PeerLink, Any], None]] = {}
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -135,6 +135,7 @@
             clock,
             self.metrics,
             random,
+            self.memory,
         )
         self.pool = TargetPool(
             settings.target.host,
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -292,6 +292,54 @@
     fingerprint: RequestFingerprint
 
 
+@message(113)
+@attrs.frozen
+class BodyOffer:
+    """Announce a large body, which is sent in parts before the message that it belongs to.
+
+    Attributes:
+        call: Number of the request on this link.
+        of_answer: Whether the body is that of the answer, and not of the request.
+        size: Length of the body.
+    """
+
+    call: int
+    of_answer: bool
+    size: int
+
+
+@message(114)
+@attrs.frozen
+class BodyCredit:
+    """Allow the sender of a large body to send more of it.
+
+    Attributes:
+        call: Number of the request on this link.
+        of_answer: Whether the body is that of the answer, and not of the request.
+        allowed: Bytes that the sender may have sent in all.
+    """
+
+    call: int
+    of_answer: bool
+    allowed: int
+
+
+@message(115)
+@attrs.frozen
+class BodyPart:
+    """Transfer the next part of a large body.
+
+    Attributes:
+        call: Number of the request on this link.
+        of_answer: Whether the body is that of the answer, and not of the request.
+        data: The part.
+    """
+
+    call: int
+    of_answer: bool
+    data: bytes = attrs.field(repr=False)
+
+
 # Nodes with different message definitions refuse links to each other: a request that the peer
 # cannot decode would close the link, and its outcome would be unknown although it never ran.
 MESH_VERSION = fingerprint(
@@ -308,4 +356,7 @@
     RateStates,
     CrashReport,
     RequestCleared,
+    BodyOffer,
+    BodyCredit,
+    BodyPart,
 )
--- a/gentianthread/transport/response_memory.py
+++ b/gentianthread/transport/response_memory.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from ..state.memory_budget import SMALL_HOLDER_BYTES, MemoryBudget, MemoryOwner
+from .memory_handover import hand_over
 
 if TYPE_CHECKING:
     from .target_connection import TargetConnection
@@ -14,10 +15,6 @@
 # Fraction of the limit from which only the oldest response is read on.
 PAUSE_FRACTION = 0.75
 
-# Turns of the event loop for which a complete response stays charged. It may pass through tasks on
-# its way to its next holder, and others must not take its place in between.
-HANDOVER_TURNS = 6
-
 # Interval of the checks for free memory while responses wait for it.
 CHECK_INTERVAL_MS = 20.0
 
@@ -70,18 +67,9 @@
         """Release a complete response once its next holder has charged it."""
         held_bytes = self._held.get(connection, 0)
         if held_bytes > SMALL_HOLDER_BYTES:
-            holder = object()
-            self._budget.charge(MemoryOwner.ANSWER_IN, holder, held_bytes)
-            self._release_after(holder, HANDOVER_TURNS)
+            hand_over(self._budget, MemoryOwner.ANSWER_IN, held_bytes)
         self.release(connection)
 
-    def _release_after(self, holder: object, turns: int) -> None:
-        if turns:
-            loop = asyncio.get_running_loop()
-            loop.call_soon(self._release_after, holder, turns - 1)
-        else:
-            self._budget.release(MemoryOwner.ANSWER_IN, holder)
-
     def must_pause(self, connection: "TargetConnection") -> bool:
         """Return whether a connection with an incomplete response must read nothing for now."""
         if self._held.get(connection, 0) <= SMALL_HOLDER_BYTES:
--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -173,7 +173,7 @@
         self._on_result: Callable[[TargetResponse | Exception], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._request: TargetRequest | None = None
-        self._answered_head_request = False
+        self._was_head_request = self._answered_head_request = False
         self._parser: HttpResponseParser | None = None
         self._response = TargetResponse()
         # Bytes of this exchange that came before the head of its response.
@@ -199,8 +199,8 @@
             on_result: Called once with the response, with `ConnectionLost` if the connection failed
                 or the response is malformed, or with `TimeoutError`.
         """
-        if self._request is not None and self._request.method == "HEAD":
-            self._answered_head_request = True
+        self._answered_head_request |= self._was_head_request
+        self._was_head_request = request.method == "HEAD"
         self._request = request
         self._parser, self._response = HttpResponseParser(self), TargetResponse()
         self._on_result = on_result
@@ -215,6 +215,8 @@
     def abandon_exchange(self) -> None:
         """Stop waiting for the current response without calling `on_result`."""
         self._on_result = None
+        # An idle connection would keep their bodies.
+        self._request, self._response = None, TargetResponse()
         self._memory.release(self)
         if self._timer is not None:
             self._timer.cancel()
@@ -322,7 +324,8 @@
     def on_headers_complete(self) -> None:
         """Handle a complete head; skip interim responses and responses to an earlier request."""
         response = self._response
-        if response.complete:
+        if response.complete or self._request is None:
+            # The exchange has ended within this read.
             return
         response.status = self._parser.get_status_code()
         if 100 <= response.status < 200:
