Take a response with a status outside 200 to 599 as invalid on each path

Cause: the sidecar only checked that a status is at least 200, so that callers got 600 and 999; beside gentian-node a status under 100 was skipped like an interim response, and 600 and 999 were passed on.

Change: such a response is no answer of the target: 502 for requests that may not be repeated, another attempt for others. It is also no rejection, whatever its other fields say. Its connection is not reused.

--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -18,6 +18,7 @@
 from ...state.usable_slots import usable_slots
 from ...state.work_queue import QueuedWork, WorkQueue
 from ...transport.header_fields import render_fields
+from ...transport.http_names import is_final_status
 from ...transport.target_connection import TargetRequest, make_request
 from ...transport.target_pool import (
     NO_RESEND_IDLE_LIMIT_MS,
@@ -55,9 +56,6 @@
 # Smallest change of the overload level that is logged: a quarter of one priority.
 LOGGED_LEVEL_STEP = 0.25
 
-# Lowest HTTP status of a final answer; a damaged one may have a lower status.
-MIN_FINAL_STATUS = 200
-
 # HTTP status of a target that did not run a request because its upstream id names another process.
 MISDIRECTED_REQUEST = 421
 
@@ -432,7 +430,9 @@
         self._dial_failures = 0
         answer, fields = pooled.response, pooled.fields
         echoes_id = fields.get(self._request_id_field) == request.request_id
-        if self._is_rejection(answer.status, fields) and (echoes_id or pooled.on_new_connection):
+        is_final = is_final_status(answer.status)
+        is_rejection = is_final and self._is_rejection(answer.status, fields)
+        if is_rejection and (echoes_id or pooled.on_new_connection):
             if answer.status == MISDIRECTED_REQUEST:
                 self.notices.record_misdirected(request, started_ms)
             else:
@@ -440,7 +440,6 @@
             self._log.record_rejection(request, pooled, started_ms)
             return self._answer(RunOutcome.REJECTED, f"target answered {answer.status}")
         has_seal = self._seal_field in fields
-        is_final = answer.status >= MIN_FINAL_STATUS
         if not echoes_id or not is_final or (answer.status < 300 and not has_seal):
             self.metrics.count("target.invalid_answers")
             return self._answer(RunOutcome.UNKNOWN, "answer is not the target's own")
--- a/gentianthread/transport/http_names.py
+++ b/gentianthread/transport/http_names.py
@@ -21,6 +21,12 @@
     )
 )
 
+# Statuses that a final response may have; a target in trouble may answer with others.
+MIN_FINAL_STATUS, MAX_FINAL_STATUS = 200, 599
+
+# Lowest status of an interim response.
+MIN_INTERIM_STATUS = 100
+
 # Statuses of final responses that have no body.
 BODILESS_STATUS = frozenset((204, 304))
 
@@ -28,6 +34,11 @@
 PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a final response may have a status."""
+    return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
+
+
 def decode_text(data: bytes) -> str:
     """Decode bytes of a head; bytes that are not UTF-8 are restored when the text is encoded."""
     return data.decode("utf-8", "surrogateescape")
--- a/gentianthread/transport/pooled_connection.py
+++ b/gentianthread/transport/pooled_connection.py
@@ -7,7 +7,13 @@
 from aiohttp.client_proto import ResponseHandler
 
 from ..errors import ConnectionLost
-from .http_names import BODILESS_STATUS, REQUEST_ID
+from .http_names import (
+    BODILESS_STATUS,
+    MIN_FINAL_STATUS,
+    MIN_INTERIM_STATUS,
+    REQUEST_ID,
+    is_final_status,
+)
 
 # Limits for the head of a response.
 _LINE_LIMIT_BYTES = 8 * 1024
@@ -102,7 +108,8 @@
                 request.
 
         Raises:
-            ConnectionLost: The response switches protocols, or cannot be told from an earlier one.
+            ConnectionLost: The response switches protocols, has an invalid status, or cannot be
+                told from an earlier one.
         """
         while True:
             message, payload = await self._read_final_head()
@@ -119,8 +126,10 @@
     async def _read_final_head(self) -> tuple[Any, Any]:
         while True:
             message, payload = await self.protocol.read()
-            if message.code >= 200:
+            if is_final_status(message.code):
                 return message, payload
+            if not MIN_INTERIM_STATUS <= message.code < MIN_FINAL_STATUS:
+                raise ConnectionLost("target", f"answer with the invalid status {message.code}")
             if message.code == 101:
                 raise ConnectionLost("target", "answer switches protocols")
 
--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -16,6 +16,7 @@
 from .callbacks import settle
 from .header_fields import HeaderFields
 from .http_messages import LARGE_BODY_BYTES
+from .http_names import MIN_FINAL_STATUS, MIN_INTERIM_STATUS, is_final_status
 from .response_memory import BODY_LIMIT_BYTES, ResponseMemory
 from .sockets import enable_keepalive, is_reset
 
@@ -328,8 +329,11 @@
             # The exchange has ended within this read.
             return
         response.status = self._parser.get_status_code()
-        if 100 <= response.status < 200:
+        if MIN_INTERIM_STATUS <= response.status < MIN_FINAL_STATUS:
             return
+        if not is_final_status(response.status):
+            # The target is in trouble; its response is complete, but no answer.
+            self.reusable = False
         echoed_id = response.fields.first.get(self._request_id_field)
         if echoed_id is not None and echoed_id != self._request.request_id:
             self._on_stray(self, STRAY_OTHER_ID)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -99,6 +99,17 @@
             self.assertEqual((200, b"ok"), await target.get())
             self.assertEqual(2, target.connections)
 
+    async def test_responses_with_an_invalid_status_are_errors(self):
+        """Guards against a status outside 200 to 599 that reaches the caller as an answer."""
+        for status in (b"000", b"042", b"099", b"600", b"999"):
+            head = b"HTTP/1.1 " + status + b" X\r\nContent-Length: 2\r\n\r\nok"
+            early = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+            async with ScriptedTarget(head, early + head) as target:
+                for _ in range(2):
+                    with self.assertRaisesType(ConnectionLost):
+                        await target.get()
+                self.assertEqual((200, b"ok"), await target.get())
+
     async def test_truncated_and_malformed_responses_are_errors(self):
         """Guards against truncated or malformed responses that look complete."""
         truncated_responses = (
