Answer all requests of a connection before a planned stop closes it

Cause: a stopping sidecar closed connections with requests still unread in the socket, which resets them: callers lost what the system had not yet sent, and the process ended while it still sent.

Change: while the node leaves, a connection is closed only once no request is left in its socket; its end is then sent first, and the rest is dropped until the caller closes. The stop waits within its grace time until callers have received what was sent.

--- a/gentianthread/transport/caller_connection.py
+++ b/gentianthread/transport/caller_connection.py
@@ -23,6 +23,7 @@
     serialize_response,
 )
 from .http_names import decode_text
+from .sockets import unacknowledged_bytes, unread_bytes
 
 if TYPE_CHECKING:
     from .http_pipeline import PipelineListener
@@ -291,11 +292,6 @@
         memory = self._memory
         return memory.incomplete_bytes(self) + memory.held_by(MemoryOwner.WAITING, self)
 
-    @property
-    def paused_by_memory(self) -> bool:
-        """Return whether the connection reads nothing since memory is short."""
-        return bool(self._pauses & PAUSED_BY_MEMORY)
-
     @property
     def incomplete(self) -> bool:
         """Return whether a request is partly received, or the connection is being closed."""
@@ -383,8 +379,7 @@
             if pending.response is None:
                 self.transport.abort()
                 return
-            # Closing while later requests are pending would leave them without a response.
-            closes = pending.closes or (self._listener.leaving and not self._pending)
+            closes = pending.closes or (self._listener.leaving and self._is_last_request())
             self._write(pending, closes)
             self._active_at_ms = self._listener.clock.now_ms()
             if closes:
@@ -393,6 +388,12 @@
         if len(self._pending) < MAX_PIPELINED_REQUESTS:
             self._resume(PAUSED_BY_PIPELINE)
 
+    def _is_last_request(self) -> bool:
+        """Return whether no further request has come, which would be left without a response."""
+        if self._pending or self._pauses or self._output_full:
+            return False
+        return not unread_bytes(self.transport.get_extra_info("socket"))
+
     def _write(self, pending: PendingResponse, closes: bool) -> None:
         head, body = serialize_response(pending, closes)
         if len(body) < LARGE_BODY_BYTES:
@@ -411,8 +412,8 @@
         Closing a socket with unread bytes resets the connection, and the caller may lose the end
         of the response.
         """
-        has_unread = self._output_full or self._pauses or self._lingering_since_ms is not None
-        if not has_unread or not self.transport.can_write_eof():
+        lingers = self._output_full or self._pauses or self._listener.leaving
+        if not (lingers or self._lingering_since_ms) or not self.transport.can_write_eof():
             self.close()
             return
         self._closing = True
@@ -457,6 +458,13 @@
         """Return whether a request has no response yet, or one that is not sent completely."""
         return bool(self._pending) or self.unsent_bytes() > 0
 
+    @property
+    def has_unreceived(self) -> bool:
+        """Return whether the caller has not yet received all that was sent."""
+        if self.transport is None:
+            return False
+        return unacknowledged_bytes(self.transport.get_extra_info("socket")) > 0
+
     def sweep(self, now_ms: float, limits: CallerLimits) -> None:
         """Close the connection if it was idle, or refuse an incomplete head, after a timeout."""
         if self.transport is None:
--- a/gentianthread/transport/http_pipeline.py
+++ b/gentianthread/transport/http_pipeline.py
@@ -233,8 +233,14 @@
 
     @property
     def busy(self) -> int:
-        """Return the number of connections with a request without a completely sent response."""
-        return sum(connection.busy for connection in self.connections)
+        """Return the number of connections with a request whose response is not yet received.
+
+        What the system still has to send is lost if the process ends and the caller sends more.
+        """
+        return sum(
+            connection.busy or (self.leaving and connection.has_unreceived)
+            for connection in self.connections
+        )
 
     def close_idle(self) -> None:
         """Close the idle connections."""
--- a/gentianthread/transport/sockets.py
+++ b/gentianthread/transport/sockets.py
@@ -1,6 +1,9 @@
 """Detect dead and reset TCP connections."""
 
+import fcntl
 import socket
+import sys
+import termios
 
 # TCP keep-alive: the kernel probes an idle peer after this time, then at this interval, and closes
 # the connection after this number of unanswered probes. A connection that a firewall or NAT between
@@ -51,3 +54,21 @@
     finally:
         view.detach()
     return False
+
+
+def unacknowledged_bytes(raw: socket.socket) -> int:
+    """Return how many sent bytes the other end has not received, as far as the system tells."""
+    return _query_bytes(raw, termios.TIOCOUTQ)
+
+
+def unread_bytes(raw: socket.socket) -> int:
+    """Return how many received bytes were not read yet, as far as the system tells."""
+    return _query_bytes(raw, termios.FIONREAD)
+
+
+def _query_bytes(raw: socket.socket, request: int) -> int:
+    try:
+        return int.from_bytes(fcntl.ioctl(raw.fileno(), request, bytes(4)), sys.byteorder)
+    except (AttributeError, OSError, ValueError):
+        # Not every system tells it, and the socket may be closed.
+        return 0
--- a/tests/transport/test_caller_memory.py
+++ b/tests/transport/test_caller_memory.py
@@ -185,13 +185,13 @@
             held_bytes = case.memory.sum_of(MemoryOwner.ANSWER_OUT)
             self.assertGreater(held_bytes, 24 * MB)
             self.assertLess(held_bytes, 25 * MB)
-            # A request after them stays in the socket.
+            # A request after them stays in the socket, also when the node leaves.
             writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
             await asyncio.sleep(0.1)
             self.assertEqual(1, case.listener.busy)
             self.assertEqual(held_bytes, case.memory.sum_of(MemoryOwner.ANSWER_OUT))
             case.listener.leaving = True
-            for _ in range(3):
+            for _ in range(4):
                 status, fields, body = await case.read_response(reader)
                 self.assertEqual((200, 8 * MB), (status, len(body)))
             self.assertEqual("close", fields["connection"])
