Wait for answers to peers at a planned stop, and describe the memory budget

A node that stops would have ended while a large answer still waited for the permission of its peer: a node is now busy until its answers to peers are sent. A request whose body was not sent completely when its link closes counts as not sent, so that another node may get it. docs/design/memory-budget.md says who decides, where the state is, and what was weighed.

--- a/gentianthread/coordination/mesh/body_transfers.py
+++ b/gentianthread/coordination/mesh/body_transfers.py
@@ -35,10 +35,26 @@
 # Longest body that is accepted; callers and targets may send 64 MB.
 MAX_BODY_BYTES = 70 * 1024 * 1024
 
+# A batch is encoded, compressed and masked as a whole, so that it is held several times.
+MAX_BATCH_MESSAGES = 32
+MAX_BATCH_BODY_BYTES = 512 * 1024
+BATCH_PART_BYTES = 256 * 1024
+
 # Identifies a body on a link: number of the call, and whether it belongs to the answer.
 BodyKey = tuple[int, bool]
 
 
+def split_batch(messages: list[Any]) -> tuple[list[Any], list[Any]]:
+    """Return the queued messages that form the next batch, and the others."""
+    if len(messages) <= MAX_BATCH_MESSAGES:
+        return messages, []
+    end = body_bytes = 0
+    while end < len(messages) and body_bytes < MAX_BATCH_BODY_BYTES:
+        body_bytes += len(getattr(messages[end], "body", b""))
+        end += 1
+    return messages[:end], messages[end:]
+
+
 @attrs.define(eq=False)
 class IncomingBody:
     """Store a body that is being received.
@@ -276,13 +292,24 @@
             raise MessageError("BodyPart", "the message came before the end of its body")
         return body.data
 
-    def cancel(self, call: int) -> None:
-        """Drop the bodies of a call that is no longer wanted, in either direction."""
+    @property
+    def has_answers(self) -> bool:
+        """Return whether an answer is not sent completely."""
+        return any(of_answer for _, of_answer in self._outgoing)
+
+    def cancel(self, call: int) -> bool:
+        """Drop the bodies of a call that is no longer wanted, in either direction.
+
+        Returns:
+            Whether the call is a request that was not sent, as its body was not sent completely.
+        """
+        was_unsent = (call, False) in self._outgoing
         for key in ((call, False), (call, True)):
             self._drop_outgoing(key)
             body = self._incoming.pop(key, None)
             if body is not None:
                 self._intake.end(body)
+        return was_unsent
 
     def close(self) -> None:
         """Drop all bodies."""
--- a/gentianthread/coordination/mesh/peer_link.py
+++ b/gentianthread/coordination/mesh/peer_link.py
@@ -24,7 +24,7 @@
 from ...state.memory_budget import MemoryOwner
 from ...transport.callbacks import Cancellable, settle
 from ...transport.direct_websocket import DirectWebSocket
-from .body_transfers import LARGE_BODY_BYTES, BodyTransfers
+from .body_transfers import BATCH_PART_BYTES, LARGE_BODY_BYTES, BodyTransfers, split_batch
 from .outcomes import refused_answer, unknown_answer
 from .peer_call import LinkSilent, OnEnd, PeerCall
 
@@ -57,11 +57,6 @@
 # Longest message of a peer. Large bodies are sent in parts, but documents are not.
 MAX_MESSAGE_BYTES = 70 * 1024 * 1024
 
-# A batch is encoded, compressed and masked as a whole, so that it is held several times.
-MAX_BATCH_MESSAGES = 32
-MAX_BATCH_BODY_BYTES = 512 * 1024
-BATCH_PART_BYTES = 256 * 1024
-
 # Memory of a request of a peer beside its fields and body.
 RUN_BYTES = 4_096
 
@@ -162,6 +157,11 @@
         repeatable = [call for call in self._calls.values() if call.repeatable]
         self._fail_calls(repeatable, LinkSilent(self.host, "silent"))
 
+    @property
+    def has_unsent_answers(self) -> bool:
+        """Return whether an answer to the peer is not sent completely."""
+        return self._transfers.has_answers or bool(self._queued_bytes)
+
     @property
     def pending_calls(self) -> int:
         """Return the number of calls that wait for an answer of the peer."""
@@ -228,8 +228,8 @@
         for call in calls:
             # An earlier callback may have cancelled this call.
             if self._calls.pop(call.number, None) is not None:
-                self._transfers.cancel(call.number)
-                call.on_end(error)
+                was_unsent = self._transfers.cancel(call.number)
+                call.on_end(PeerUnreachable(UpstreamId(self.host)) if was_unsent else error)
 
     def start(self) -> None:
         """Start to receive messages."""
@@ -250,7 +250,10 @@
         if self._charged_output:
             self._charged_output = False
             self._memory.release(MemoryOwner.LINK_OUT, self._connection)
-        data = self._compress(self._encode(self._take_batch()))
+        batch = self._take_batch()
+        if not batch:
+            return
+        data = self._compress(self._encode(batch))
         try:
             self._connection.post(data)
         except TransportError as error:
@@ -269,13 +272,7 @@
 
     def _take_batch(self) -> list[Any]:
         """Return the next messages to send: queued ones, then parts of large bodies."""
-        batch, self._outgoing = self._outgoing, []
-        if len(batch) > MAX_BATCH_MESSAGES:
-            end = body_bytes = 0
-            while end < len(batch) and body_bytes < MAX_BATCH_BODY_BYTES:
-                body_bytes += len(getattr(batch[end], "body", b""))
-                end += 1
-            batch, self._outgoing = batch[:end], batch[end:]
+        batch, self._outgoing = split_batch(self._outgoing)
         if self._queued_bytes:
             sent_bytes = sum(len(each.body) for each in batch if isinstance(each, RunAnswer))
             self._queued_bytes -= sent_bytes
@@ -493,6 +490,6 @@
 
     async def close(self) -> None:
         """Send the queued messages and close the connection."""
-        if self._outgoing:
+        while self._outgoing and not self._connection.full and not self.closed:
             self._flush()
         await self._connection.close()
--- a/gentianthread/coordination/mesh/peers.py
+++ b/gentianthread/coordination/mesh/peers.py
@@ -119,6 +119,11 @@
         """Return all open links."""
         return [*self._dialled.values(), *self._accepted.values()]
 
+    @property
+    def busy(self) -> bool:
+        """Return whether an answer to a peer is not sent completely."""
+        return any(link.has_unsent_answers for link in self.links())
+
     def reachable(self, host: str) -> bool:
         """Return whether new requests may be sent to a peer."""
         link = self._dialled.get(host)
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -455,7 +455,12 @@
     @property
     def busy(self) -> bool:
         """Return whether a request is in flight."""
-        return bool(self.entry.running or self.target.running or self.outbound_listener.busy)
+        return bool(
+            self.entry.running
+            or self.target.running
+            or self.outbound_listener.busy
+            or self.peers.busy
+        )
 
     async def stop(self) -> None:
         """Stop the background tasks and close all listeners and connections."""
--- a/tests/coordination/mesh/test_body_transfers.py
+++ b/tests/coordination/mesh/test_body_transfers.py
@@ -154,6 +154,18 @@
         self.receiver.on_part(BodyPart(1, True, b"late"))
         self.sender.on_credit(BodyCredit(1, True, MB))
 
+    async def test_request_counts_as_sent_with_the_end_of_its_body(self):
+        """Guards against an order that counts as possibly run though it was never complete."""
+        self.connect()
+        for call in (1, 2):
+            self.sender.offer(make_request(call, 4 * MB))
+        self.sender.on_credit(BodyCredit(2, False, 4 * MB))
+        self.assertIsInstance(self.sender.next_parts(5 * MB)[-1], RunRequest)
+        self.assertEqual((True, False), (self.sender.cancel(1), self.sender.cancel(2)))
+        self.assertFalse(self.sender.has_answers)
+        self.sender.offer(make_answer(3, MB))
+        self.assertTrue(self.sender.has_answers)
+
     async def test_sender_that_exceeds_its_permission_is_refused(self):
         """Guards against a peer that ignores flow control."""
         self.connect()
