Look up the reachability of peers at each use

Cause: the search for upstreams kept the method of the links from its creation, so that test_level_counts_only_reachable_upstreams, which replaces it, failed in the full run (1246 passed, 3 failed). Change: it is looked up at each use. Result: test_changes and test_platform_http pass (42). The other failures of that run: test_watch_ends_without_a_change once at a load of 29, not in four runs alone, and test_every_file_that_a_page_names_exists, as docs/uneven-load.md names modules of other parts.

--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -156,7 +156,7 @@
         # Services that this node's own target calls.
         self.called_services: set[ServiceId] = set()
         self.upstreams = AvailableUpstreams(
-            directory, placement, peers.reachable, local_target.address[0]
+            directory, placement, lambda host: peers.reachable(host), local_target.address[0]
         )
         self._dependency_level_cache: tuple[float, float] = (float("-inf"), 0.0)
         directory.evacuations.subscribe(self._forget_levels)
