Remember the end of an evacuation whose write was not known

Cause: changes between nodes leave out a write that its removal followed at once. Such a node took the key of a restored copy for a new one. Change: without a known write, the number of the end bounds the copied ones.

--- a/gentianthread/state/evacuations.py
+++ b/gentianthread/state/evacuations.py
@@ -167,4 +167,5 @@
             return revision <= ended.ended
         if revision > self._era_read and era_of(revision) == era_of(self._era_read):
             return False
-        return number_of(revision) <= number_of(ended.written)
+        # A follower may get the end of a short evacuation without its write.
+        return number_of(revision) <= number_of(ended.written or ended.ended)
--- a/tests/state/test_evacuations.py
+++ b/tests/state/test_evacuations.py
@@ -74,6 +74,15 @@
         self.read(at(2, 130), (ZONE, at(2, 60)))
         self.assertEqual(set(), self.known.zones())
 
+    def test_end_without_a_known_write_is_not_forgotten(self):
+        """Guards against a copied key that is taken for a new one, as its write was not known.
+
+        Changes that pass between nodes leave out a write that its removal followed at once.
+        """
+        self.assertFalse(self.known.remove_zone(ZONE, at(1, 120)))
+        self.read(at(2, 110), (ZONE, at(2, 100)))
+        self.assertEqual(set(), self.known.zones())
+
     def test_new_evacuation_after_a_restore_is_in_force(self):
         """Guards against an operator's write that is taken for the copied one.
 
