--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -165,7 +165,7 @@
         # Called with the organisation of a request that may run again; the sidecar replaces it.
         self.on_second_run: Callable[[OrganisationId], None] = lambda organisation_id: None
         self.upstreams = AvailableUpstreams(
-            directory, placement, peers.reachable, local_target.address[0]
+            directory, placement, lambda host: peers.reachable(host), local_target.address[0]
         )
         self._dependency_level_cache = (float("-inf"), (0.0, 0.0))
         directory.evacuations.subscribe(self._forget_levels)
