--- a/tests/coordination/mesh/test_cold_mesh.py
+++ b/tests/coordination/mesh/test_cold_mesh.py
@@ -3,6 +3,8 @@
 
 import attrs
 
+from gentianthread.clock import SystemClock
+from gentianthread.coordination.mesh.sidecar import Sidecar
 from gentianthread.platform.documents import UPSTREAM_PREFIX
 from gentianthread.standins.mesh import MeshFleet, plan_document
 
@@ -90,6 +92,24 @@
         self.assertEqual([200] * 10, await self.send("orders-0", 10))
         await self.stop()
 
+    async def test_restarted_node_keeps_to_the_limit_from_the_first_request_on(self):
+        """Guards against a node that starts beside a cold target and fills its slots at once."""
+        await self.start_cold({"catalogue": 1, "orders": 1})
+        instance = self.fleet.instances["catalogue-0"]
+        settings = instance.sidecar.settings
+        await instance.sidecar.stop()
+        instance.target.become_cold()
+        instance.sidecar = Sidecar(settings, SystemClock())
+        await instance.sidecar.start()
+        ends_s = instance.target.cold_until_s
+        statuses = []
+        while asyncio.get_running_loop().time() < ends_s - 0.1:
+            statuses += await self.send("orders-0", 40)
+        self.assertIn(200, statuses)
+        self.assertEqual(0, instance.target.crashes)
+        self.assertLessEqual(self.most_in_second("catalogue-0"), BOUND)
+        await self.stop()
+
     async def test_entry_tells_that_a_running_target_became_cold(self):
         """Guards against full load on a target that became cold without a restart."""
         await self.start_cold({"catalogue": 1, "orders": 1})
