Test that a cold time that begins anew is published

Cause: the directory publishes equal entries of a cold upstream only by their write number. Change: a test of it.

--- a/tests/state/test_directory.py
+++ b/tests/state/test_directory.py
@@ -1,3 +1,5 @@
+import attrs
+
 from gentianthread.clock import ManualClock
 from gentianthread.ids import AvailabilityZoneId, ServiceId, UpstreamId
 from gentianthread.state.directory import Directory, UpstreamEntry, UpstreamState
@@ -43,6 +45,18 @@
         self.directory.put(entry("a", state=UpstreamState.DRAINING))
         self.assertEqual([], self.ready())
 
+    def test_cold_time_that_begins_anew_is_published(self):
+        """Guards against a target that becomes cold twice and is warm for its node too early."""
+        changed = []
+        self.directory.changes.subscribe(changed.append)
+        cold = attrs.evolve(entry("a"), warm_up_ms=3_000.0, write_number=1)
+        for write_number in (1, 1, 2, 2):
+            self.directory.put(attrs.evolve(cold, write_number=write_number))
+        self.assertEqual(["a", "a"], changed)
+        for write_number in (3, 4):
+            self.directory.put(attrs.evolve(entry("a"), write_number=write_number))
+        self.assertEqual(["a"] * 3, changed)
+
     def test_upstream_that_leaves_is_not_ready_again_until_it_starts_again(self):
         """Guards against work for a leaving upstream that an outdated entry lists as ready."""
         self.directory.put(entry("a", started_at_ms=1_000))
