--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -126,6 +126,7 @@
         self.health.reserve, self.health.release = self._reserve_check, self._release_check
         self.health.on_change = self._on_limit_change
         self.rate_limit = TargetLimit(self.stated_limit, self.health.warm_up)
+        self.health.may_check = lambda: not self.evacuation.in_force
         self.evacuation.on_evacuation_end = lambda: self.health.suspect("its evacuation has ended")
         self.runs = TargetRuns()
         self.capacity = MeasuredCapacity(clock.now_ms())
