Measure how many requests a target may run at once

Cause: the limit was 95% of the listed slots. A target that takes 1.3 times as long from 95% on, with a multiple of 20 slots, was filled up to that point. Change: ConcurrencyLimit compares the low latency at the limit with that of the band below, lowers the limit by 5% of the slots while it is longer, and tries the higher one again after 10 s. It stays between 80% and all of usable_slots, which it equals for up to 4 slots and where three figures are reported.

--- a/gentianthread/state/capacity.py
+++ b/gentianthread/state/capacity.py
@@ -1,13 +1,124 @@
-"""Measure what one target completes, at its node.
+"""Measure what one target completes and how many requests it may run at once, at its node.
 
 This handles targets that differ in speed by a factor of two to three at equal slots, and change it
-many times a second.
+many times a second, and targets that slow down when nearly full.
 """
 
+from collections import deque
 from math import exp
 
 from .target_load import TargetPace, parse_load
-from .usable_slots import usable_slots
+from .usable_slots import FEW_SLOTS, usable_slots
+
+
+class ConcurrencyLimit:
+    """Lower the number of requests that run at once while they take longer than with fewer.
+
+    For each number of running requests, in bands of 5% of the slots, it keeps the latency that nine
+    in ten requests exceed. This leaves out the phases in which the instance is slow, and changes of
+    the mix of requests. The limit falls if the latency at it exceeds that of the band below. While
+    the limit is always reached, it is lowered for a moment to measure that band.
+
+    Attributes:
+        value: Requests that may run at once.
+    """
+
+    BANDS = 20
+    # Number of latencies that are kept for a band, of which half are needed, and their quantile
+    # that is compared.
+    SAMPLES = 60
+    QUANTILE = 0.1
+    UPDATE_PERIOD_MS = 500.0
+    # Age from which latencies are not used, so that a higher limit is tried again.
+    MAX_AGE_MS = 10_000.0
+    # Longest time for which the limit is lowered to measure the band below.
+    MEASURING_MS = 1_000.0
+    # Time between two such measurements, as each costs some capacity of a full target.
+    MEASURING_PERIOD_MS = 30_000.0
+    # The limit falls from this ratio of the latencies on. One slot in twenty is worth 5%, and the
+    # latencies of bands without a difference vary by about 5%.
+    LONGER_RATIO = 1.15
+    # Part of the usable slots that it keeps at least.
+    FLOOR = 0.8
+
+    def __init__(self) -> None:
+        self.value = 1
+        self.configure(1)
+
+    def configure(self, slots: int) -> None:
+        """Set the listed slots, and start at the highest limit."""
+        self._slots = max(1, slots)
+        self.value = self._highest = usable_slots(slots)
+        self._floor = max(min(FEW_SLOTS, self._highest), int(self._highest * self.FLOOR))
+        # Newest latencies of each band, and the time of the last one.
+        self._latencies: dict[int, tuple[deque[float], float]] = {}
+        self._updated_ms = 0.0
+        # Limit to return to after the band below was measured, and the time by which.
+        self._resting = self._highest
+        self._measuring_until_ms = 0.0
+        self._next_measuring_ms = 0.0
+
+    def _band_of(self, running: int) -> int:
+        return min(self.BANDS - 1, max(0, (running - 1) * self.BANDS // self._slots))
+
+    def record(self, running: int, took_ms: float, now_ms: float) -> None:
+        """Record the latency of an answer.
+
+        Args:
+            running: Requests that ran, this one included.
+            took_ms: Its latency.
+            now_ms: Present time in ms.
+        """
+        if self._highest <= self._floor:
+            return
+        index = self._band_of(running)
+        latencies, recorded_ms = self._latencies.get(index, (None, 0.0))
+        if latencies is None or now_ms - recorded_ms > self.MAX_AGE_MS:
+            latencies = deque(maxlen=self.SAMPLES)
+        latencies.append(took_ms)
+        self._latencies[index] = (latencies, now_ms)
+        if now_ms - self._updated_ms >= self.UPDATE_PERIOD_MS:
+            self._updated_ms = now_ms
+            self._update(now_ms)
+
+    def _low_ms(self, index: int, now_ms: float) -> float:
+        """Return the low latency of a band, or 0 if it is not known."""
+        latencies, recorded_ms = self._latencies.get(index, (None, 0.0))
+        if latencies is None or now_ms - recorded_ms > self.MAX_AGE_MS:
+            return 0.0
+        count = len(latencies)
+        return sorted(latencies)[int(count * self.QUANTILE)] if count >= self.SAMPLES / 2 else 0.0
+
+    def _update(self, now_ms: float) -> None:
+        if self._measuring_until_ms:
+            if now_ms < self._measuring_until_ms and not self._below_ms(self._resting, now_ms):
+                return
+            self.value, self._measuring_until_ms = self._resting, 0.0
+        here_ms = self._low_ms(self._band_of(self.value), now_ms)
+        below_ms = self._below_ms(self.value, now_ms)
+        step = max(1, self._slots // self.BANDS)
+        if here_ms and not below_ms and self.value > self._floor:
+            if now_ms < self._next_measuring_ms:
+                return
+            self._next_measuring_ms = now_ms + self.MEASURING_PERIOD_MS
+            self._resting, self._measuring_until_ms = self.value, now_ms + self.MEASURING_MS
+            self.value = max(self._floor, self._band_of(self.value) * self._slots // self.BANDS)
+        elif below_ms and here_ms > self.LONGER_RATIO * below_ms:
+            self.value = max(self._floor, self.value - step)
+        else:
+            higher = min(self._highest, self.value + step)
+            known_ms = here_ms or below_ms
+            if self._low_ms(self._band_of(higher), now_ms) <= self.LONGER_RATIO * known_ms:
+                self.value = higher
+
+    def _below_ms(self, limit: int, now_ms: float) -> float:
+        """Return the low latency of the nearest known band below a limit, or 0."""
+        index = self._band_of(limit)
+        for lower in range(index - 1, max(-1, index - 1 - self.BANDS // 4), -1):
+            low_ms = self._low_ms(lower, now_ms)
+            if low_ms:
+                return low_ms
+        return 0.0
 
 
 class MeasuredCapacity:
@@ -15,7 +126,6 @@
 
     Attributes:
         slots: Listed slots of the target.
-        limit: Requests that may run at once.
         pace: How long its work takes at present.
         service_ms: Moving average of the time that a request takes on the target.
         invalid_figures: Number of answers whose figures were malformed.
@@ -38,11 +148,11 @@
             now_ms: Present time in ms.
         """
         self.slots = 1
-        self.limit = 1
         self.pace = TargetPace()
         self.service_ms = self.INITIAL_SERVICE_MS
         self.invalid_figures = 0
         self._answers = 0
+        self._concurrency = ConcurrencyLimit()
         self._running = 0
         self._changed_ms = self._period_started_ms = now_ms
         # Integral of the running requests over the present period.
@@ -60,7 +170,12 @@
         """Set the listed slots."""
         if slots != self.slots:
             self.slots = slots
-            self.limit = usable_slots(slots)
+            self._concurrency.configure(slots)
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once; `usable_slots` without the fourth figure."""
+        return self._concurrency.value
 
     def record_load(self, value: str | None, running: int, now_ms: float) -> None:
         """Store the load figures of an answer.
@@ -96,6 +211,7 @@
         if not self.active:
             return
         self.pace.record_latency(took_ms)
+        self._concurrency.record(self._running, took_ms, now_ms)
         self._completed += 1
         elapsed_ms = now_ms - self._period_started_ms
         if elapsed_ms >= self.UPDATE_PERIOD_MS:
--- a/tests/state/uneven_world.py
+++ b/tests/state/uneven_world.py
@@ -37,7 +37,9 @@
         duration_ms: Duration; the first quarter is not counted.
         states_pace: Whether targets state the fourth figure; otherwise the old choice is used.
         phases: Whether the pace changes.
-        full_factor: Factor of the service time from 95% of the slots on.
+        full_factor: Factor of the service time while nearly all slots are in use.
+        full_from: Fraction of the slots from which it applies.
+        measures_limit: Whether the limit is measured; otherwise it stays at the usable slots.
         path_ms: One-way delay between two zones at a time.
         demand: Factor of the demand of a zone at a time.
         stated: Changes the percentage that a target states: true value, time, random.
@@ -58,6 +60,8 @@
     states_pace: bool = True
     phases: bool = True
     full_factor: float = 1.0
+    full_from: float = 0.95
+    measures_limit: bool = True
     path_ms: Callable[[str, str, float], float] = lambda one, other, now_ms: 1.4
     demand: Callable[[str, float], float] = lambda zone, now_ms: 1.0
     stated: Callable[[float, float, Random], float] = lambda percent, now_ms, random: percent
@@ -185,6 +189,8 @@
                 )
                 capacity = MeasuredCapacity(0.0)
                 capacity.configure(world.slots)
+                if not world.measures_limit:
+                    capacity._concurrency.record = lambda running, took_ms, now_ms: None
                 self.targets[name] = _Target(
                     name, entry, speed, capacity, Random(f"{world.seed} {name}")
                 )
@@ -283,7 +289,7 @@
             target.capacity.record_running(target.running, now_ms)
             request.started_ms = now_ms
             took_ms = request.work_ms / target.speed * self._pace(target)
-            if target.running >= 0.95 * self.world.slots:
+            if target.running >= self.world.full_from * self.world.slots:
                 took_ms *= self.world.full_factor
             self.at(now_ms + took_ms, self._complete, request, target)
 
