Send requests to other zones by a share that follows the wait saved

Cause: each request left its zone by itself once its wait exceeded a constant, so that the load followed bursts, and crossed between two nearly full zones. Change: ZoneTransfer raises the share of the waiting requests that may leave while the smoothed wait saved exceeds 1.5 times the cost of the path, lowers it below the cost, and keeps it in between. A request leaves only if it saves a tenth of the service time; with a wait of 60 ms above the cost it may leave whatever the share. Metrics, event 750 and the dump show share, requests and wait saved. TestZoneTransfer, TestCompletionChoice and the mesh modules of paths, links and limits pass.

--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -57,6 +57,7 @@
 from .peers import PeerLinks
 from .rates import RateCoordinator
 from .target import LocalTarget
+from .transfer_log import log_transfer
 
 # Fraction of the retry budget that a node uses. The calls of a retried request count as retries at
 # the services behind it, up to four hops deep.
@@ -252,6 +253,7 @@
             RequestCleared: self.crash_reports.on_cleared,
         }
         self.directory.changes.subscribe(self._forget_removed)
+        self.balancer.on_transfer = log_transfer
 
     def _make_probe(self, number: int = 0, answers: int = 0) -> Probe:
         return Probe(self.follower.revision, self.draining, number, answers)
@@ -332,6 +334,9 @@
         self.metrics.gauge("target.throughput_per_s", self.target.capacity.throughput_per_s)
         self.metrics.gauge("target.work_percent", self.target.capacity.pace.percent(now_ms))
         self.metrics.gauge("target.invalid_load_figures", self.target.capacity.invalid_figures)
+        transfers = self.balancer.transfers.values()
+        self.metrics.gauge("zones.sent_elsewhere", sum(found.sent for found in transfers))
+        self.metrics.gauge("zones.saved_ms", sum(found.saved_ms for found in transfers))
         self.metrics.gauge("entry.running", self.entry.running)
         blocked = self.crash_reports.suspects.blocked_count(now_ms)
         self.metrics.gauge("crashes.blocked_requests", blocked)
@@ -374,6 +379,10 @@
                 "work_percent": self.target.capacity.pace.percent(now_ms),
             },
             "path_ms": self.balancer.paths.describe(now_ms),
+            "elsewhere": {
+                service_id: found.describe(now_ms)
+                for service_id, found in sorted(self.balancer.transfers.items())
+            },
             "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
             "counting": self.rate_sharing.counter_host,
             "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
--- a/gentianthread/events.py
+++ b/gentianthread/events.py
@@ -203,4 +203,11 @@
     "metadata store came back from an older copy: revision {known} was known, {revision} is "
     "served; learned from {source}",
 )
+LOAD_TRANSFER_CHANGED = _event(
+    750,
+    Level.INFO,
+    "requests of {service_id} to other availability zones: {state}; own wait {own_wait_ms:.0f} ms, "
+    "wait {wait_ms:.0f} ms and cost {path_ms:.0f} ms elsewhere; sent {sent}, saved "
+    "{saved_ms:.0f} ms",
+)
 HISTORY_LOST = _event(716, Level.INFO, "changes after revision {revision} are lost: {problem}")
--- a/gentianthread/state/balancer.py
+++ b/gentianthread/state/balancer.py
@@ -1,13 +1,14 @@
 """Balance load over upstreams by expected waiting time, preferring the local availability zone."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
-from ..ids import AvailabilityZoneId, UpstreamId
+from ..ids import AvailabilityZoneId, ServiceId, UpstreamId
 from .completion_choice import CompletionChoice
 from .directory import UpstreamEntry
 from .path_delay import PathDelays
 from .upstream_view import LoadReport, UpstreamView
+from .zone_transfer import ZoneTransfer
 
 
 class Balancer:
@@ -78,6 +79,13 @@
         self._pool: Sequence[UpstreamEntry] = ()
         self._expected_ms: float | None = None
         self._by_completion = CompletionChoice(self, random)
+        # Called when requests of a service start or stop to leave the zone.
+        self.on_transfer: Callable[[ServiceId, ZoneTransfer], None] = lambda service_id, found: None
+
+    @property
+    def transfers(self) -> Mapping[ServiceId, ZoneTransfer]:
+        """Return how many requests may leave the zone, by service."""
+        return self._by_completion.transfers
 
     def view(self, upstream_id: UpstreamId) -> UpstreamView:
         """Return the stored state of an upstream; a new one is created if there is none."""
--- a/gentianthread/state/completion_choice.py
+++ b/gentianthread/state/completion_choice.py
@@ -6,15 +6,16 @@
 it.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
 
-from ..ids import ServiceId, UpstreamId
+from ..ids import AvailabilityZoneId, ServiceId, UpstreamId
 from .directory import UpstreamEntry
 from .upstream_view import UpstreamView
+from .zone_transfer import ZoneOutlook, ZoneTransfer
 
 if TYPE_CHECKING:
     from .balancer import Balancer
@@ -27,6 +28,7 @@
     Attributes:
         pool: The upstreams as passed by the caller, which are recognised by identity.
         until_ms: Time until which it may be used.
+        transfer: Decides how many requests may leave the zone.
         active: Whether a target of the pool states its pace.
         own: Upstreams of the own zone that are not avoided.
         elsewhere: Those of the other zones.
@@ -36,6 +38,7 @@
 
     pool: Sequence[UpstreamEntry]
     until_ms: float
+    transfer: ZoneTransfer
     active: bool
     own: Sequence[UpstreamEntry]
     elsewhere: Sequence[UpstreamEntry]
@@ -68,6 +71,14 @@
     # Expected wait up to which a request stays in the own zone, in addition to the cost of the
     # path. A queue of this length is mostly due to a burst.
     BURST_WAIT_MS = 20.0
+    # Expected wait in the own zone, in addition to the cost of the path, from which a request may
+    # leave whatever the share: the share takes a second to follow a sudden lack of targets.
+    SUDDEN_WAIT_MS = 60.0
+    # Part of the service time that a request must save elsewhere. The estimates are of this
+    # precision, and the best of several inaccurate ones looks better than it is.
+    MIN_SAVED_FRACTION = 0.1
+    # Larger waits do not count for the share, as a limited or stuck target may tell seconds.
+    MAX_WAIT_MS = 500.0
 
     def __init__(self, balancer: "Balancer", random: Random):
         """Create the choice.
@@ -79,6 +90,12 @@
         self._balancer = balancer
         self._random = random
         self._pools: dict[ServiceId, PreparedPool] = {}
+        self._transfers: dict[ServiceId, ZoneTransfer] = {}
+
+    @property
+    def transfers(self) -> Mapping[ServiceId, ZoneTransfer]:
+        """Return the transfer of each service."""
+        return self._transfers
 
     def forget_pools(self) -> None:
         """Prepare all pools anew, after an upstream was marked as avoided."""
@@ -96,11 +113,14 @@
 
     def _prepare(self, pool: Sequence[UpstreamEntry], now_ms: float) -> PreparedPool:
         until_ms = now_ms + self.TTL_MS
+        transfer = self._transfers.get(pool[0].service_id)
+        if transfer is None:
+            transfer = self._transfers[pool[0].service_id] = ZoneTransfer()
         balancer = self._balancer
         views = [balancer.view(entry.upstream_id) for entry in pool]
         reports = [view.report for view in views if view.report is not None]
         if not any(report.work_percent for report in reports):
-            return PreparedPool(pool, until_ms, False, (), (), 0.0, 0.0)
+            return PreparedPool(pool, until_ms, transfer, False, (), (), 0.0, 0.0)
         usable = [
             entry for entry, view in zip(pool, views, strict=True) if view.avoid_until_ms <= now_ms
         ] or pool
@@ -108,15 +128,49 @@
         own_zone = balancer.availability_zone
         elsewhere = [entry for entry in usable if entry.availability_zone != own_zone]
         costs_ms = [balancer.paths.cost_ms(entry.availability_zone, now_ms) for entry in elsewhere]
-        return PreparedPool(
+        prepared = PreparedPool(
             pool,
             until_ms,
+            transfer,
             True,
             [entry for entry in usable if entry.availability_zone == own_zone],
             elsewhere,
             service_ms,
             min(costs_ms, default=0.0),
         )
+        if transfer.is_due(now_ms) and transfer.observe(self._outlook(prepared, now_ms), now_ms):
+            balancer.on_transfer(pool[0].service_id, transfer)
+        return prepared
+
+    def _outlook(self, prepared: PreparedPool, now_ms: float) -> ZoneOutlook | None:
+        """Return the expected wait in the best other zone, and the cost of the path to it.
+
+        The wait is the mean over the targets by their throughput. Targets without a recent report
+        count as free, so that a zone from which nothing was heard is tried.
+        """
+        if not prepared.own or not prepared.elsewhere:
+            return None
+        by_zone: dict[AvailabilityZoneId, list[UpstreamEntry]] = {}
+        for entry in prepared.elsewhere:
+            by_zone.setdefault(entry.availability_zone, []).append(entry)
+        costs_ms = self._balancer.paths.cost_ms
+        best_ms, best_path_ms = float("inf"), 0.0
+        for zone, entries in by_zone.items():
+            path_ms = costs_ms(zone, now_ms)
+            mean_ms = self._mean_wait_ms(entries, prepared, now_ms)
+            if mean_ms + path_ms < best_ms + best_path_ms:
+                best_ms, best_path_ms = mean_ms, path_ms
+        return ZoneOutlook(best_ms, best_path_ms)
+
+    def _mean_wait_ms(
+        self, entries: Sequence[UpstreamEntry], prepared: PreparedPool, now_ms: float
+    ) -> float:
+        total_ms = total_weight = 0.0
+        for entry in entries:
+            weight = self._throughput_per_s(entry, prepared.service_ms, now_ms)
+            total_ms += weight * min(self.MAX_WAIT_MS, self._balancer.wait_ms(entry, now_ms))
+            total_weight += weight
+        return total_ms / max(1e-9, total_weight)
 
     def _throughput_per_s(self, entry: UpstreamEntry, service_ms: float, now_ms: float) -> float:
         """Return what an upstream completes per second, less what it rejects."""
@@ -150,14 +204,21 @@
         if len(own) > 2:
             best = min(own, key=lambda entry: self.cost_ms(entry, prepared, now_ms))
         other = self._best_of_few(elsewhere, prepared, now_ms)
-        best_ms = self.cost_ms(best, prepared, now_ms)
-        return other if self.cost_ms(other, prepared, now_ms) < best_ms else best
+        saved_ms = self.cost_ms(best, prepared, now_ms) - self.cost_ms(other, prepared, now_ms)
+        if saved_ms <= self.MIN_SAVED_FRACTION * prepared.service_ms:
+            return best
+        prepared.transfer.record_sent(saved_ms)
+        return other
 
     def _stays(self, best: UpstreamEntry, prepared: PreparedPool, now_ms: float) -> bool:
         """Return whether an upstream of the own zone is used without considering other zones."""
-        tolerated_ms = self.BURST_WAIT_MS + prepared.zone_cost_ms
-        if self._balancer.wait_ms(best, now_ms) > tolerated_ms:
-            return False
+        wait_ms = self._balancer.wait_ms(best, now_ms)
+        prepared.transfer.record_wait(min(self.MAX_WAIT_MS, wait_ms))
+        if wait_ms > self.BURST_WAIT_MS + prepared.zone_cost_ms:
+            if wait_ms > self.SUDDEN_WAIT_MS + prepared.zone_cost_ms:
+                return False
+            if self._random.random() < prepared.transfer.share_elsewhere(now_ms):
+                return False
         view = self._balancer.view(best.upstream_id)
         if view.failure_fraction < self._balancer.MIN_FAILURE_FRACTION:
             return True
