--- a/gentianthread/state/completion_choice.py
+++ b/gentianthread/state/completion_choice.py
@@ -89,7 +89,10 @@
         """
         self._balancer = balancer
         self._random = random
-        self._pools: dict[ServiceId, PreparedPool] = {}
+        # Prepared pools by the id of the object. There are several of one service if some requests
+        # may run in certain regions only.
+        self._pools: dict[int, PreparedPool] = {}
+        self._cleaned_ms = float("-inf")
         self._transfers: dict[ServiceId, ZoneTransfer] = {}
 
     @property
@@ -106,9 +109,14 @@
         return self._prepared(pool, now_ms).active
 
     def _prepared(self, pool: Sequence[UpstreamEntry], now_ms: float) -> PreparedPool:
-        prepared = self._pools.get(pool[0].service_id)
+        prepared = self._pools.get(id(pool))
         if prepared is None or prepared.pool is not pool or now_ms >= prepared.until_ms:
-            prepared = self._pools[pool[0].service_id] = self._prepare(pool, now_ms)
+            if now_ms >= self._cleaned_ms + self.TTL_MS:
+                self._cleaned_ms = now_ms
+                self._pools = {
+                    key: found for key, found in self._pools.items() if now_ms < found.until_ms
+                }
+            prepared = self._pools[id(pool)] = self._prepare(pool, now_ms)
         return prepared
 
     def _prepare(self, pool: Sequence[UpstreamEntry], now_ms: float) -> PreparedPool:
--- a/gentianthread/state/zone_transfer.py
+++ b/gentianthread/state/zone_transfer.py
@@ -36,6 +36,8 @@
     """
 
     UPDATE_PERIOD_MS = 100.0
+    # Time without an update from which the share is 0.
+    MAX_AGE_MS = 1_000.0
     # Time constant of the gain. Demand turns within about 3 s, and a burst lasts under 0.5 s.
     AVERAGING_TIME_MS = 400.0
     # The share rises from this multiple of the cost on, and falls below the cost itself.
@@ -67,7 +69,7 @@
         Args:
             now_ms: Present time in ms. Without a recent update the share is 0, as nothing is known.
         """
-        return self._share if now_ms - self._updated_ms <= 10 * self.UPDATE_PERIOD_MS else 0.0
+        return self._share if now_ms - self._updated_ms < self.MAX_AGE_MS else 0.0
 
     def is_due(self, now_ms: float) -> bool:
         """Return whether `observe` is to be called."""
@@ -80,11 +82,14 @@
             outlook: What to expect elsewhere, or None if there is only one zone with targets.
             now_ms: Present time in ms.
         """
-        elapsed_ms = min(now_ms - self._updated_ms, 10 * self.UPDATE_PERIOD_MS)
-        self._updated_ms, self.outlook = now_ms, outlook
+        elapsed_ms = min(now_ms - self._updated_ms, self.MAX_AGE_MS)
         if outlook is None:
+            # Requests that are bound to one zone pass another pool than the others of the service.
+            if elapsed_ms < self.MAX_AGE_MS:
+                return False
             self._share = self._gain_ms = 0.0
             return self._note_activity(now_ms)
+        self._updated_ms, self.outlook = now_ms, outlook
         weight = min(1.0, elapsed_ms / self.AVERAGING_TIME_MS)
         self.own_wait_ms = self._waits_ms / self._waits if self._waits else 0.0
         self._waits_ms, self._waits = 0.0, 0
--- a/tests/coordination/mesh/test_load_reports.py
+++ b/tests/coordination/mesh/test_load_reports.py
@@ -51,3 +51,18 @@
         self.assertEqual(3, len(delays_ms))
         self.assertLess(min(delays_ms), 40.0)
         await self.stop()
+
+    async def test_dump_and_metrics_tell_the_load(self):
+        """Guards against a transfer between zones or a pace that operators cannot see."""
+        await self.start({"catalogue": 1, "orders": 1})
+        self.target("orders-0").work_percent = 100
+        await self.call("catalogue-0", "/order/7")
+        entry, owner = self.sidecar("catalogue-0"), self.sidecar("orders-0")
+        entry.balancer.choose(entry.directory.ready("orders"), set())
+        self.assertEqual(0, entry.describe()["elsewhere"]["orders"]["share"])
+        self.assertEqual({}, entry.describe()["path_ms"])
+        self.assertEqual(100.0, owner.describe()["target"]["work_percent"])
+        metrics = owner._write_metrics().decode()
+        for name in ("target_throughput_per_s", "zones_sent_elsewhere", "zones_saved_ms"):
+            self.assertIn(f"gentian_{name} ", metrics)
+        await self.stop()
