Compare the limit of a target with several bands below it

Cause: a target with 50 slots that takes twice as long from 90% on stayed at its limit of 47, as the band next to the limit was equally slow. Change: the least latency of the four bands below counts, and the limit is lowered by a tenth to measure. The ratio from which it falls contains the part of the capacity that a step takes away, as a step is a ninth of a target with ten slots.

--- a/gentianthread/state/capacity.py
+++ b/gentianthread/state/capacity.py
@@ -16,8 +16,8 @@
 
     For each number of running requests, in bands of 5% of the slots, it keeps the latency that nine
     in ten requests exceed. This leaves out the phases in which the instance is slow, and changes of
-    the mix of requests. The limit falls if the latency at it exceeds that of the band below. While
-    the limit is always reached, it is lowered for a moment to measure that band.
+    the mix of requests. The limit falls if the latency at it exceeds that of the bands below. While
+    the limit is always reached, it is lowered for a moment to measure them.
 
     Attributes:
         value: Requests that may run at once.
@@ -31,12 +31,16 @@
     UPDATE_PERIOD_MS = 500.0
     # Age from which latencies are not used, so that a higher limit is tried again.
     MAX_AGE_MS = 10_000.0
-    # Longest time for which the limit is lowered to measure the band below.
+    # Number of bands below the limit that are compared, and by how many of them it is lowered to
+    # measure: a target may be slow in the band next to the limit as well.
+    COMPARED_BANDS = 4
+    MEASURED_BELOW = 2
+    # Longest time for which the limit is lowered to measure the bands below.
     MEASURING_MS = 1_000.0
     # Time between two such measurements, as each costs some capacity of a full target.
     MEASURING_PERIOD_MS = 30_000.0
-    # The limit falls from this ratio of the latencies on. One slot in twenty is worth 5%, and the
-    # latencies of bands without a difference vary by about 5%.
+    # The limit falls from this ratio of the latencies on, plus the part of the capacity that a
+    # lower limit takes away. The low latencies of bands without a difference vary by about 5%.
     LONGER_RATIO = 1.15
     # Part of the usable slots that it keeps at least.
     FLOOR = 0.8
@@ -53,7 +57,7 @@
         # Newest latencies of each band, and the time of the last one.
         self._latencies: dict[int, tuple[deque[float], float]] = {}
         self._updated_ms = 0.0
-        # Limit to return to after the band below was measured, and the time by which.
+        # Limit to return to after the bands below were measured, and the time by which.
         self._resting = self._highest
         self._measuring_until_ms = 0.0
         self._next_measuring_ms = 0.0
@@ -97,28 +101,31 @@
         here_ms = self._low_ms(self._band_of(self.value), now_ms)
         below_ms = self._below_ms(self.value, now_ms)
         step = max(1, self._slots // self.BANDS)
+        longer_ratio = self.LONGER_RATIO + step / self.value
         if here_ms and not below_ms and self.value > self._floor:
             if now_ms < self._next_measuring_ms:
                 return
             self._next_measuring_ms = now_ms + self.MEASURING_PERIOD_MS
             self._resting, self._measuring_until_ms = self.value, now_ms + self.MEASURING_MS
-            self.value = max(self._floor, self._band_of(self.value) * self._slots // self.BANDS)
-        elif below_ms and here_ms > self.LONGER_RATIO * below_ms:
+            lower = self._band_of(self.value) - self.MEASURED_BELOW + 1
+            self.value = max(self._floor, lower * self._slots // self.BANDS)
+        elif below_ms and here_ms > longer_ratio * below_ms:
             self.value = max(self._floor, self.value - step)
         else:
             higher = min(self._highest, self.value + step)
             known_ms = here_ms or below_ms
-            if self._low_ms(self._band_of(higher), now_ms) <= self.LONGER_RATIO * known_ms:
+            if self._low_ms(self._band_of(higher), now_ms) <= longer_ratio * known_ms:
                 self.value = higher
 
     def _below_ms(self, limit: int, now_ms: float) -> float:
-        """Return the low latency of the nearest known band below a limit, or 0."""
+        """Return the least low latency of the known bands close below a limit, or 0."""
         index = self._band_of(limit)
-        for lower in range(index - 1, max(-1, index - 1 - self.BANDS // 4), -1):
-            low_ms = self._low_ms(lower, now_ms)
-            if low_ms:
-                return low_ms
-        return 0.0
+        known = [
+            low_ms
+            for lower in range(max(0, index - self.COMPARED_BANDS), index)
+            if (low_ms := self._low_ms(lower, now_ms))
+        ]
+        return min(known, default=0.0)
 
 
 class MeasuredCapacity:
--- a/tests/state/test_capacity.py
+++ b/tests/state/test_capacity.py
@@ -71,6 +71,17 @@
         late = values[len(values) // 4 :]
         self.assertLess(sum(value >= 19 for value in late) / len(late), 0.2)
 
+    def test_slowdown_that_starts_below_the_limit_is_found(self):
+        """Guards against comparing only with bands that are as slow as the limit.
+
+        A target with 50 slots that took twice as long from 45 on stayed at a limit of 47.
+        """
+        limit = ConcurrencyLimit()
+        limit.configure(50)
+        values = self.play(limit, lambda running: 200.0 if running >= 45 else 100.0, 40_000.0)
+        late = values[len(values) // 4 :]
+        self.assertLess(sum(value >= 45 for value in late) / len(late), 0.2)
+
     def test_limit_has_a_floor(self):
         """Guards against a limit that falls without end on a target that is never fast."""
         limit = ConcurrencyLimit()
