--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -62,6 +62,7 @@
 from .rates import RateCoordinator
 from .retry_budget import RetryBudget
 from .target import LocalTarget
+from .transfer_log import log_transfer
 
 # Time for which a draining node still accepts requests of peers, which may not yet know that it
 # drains: a path between zones takes up to about 20 ms, and peers cache upstreams for up to 20 ms.
@@ -274,6 +275,7 @@
             EvacuationRecords: self.follower.evacuations.on_records,
         }
         self.directory.changes.subscribe(self._forget_removed)
+        self.balancer.on_transfer = log_transfer
         self.follower.on_plan = self.configure_warm_up
         self.configure_warm_up()
 
@@ -373,6 +375,9 @@
         self.metrics.gauge("target.throughput_per_s", self.target.capacity.throughput_per_s)
         self.metrics.gauge("target.work_percent", self.target.capacity.pace.percent(now_ms))
         self.metrics.gauge("target.invalid_load_figures", self.target.capacity.invalid_figures)
+        transfers = self.balancer.transfers.values()
+        self.metrics.gauge("zones.sent_elsewhere", sum(found.sent for found in transfers))
+        self.metrics.gauge("zones.saved_ms", sum(found.saved_ms for found in transfers))
         self.metrics.gauge("entry.running", self.entry.running)
         self.memory_report.write_metrics()
         blocked = self.crash_reports.suspects.blocked_count(now_ms)
@@ -427,6 +432,10 @@
             "retry_budgets": self.retry_budget.describe(now_ms),
             "path_ms": self.balancer.paths.describe(now_ms),
             "memory": self.memory_report.describe(),
+            "elsewhere": {
+                service_id: found.describe(now_ms)
+                for service_id, found in sorted(self.balancer.transfers.items())
+            },
             "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
             "counting": self.rate_sharing.counter_host,
             "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
