Reduce the cost of the memory budget on the request path

Change: responses are charged once for each read and only while incomplete; answers queued on a link only while its connection is full; common cases make fewer calls.

--- a/gentianthread/coordination/mesh/body_transfers.py
+++ b/gentianthread/coordination/mesh/body_transfers.py
@@ -19,6 +19,9 @@
 # Bodies of at least this size are sent in parts.
 LARGE_BODY_BYTES = 64 * 1024
 
+# Bodies of at least this size are charged while they wait for a connection.
+CHARGED_BODY_BYTES = 4_096
+
 # Length of a part.
 PART_BYTES = 32 * 1024
 
@@ -45,9 +48,7 @@
 
 
 def split_batch(messages: list[Any]) -> tuple[list[Any], list[Any]]:
-    """Return the queued messages that form the next batch, and the others."""
-    if len(messages) <= MAX_BATCH_MESSAGES:
-        return messages, []
+    """Return those of many queued messages that form the next batch, and the others."""
     end = body_bytes = 0
     while end < len(messages) and body_bytes < MAX_BATCH_BODY_BYTES:
         body_bytes += len(getattr(messages[end], "body", b""))
@@ -180,7 +181,12 @@
 
 
 class BodyTransfers:
-    """Send and receive the large bodies of one link."""
+    """Send and receive the large bodies of one link.
+
+    Attributes:
+        sendable: Bodies of which a part may be sent, in turn.
+        incoming: Bodies that are being received.
+    """
 
     def __init__(
         self, intake: BodyIntake, post: Callable[[Any], None], now_ms: Callable[[], float]
@@ -196,14 +202,8 @@
         self._post = post
         self._now_ms = now_ms
         self._outgoing: dict[BodyKey, _OutgoingBody] = {}
-        # Bodies of which a part may be sent, in turn.
-        self._sendable: deque[BodyKey] = deque()
-        self._incoming: dict[BodyKey, IncomingBody] = {}
-
-    @property
-    def has_parts(self) -> bool:
-        """Return whether a part may be sent."""
-        return bool(self._sendable)
+        self.sendable: deque[BodyKey] = deque()
+        self.incoming: dict[BodyKey, IncomingBody] = {}
 
     def offer(self, message: RunRequest | RunAnswer) -> None:
         """Announce the large body of a message; the message follows its last part."""
@@ -223,8 +223,8 @@
             max_bytes: Length of all parts.
         """
         messages: list[Any] = []
-        while self._sendable and max_bytes > 0:
-            key = self._sendable.popleft()
+        while self.sendable and max_bytes > 0:
+            key = self.sendable.popleft()
             outgoing = self._outgoing.get(key)
             if outgoing is None:
                 continue
@@ -237,7 +237,7 @@
                 self._drop_outgoing(key)
                 messages.append(self._finished(outgoing))
             elif end < outgoing.allowed:
-                self._sendable.append(key)
+                self.sendable.append(key)
         return messages
 
     def _drop_outgoing(self, key: BodyKey) -> None:
@@ -261,28 +261,28 @@
         waits = outgoing.sent >= outgoing.allowed
         outgoing.allowed = max(outgoing.allowed, min(credit.allowed, len(outgoing.body)))
         if waits and outgoing.allowed > outgoing.sent:
-            self._sendable.append(key)
+            self.sendable.append(key)
 
     def on_offer(self, offer: BodyOffer) -> bool:
         """Handle an announced body, and return whether it is accepted."""
         key = (offer.call, offer.of_answer)
-        if not 0 < offer.size <= MAX_BODY_BYTES or key in self._incoming:
+        if not 0 < offer.size <= MAX_BODY_BYTES or key in self.incoming:
             raise MessageError("BodyOffer", "invalid size or call")
         if not offer.of_answer and self._intake.memory.is_full(offer.size):
             return False
-        body = self._incoming[key] = IncomingBody(key, offer.size, self._post)
+        body = self.incoming[key] = IncomingBody(key, offer.size, self._post)
         self._intake.add(body)
         return True
 
     def on_part(self, part: BodyPart) -> None:
         """Handle a part of a body; those of a cancelled call are dropped."""
-        body = self._incoming.get((part.call, part.of_answer))
+        body = self.incoming.get((part.call, part.of_answer))
         if body is not None:
             self._intake.receive(body, part.data)
 
     def take(self, call: int, of_answer: bool) -> bytearray | None:
         """Return the complete body that was received for a message, if it has a large one."""
-        body = self._incoming.pop((call, of_answer), None)
+        body = self.incoming.pop((call, of_answer), None)
         if body is None:
             return None
         self._intake.end(body)
@@ -297,6 +297,11 @@
         """Return whether an answer is not sent completely."""
         return any(of_answer for _, of_answer in self._outgoing)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no body is being sent or received."""
+        return not self._outgoing and not self.incoming
+
     def cancel(self, call: int) -> bool:
         """Drop the bodies of a call that is no longer wanted, in either direction.
 
@@ -306,7 +311,7 @@
         was_unsent = (call, False) in self._outgoing
         for key in ((call, False), (call, True)):
             self._drop_outgoing(key)
-            body = self._incoming.pop(key, None)
+            body = self.incoming.pop(key, None)
             if body is not None:
                 self._intake.end(body)
         return was_unsent
@@ -315,7 +320,7 @@
         """Drop all bodies."""
         for key in list(self._outgoing):
             self._drop_outgoing(key)
-        self._sendable.clear()
-        for body in self._incoming.values():
+        self.sendable.clear()
+        for body in self.incoming.values():
             self._intake.end(body)
-        self._incoming.clear()
+        self.incoming.clear()
--- a/gentianthread/coordination/mesh/peer_call.py
+++ b/gentianthread/coordination/mesh/peer_call.py
@@ -1,17 +1,25 @@
 """Track the requests that peers run for this node."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import attrs
 
 from ...errors import ConnectionLost
-from ...protocol.messages_mesh import RunAnswer
+from ...protocol.messages_mesh import RunAnswer, RunRequest
+from ...transport.callbacks import Cancellable
 
 if TYPE_CHECKING:
     from .peer_link import PeerLink
 
 
+# Runs a request of a peer and returns the answer.
+Runner = Callable[[RunRequest], Awaitable[RunAnswer]]
+# Starts a request of a peer without a task, and passes the answer to the callback. Returns None if
+# the request needs a task.
+Starter = Callable[[RunRequest, Callable[[RunAnswer], None]], Cancellable | None]
+
+
 class LinkSilent(ConnectionLost):
     """Report a call whose link went silent; the peer may have run the request."""
 
--- a/gentianthread/coordination/mesh/peer_link.py
+++ b/gentianthread/coordination/mesh/peer_link.py
@@ -1,7 +1,6 @@
 """Exchange messages with one peer over one connection, and detect when the peer goes silent."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from functools import partial
 from itertools import count
 from typing import TYPE_CHECKING, Any
@@ -24,7 +23,14 @@
 from ...state.memory_budget import MemoryOwner
 from ...transport.callbacks import Cancellable, settle
 from ...transport.direct_websocket import DirectWebSocket
-from .body_transfers import BATCH_PART_BYTES, LARGE_BODY_BYTES, BodyTransfers, split_batch
+from .body_transfers import (
+    BATCH_PART_BYTES,
+    CHARGED_BODY_BYTES,
+    LARGE_BODY_BYTES,
+    MAX_BATCH_MESSAGES,
+    BodyTransfers,
+    split_batch,
+)
 from .outcomes import refused_answer, unknown_answer
 from .peer_call import LinkSilent, OnEnd, PeerCall
 
@@ -61,13 +67,6 @@
 RUN_BYTES = 4_096
 
 
-# Runs a request of a peer and returns the answer.
-Runner = Callable[[RunRequest], Awaitable[RunAnswer]]
-# Starts a request of a peer without a task, and passes the answer to the callback. Returns None if
-# the request needs a task.
-Starter = Callable[[RunRequest, Callable[[RunAnswer], None]], Cancellable | None]
-
-
 class PeerLink:
     """Send and receive messages of one peer over one connection.
 
@@ -95,14 +94,12 @@
         self._numbers = count(1)
         self._calls: dict[int, PeerCall] = {}
         self._runs: dict[int, Cancellable] = {}
-        # Memory that is charged for each of them.
         self._run_bytes: dict[int, int] = {}
         self._outgoing: list[Any] = []
         self._memory = owner.memory
+        # Memory charged for queued answers, and whether some is for the last batch.
+        self._queued_bytes, self._charged_output = 0, False
         self._transfers = BodyTransfers(owner.intake, self.post, owner.clock.now_ms)
-        # Memory that is charged for queued answers, and whether it is for the last batch.
-        self._queued_bytes = 0
-        self._charged_output = False
         self._compressor: Compressor | None = None
         self._decompressor: Decompressor | None = None
         self._flushing = False
@@ -250,8 +247,7 @@
         if self._charged_output:
             self._charged_output = False
             self._memory.release(MemoryOwner.LINK_OUT, self._connection)
-        batch = self._take_batch()
-        if not batch:
+        if not (batch := self._take_batch()):
             return
         data = self._compress(self._encode(batch))
         try:
@@ -262,7 +258,7 @@
         if self._connection.full:
             self._charged_output = True
             self._memory.charge(MemoryOwner.LINK_OUT, self._connection, len(data))
-        if self._outgoing or self._transfers.has_parts:
+        if self._outgoing or self._transfers.sendable:
             self._flush_soon()
 
     def _flush_soon(self) -> None:
@@ -272,23 +268,30 @@
 
     def _take_batch(self) -> list[Any]:
         """Return the next messages to send: queued ones, then parts of large bodies."""
-        batch, self._outgoing = split_batch(self._outgoing)
+        batch, self._outgoing = self._outgoing, []
+        if len(batch) > MAX_BATCH_MESSAGES:
+            batch, self._outgoing = split_batch(batch)
         if self._queued_bytes:
-            sent_bytes = sum(len(each.body) for each in batch if isinstance(each, RunAnswer))
+            # Answers that were queued before the connection was full are not charged.
+            sent_bytes = self._queued_bytes
+            if self._outgoing:
+                answers = [each for each in batch if isinstance(each, RunAnswer)]
+                sent_bytes = min(sent_bytes, sum(len(each.body) for each in answers))
             self._queued_bytes -= sent_bytes
             self._memory.release(MemoryOwner.LINK_OUT, self, sent_bytes)
-        if self._transfers.has_parts:
+        if self._transfers.sendable:
             batch.extend(self._transfers.next_parts(BATCH_PART_BYTES))
         return batch
 
     def _send(self, message: RunRequest | RunAnswer) -> None:
         """Send a message whose body may be large."""
-        if len(message.body) >= LARGE_BODY_BYTES:
+        size = len(message.body)
+        if size >= LARGE_BODY_BYTES:
             self._transfers.offer(message)
             return
-        if message.body and isinstance(message, RunAnswer):
-            self._queued_bytes += len(message.body)
-            self._memory.charge(MemoryOwner.LINK_OUT, self, len(message.body))
+        if size > CHARGED_BODY_BYTES and isinstance(message, RunAnswer) and self._connection.full:
+            self._queued_bytes += size
+            self._memory.charge(MemoryOwner.LINK_OUT, self, size)
         self.post(message)
 
     def _encode(self, batch: list[Any]) -> bytes:
@@ -353,19 +356,21 @@
         if isinstance(message, RunAnswer):
             self._record_answer()
             self._owner.on_revision(self, message.revision)
-            body = self._transfers.take(message.call, of_answer=True)
-            if body is not None:
-                message.body = body
-            # The peer may refuse a request before its body is sent.
-            self._transfers.cancel(message.call)
+            if not self._transfers.is_idle:
+                body = self._transfers.take(message.call, of_answer=True)
+                if body is not None:
+                    message.body = body
+                # The peer may refuse a request before its body is sent.
+                self._transfers.cancel(message.call)
             call = self._calls.pop(message.call, None)
             if call is not None:
                 call.on_end(message)
         elif isinstance(message, RunRequest):
             self._owner.on_revision(self, message.revision)
-            body = self._transfers.take(message.call, of_answer=False)
-            if body is not None:
-                message.body = body
+            if self._transfers.incoming:
+                body = self._transfers.take(message.call, of_answer=False)
+                if body is not None:
+                    message.body = body
             self._start_run(message)
         elif isinstance(message, CancelRun):
             self._transfers.cancel(message.call)
@@ -376,7 +381,7 @@
             self._transfers.on_part(message)
         elif isinstance(message, BodyCredit):
             self._transfers.on_credit(message)
-            if self._transfers.has_parts:
+            if self._transfers.sendable:
                 self._flush_soon()
         elif isinstance(message, BodyOffer):
             self._on_offer(message)
@@ -479,8 +484,8 @@
             run.cancel()
         self._transfers.close()
         self._run_bytes.clear()
+        self._memory.release(MemoryOwner.LINK_IN, self)
         for holder in (self, self._connection):
-            self._memory.release(MemoryOwner.LINK_IN, holder)
             self._memory.release(MemoryOwner.LINK_OUT, holder)
         self._owner.on_link_closed(self, problem)
 
--- a/gentianthread/coordination/mesh/peers.py
+++ b/gentianthread/coordination/mesh/peers.py
@@ -23,7 +23,8 @@
 from ...transport.connections import Listener
 from ...transport.direct_websocket import DirectTransport, DirectWebSocket
 from .body_transfers import BodyIntake
-from .peer_link import MAX_MESSAGE_BYTES, PROBE_AFTER_MS, PeerLink, Runner, Starter
+from .peer_call import Runner, Starter
+from .peer_link import MAX_MESSAGE_BYTES, PROBE_AFTER_MS, PeerLink
 
 # Opening a link takes four round trips, under 60 ms between zones.
 DIAL_TIMEOUT_MS = 350.0
--- a/gentianthread/state/memory_budget.py
+++ b/gentianthread/state/memory_budget.py
@@ -56,6 +56,9 @@
     ANSWER_IN = "answer_in"
     ANSWER_OUT = "answer_out"
 
+    # That of `Enum` is a Python function, which takes longer than the rest of a charge.
+    __hash__ = object.__hash__
+
 
 # Owners whose holders have sent only a part of a request, which therefore has not run.
 INCOMPLETE_OWNERS = (MemoryOwner.HEAD, MemoryOwner.BODY)
@@ -92,6 +95,7 @@
 
     Attributes:
         capacity_bytes: Memory that may be held in all.
+        short_bytes: Memory above which holders of much memory must stop to read more.
         total_bytes: Memory that is held.
         peak_bytes: Largest value of `total_bytes`.
         refused: Number of requests refused for lack of memory, by reason.
@@ -107,6 +111,7 @@
             now_ms: Returns the present time, for the progress of holders.
         """
         self.capacity_bytes = capacity_bytes
+        self.short_bytes = capacity_bytes * SHORT_FRACTION
         self.total_bytes = 0
         self.peak_bytes = 0
         self.refused: dict[str, int] = {}
@@ -121,9 +126,9 @@
         held = self._held[owner]
         held[holder] = held.get(holder, 0) + size_bytes
         self._sums[owner] += size_bytes
-        self.total_bytes += size_bytes
-        if self.total_bytes > self.peak_bytes:
-            self.peak_bytes = self.total_bytes
+        total_bytes = self.total_bytes = self.total_bytes + size_bytes
+        if total_bytes > self.peak_bytes:
+            self.peak_bytes = total_bytes
 
     def release(self, owner: MemoryOwner, holder: Hashable, size_bytes: int | None = None) -> None:
         """Return memory that a holder no longer holds; what it does not hold is ignored.
@@ -174,7 +179,7 @@
 
     def is_short(self) -> bool:
         """Return whether holders of much memory must stop to read more."""
-        return self.total_bytes > self.capacity_bytes * SHORT_FRACTION
+        return self.total_bytes > self.short_bytes
 
     def is_full(self, size_bytes: float = float("inf")) -> bool:
         """Return whether a request must give way.
@@ -226,7 +231,7 @@
 
     def room_bytes(self) -> float:
         """Return how much more may be held before the process is short of memory."""
-        return max(0.0, self.capacity_bytes * SHORT_FRACTION - self.total_bytes)
+        return max(0.0, self.short_bytes - self.total_bytes)
 
     def favoured(self, max_idle_ms: float) -> Hashable | None:
         """Return the oldest holder of much memory that still progresses.
--- a/gentianthread/transport/caller_connection.py
+++ b/gentianthread/transport/caller_connection.py
@@ -10,16 +10,18 @@
 from ..errors import GentianError
 from ..state.fleet_plan import CallerLimits
 from ..state.memory_budget import (
+    FIELD_BYTES,
+    TEXT_BYTES_PER_BYTE,
     MemoryOwner,
     buffer_bytes,
-    fields_bytes,
 )
-from .header_fields import HeaderFields, render_fields
+from .header_fields import HeaderFields
 from .http_messages import (
     LARGE_BODY_BYTES,
     BufferedRequest,
     BufferedResponse,
     PendingResponse,
+    head_without_upgrade,
     serialize_response,
 )
 from .http_names import decode_text
@@ -57,7 +59,12 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """Read the requests of one connection and write their responses in order."""
+    """Read the requests of one connection and write their responses in order.
+
+    Attributes:
+        transport: Transport of the connection; None before it is made and after it is lost.
+        active_at_ms: When the caller last sent something, or was last answered.
+    """
 
     def __init__(self, listener: "PipelineListener"):
         """Create a connection that is not made yet."""
@@ -69,7 +76,7 @@
         self._pending: deque[PendingResponse] = deque()
         self._closing = False
         self._pauses = 0
-        self._active_at_ms = listener.clock.now_ms()
+        self.active_at_ms = listener.clock.now_ms()
         # Since when the connection only waits for its caller to close it.
         self._lingering_since_ms: float | None = None
         # Whether the caller reads responses more slowly than they come, and what they hold.
@@ -112,17 +119,21 @@
         for pending_response in pending:
             if pending_response.work is not None:
                 pending_response.work.cancel()
-            self._release(pending_response)
+            if pending_response.held_bytes:
+                self._release(pending_response)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of requests, and charge the memory of an incomplete one."""
         if self._closing:
             return
         now_ms = self._listener.clock.now_ms()
-        self._active_at_ms = now_ms
+        self.active_at_ms = now_ms
         pending_before = len(self._pending)
         try:
-            self._feed(data)
+            try:
+                self._parser.feed_data(data)
+            except HttpParserUpgrade as upgrade:
+                self._feed_without_upgrade(data[upgrade.args[0] :])
         except HttpParserError as error:
             if not self._closing:
                 cause = error.__context__
@@ -141,36 +152,22 @@
         if self._in_body or self._raw_head_bytes or self._head_bytes or self._holds_incomplete:
             self._charge_incomplete()
 
-    def _feed(self, data: bytes) -> None:
-        """Parse bytes; requests with an Upgrade field are handled without the upgrade."""
+    def _feed_without_upgrade(self, data: bytes) -> None:
+        """Parse the bytes after a head with an Upgrade field, which is not supported.
+
+        The library takes them for another protocol, the body of the request included.
+        """
         while not self._closing:
+            head = head_without_upgrade(self._parser, self._fields)
+            self._parser, self._replaying = HttpRequestParser(self), True
+            self._parser.feed_data(head)
+            self._replaying = False
             try:
                 self._parser.feed_data(data)
             except HttpParserUpgrade as upgrade:
-                if self._closing:
-                    return
-                # The library takes all further bytes for another protocol, the body included.
                 data = data[upgrade.args[0] :]
-                head = self._head_without_upgrade()
-                self._parser, self._replaying = HttpRequestParser(self), True
-                self._parser.feed_data(head)
-                self._replaying = False
-                continue
-            return
-
-    def _head_without_upgrade(self) -> bytes:
-        """Return a head with only the framing of the present request."""
-        fields = self._fields
-        framing = [
-            (name, value)
-            for (_, value), name in zip(fields.pairs, fields.names, strict=True)
-            if name in ("content-length", "transfer-encoding")
-        ]
-        if not self._parser.should_keep_alive():
-            framing.append(("connection", "close"))
-        version = self._parser.get_http_version()
-        line = f"{self._parser.get_method().decode()} / HTTP/{version}\r\n"
-        return f"{line}{render_fields(framing)}\r\n".encode("utf-8", "surrogateescape")
+            else:
+                return
 
     # Callbacks of the parser.
 
@@ -179,7 +176,7 @@
         if self._replaying:
             return
         self._limits = self._listener.limits()
-        self._target, self._fields, self._body = b"", HeaderFields(), bytearray()
+        self._target, self._fields = b"", HeaderFields()
         self._head_bytes = self._raw_head_bytes = 0
         self._expects_continue = False
 
@@ -233,12 +230,15 @@
         closes = upgrades or not self._parser.should_keep_alive()
         pending = PendingResponse(method, closes)
         self._pending.append(pending)
-        body, self._body = self._body, bytearray()
+        body = self._body
+        if body:
+            self._body = bytearray()
         if self._holds_incomplete:
             self._holds_incomplete = False
             self._memory.end_incomplete(self)
+        memory = self._memory
         pending.held_bytes = self._head_cost_bytes() + len(body)
-        self._memory.charge(MemoryOwner.WAITING, self, pending.held_bytes)
+        memory.charge(MemoryOwner.WAITING, self, pending.held_bytes)
         request = BufferedRequest(
             method,
             decode_text(self._target),
@@ -250,7 +250,9 @@
         if closes:
             # The bytes after this request are ignored.
             self._closing = True
-        if self._memory.is_short() and not self._listener.admits(self, pending.held_bytes):
+        if memory.total_bytes > memory.short_bytes and not self._listener.admits(
+            self, pending.held_bytes
+        ):
             self._set_response(pending, self._out_of_memory())
             return
         pending.work = self._listener.start(request, partial(self._set_response, pending))
@@ -260,7 +262,8 @@
     # Memory.
 
     def _head_cost_bytes(self) -> int:
-        return MESSAGE_BYTES + fields_bytes(len(self._fields.pairs), self._head_bytes)
+        field_count = len(self._fields.pairs)
+        return MESSAGE_BYTES + field_count * FIELD_BYTES + self._head_bytes * TEXT_BYTES_PER_BYTE
 
     def _charge_incomplete(self) -> None:
         """Charge the request that is being received, and give way if memory is short."""
@@ -297,11 +300,6 @@
         """Return whether a request is partly received, or the connection is being closed."""
         return self._holds_incomplete or self._closing
 
-    @property
-    def active_at_ms(self) -> float:
-        """Return when the caller last sent something, or was last answered."""
-        return self._active_at_ms
-
     def pause_for_memory(self) -> None:
         """Read no further bytes until memory is free."""
         self._pause(PAUSED_BY_MEMORY)
@@ -349,7 +347,7 @@
     def resume_writing(self) -> None:
         """Write the next responses, as the caller has read most of the last one."""
         self._output_full = False
-        self._active_at_ms = self._listener.clock.now_ms()
+        self.active_at_ms = self._listener.clock.now_ms()
         self._release_output()
         self._resume(PAUSED_BY_OUTPUT)
         self._flush()
@@ -359,7 +357,9 @@
         self._output_bytes = 0
 
     def _set_response(self, pending: PendingResponse, response: BufferedResponse | None) -> None:
-        self._release(pending)
+        # As `_release`.
+        self._memory.release(MemoryOwner.WAITING, self, pending.held_bytes)
+        pending.held_bytes = 0
         pending.response, pending.done, pending.work = response, True, None
         if response is not None and (self._output_full or pending is not self._pending[0]):
             pending.held_bytes = MESSAGE_BYTES + len(response.body)
@@ -375,17 +375,27 @@
             and not self._output_full
         ):
             pending = self._pending.popleft()
-            self._release(pending)
+            if pending.held_bytes:
+                self._release(pending)
             if pending.response is None:
                 self.transport.abort()
                 return
             closes = pending.closes or (self._listener.leaving and self._is_last_request())
-            self._write(pending, closes)
-            self._active_at_ms = self._listener.clock.now_ms()
+            head, body = serialize_response(pending, closes)
+            if len(body) < LARGE_BODY_BYTES:
+                self.transport.write(head + body)
+            else:
+                # The transport keeps the body itself, without a copy.
+                self.transport.write(head)
+                self.transport.write(body)
+            if self._output_full:
+                self._output_bytes += len(head) + len(body)
+                self._memory.charge(MemoryOwner.ANSWER_OUT, self, len(head) + len(body))
+            self.active_at_ms = self._listener.clock.now_ms()
             if closes:
                 self._close_after_output()
                 return
-        if len(self._pending) < MAX_PIPELINED_REQUESTS:
+        if self._pauses and len(self._pending) < MAX_PIPELINED_REQUESTS:
             self._resume(PAUSED_BY_PIPELINE)
 
     def _is_last_request(self) -> bool:
@@ -394,18 +404,6 @@
             return False
         return not unread_bytes(self.transport.get_extra_info("socket"))
 
-    def _write(self, pending: PendingResponse, closes: bool) -> None:
-        head, body = serialize_response(pending, closes)
-        if len(body) < LARGE_BODY_BYTES:
-            self.transport.write(head + body)
-        else:
-            self.transport.write(head)
-            # The transport keeps the body itself, without a copy.
-            self.transport.write(body)
-        if self._output_full:
-            self._output_bytes += len(head) + len(body)
-            self._memory.charge(MemoryOwner.ANSWER_OUT, self, len(head) + len(body))
-
     def _close_after_output(self) -> None:
         """Close once the output is sent; drop what the caller still sends for a while.
 
@@ -482,12 +480,12 @@
         if self._pending:
             return
         if self._lingering_since_ms is not None:
-            if now_ms - max(self._lingering_since_ms, self._active_at_ms) > LINGER_MS:
+            if now_ms - max(self._lingering_since_ms, self.active_at_ms) > LINGER_MS:
                 self.abort()
         elif self._head_since_ms is not None:
             if now_ms - self._head_since_ms > limits.header_timeout_ms:
                 self._refuse(408)
-        elif now_ms - self._active_at_ms > limits.idle_timeout_ms and not self._pauses:
+        elif now_ms - self.active_at_ms > limits.idle_timeout_ms and not self._pauses:
             self.close()
 
     def close_if_idle(self) -> None:
--- a/gentianthread/transport/http_messages.py
+++ b/gentianthread/transport/http_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
+from httptools import HttpRequestParser
 
 from .callbacks import Cancellable
 from .header_fields import HeaderFields, HeaderPairs, render_fields
@@ -132,3 +133,21 @@
     text += "Connection: close\r\n\r\n" if closes else "\r\n"
     head = text.encode("utf-8", "surrogateescape")
     return head, b"" if pending.method == "HEAD" else response.body
+
+
+def head_without_upgrade(parser: HttpRequestParser, fields: HeaderFields) -> bytes:
+    """Return a head with only the framing of a request, for another parser.
+
+    Args:
+        parser: Parser that has read the head of the request.
+        fields: Its header fields.
+    """
+    framing = [
+        (name, value)
+        for (_, value), name in zip(fields.pairs, fields.names, strict=True)
+        if name in ("content-length", "transfer-encoding")
+    ]
+    if not parser.should_keep_alive():
+        framing.append(("connection", "close"))
+    line = f"{parser.get_method().decode()} / HTTP/{parser.get_http_version()}\r\n"
+    return f"{line}{render_fields(framing)}\r\n".encode("utf-8", "surrogateescape")
--- a/gentianthread/transport/response_memory.py
+++ b/gentianthread/transport/response_memory.py
@@ -63,12 +63,9 @@
             self._budget.release(MemoryOwner.ANSWER_IN, connection)
         self._paused.pop(connection, None)
 
-    def hand_over(self, connection: "TargetConnection") -> None:
-        """Release a complete response once its next holder has charged it."""
-        held_bytes = self._held.get(connection, 0)
-        if held_bytes > SMALL_HOLDER_BYTES:
-            hand_over(self._budget, MemoryOwner.ANSWER_IN, held_bytes)
-        self.release(connection)
+    def hand_over(self, size_bytes: int) -> None:
+        """Keep a complete response charged until its next holder has charged it."""
+        hand_over(self._budget, MemoryOwner.ANSWER_IN, size_bytes)
 
     def must_pause(self, connection: "TargetConnection") -> bool:
         """Return whether a connection with an incomplete response must read nothing for now."""
--- a/gentianthread/transport/target_connection.py
+++ b/gentianthread/transport/target_connection.py
@@ -124,6 +124,9 @@
         self.head_bytes = self.rest_bytes = self.body_bytes = 0
 
 
+# Stands for the response of a connection without an exchange; it is never changed.
+_NO_RESPONSE = TargetResponse()
+
 # Called with a connection that received bytes which belong to no request, and what they were.
 OnStray = Callable[["TargetConnection", str], None]
 
@@ -179,6 +182,9 @@
         self._response = TargetResponse()
         # Bytes of this exchange that came before the head of its response.
         self._skipped_bytes = 0
+        # Memory of the response that is not charged yet, and whether some is.
+        self._uncharged_bytes = 0
+        self._is_charged = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and enable keep-alive probes."""
@@ -217,8 +223,11 @@
         """Stop waiting for the current response without calling `on_result`."""
         self._on_result = None
         # An idle connection would keep their bodies.
-        self._request, self._response = None, TargetResponse()
-        self._memory.release(self)
+        self._request, self._response = None, _NO_RESPONSE
+        self._uncharged_bytes = 0
+        if self._is_charged:
+            self._is_charged = False
+            self._memory.release(self)
         if self._timer is not None:
             self._timer.cancel()
 
@@ -226,8 +235,8 @@
         on_result = self._on_result
         if on_result is None:
             return
-        if isinstance(result, TargetResponse):
-            self._memory.hand_over(self)
+        if isinstance(result, TargetResponse) and result.body_bytes >= LARGE_BODY_BYTES:
+            self._memory.hand_over(result.body_bytes)
         self.abandon_exchange()
         on_result(result)
 
@@ -275,6 +284,7 @@
         if self._response.complete:
             self._finish(self._response)
             return
+        self._charge()
         problem = self._exceeded_limit()
         if problem:
             self._fail(problem)
@@ -320,7 +330,7 @@
         response = self._response
         if not response.complete and not response.has_head and self._on_result is not None:
             self._response.fields.add(name, value)
-            self._count_held(len(name) + len(value) + FIELD_OVERHEAD_BYTES)
+            self._uncharged_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Handle a complete head; skip interim responses and responses to an earlier request."""
@@ -357,9 +367,17 @@
         if response.has_head and not response.complete:
             response.body += data
             response.body_bytes += len(data)
-            self._count_held(len(data))
+            self._uncharged_bytes += len(data)
+
+    def _charge(self) -> None:
+        """Charge what the last read added to an incomplete response.
 
-    def _count_held(self, count: int) -> None:
+        Responses that are complete within one read, as most are, are not charged here.
+        """
+        count, self._uncharged_bytes = self._uncharged_bytes, 0
+        if not count or self._on_result is None:
+            return
+        self._is_charged = True
         longest = self._memory.add(self, count)
         if longest is not None:
             longest.give_up("responses of the target fill the memory")
--- a/tests/coordination/mesh/test_body_transfers.py
+++ b/tests/coordination/mesh/test_body_transfers.py
@@ -55,7 +55,7 @@
 
     def exchange(self):
         """Pass messages on until neither end has one."""
-        while self.to_receiver or self.to_sender or self.sender.has_parts:
+        while self.to_receiver or self.to_sender or self.sender.sendable:
             messages = [*self.to_receiver, *self.sender.next_parts(100_000)]
             self.to_receiver.clear()
             for message in messages:
