--- a/tests/state/test_completion_choice.py
+++ b/tests/state/test_completion_choice.py
@@ -132,8 +132,8 @@
     def test_slow_link(self):
         """Guards against requests over a link whose delay has risen to 40 ms.
 
-        Load: 8 targets in 2 zones, 520 requests per s, waves of +-15%, so that no zone is asked more
-        than it can serve; the delay of the link rises from 1.4 ms after 12 of 24 s.
+        Load: 8 targets in 2 zones, 520 requests per s, waves of +-15%, so that no zone is asked
+        more than it can serve; the delay of the link rises from 1.4 ms after 12 of 24 s.
         """
         world = World(("a", "b"), EVEN, 10, 100.0, 520.0, duration_ms=24_000.0)
         world.demand = opposite_waves(0.15)
