Name the entries that make a configuration invalid as a whole

Cause: a document with a host and prefix, or a key, that is used twice is refused with the name of the section only, so that the operator has to search for the two entries. Change: the error names both entries.

--- a/gentianthread/json_fields.py
+++ b/gentianthread/json_fields.py
@@ -2,7 +2,8 @@
 
 import json
 import re
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Callable, Hashable, Iterable, Mapping
 from typing import Any, TypeVar
 
 from .errors import DocumentError
@@ -23,6 +24,19 @@
     return not _UNUSABLE_TEXT.search(text)
 
 
+def names_used_twice(data: bytes) -> list[str]:
+    """Return the names that occur more than once in a table of a JSON document."""
+    repeated: list[str] = []
+
+    def count(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        names = Counter(name for name, _ in pairs)
+        repeated.extend(name for name, number in names.items() if number > 1)
+        return dict(pairs)
+
+    json.loads(data, object_pairs_hook=count)
+    return repeated
+
+
 def parse_json(key: str, data: bytes) -> Any:
     """Decode the JSON document with a key.
 
@@ -109,3 +123,33 @@
         if not isinstance(value, str) or value not in choices:
             raise self.error(field, f"one of {', '.join(choices)}")
         return choices[value]
+
+
+# Names and tables of the items of a section.
+Items = list[tuple[str, Table]]
+
+
+def readable_values(items: Items, read: Callable[[Table], float]) -> list[float]:
+    """Return the readable values of a field of all items, and 0."""
+    values = [0]
+    for _, item in items:
+        try:
+            values.append(read(item))
+        except DocumentError:
+            continue
+    return values
+
+
+def lowest_positive(values: Iterable[float]) -> float | None:
+    """Return the lowest value above 0, or None if there is none."""
+    return min((value for value in values if value > 0), default=None)
+
+
+def find_repeated(items: Iterable[tuple[str, Hashable]]) -> tuple[str, str] | None:
+    """Return the names of the first two items that have the same value, or None."""
+    names: dict[Hashable, str] = {}
+    for name, value in items:
+        if value in names:
+            return names[value], name
+        names[value] = name
+    return None
--- a/gentianthread/platform/plan_document.py
+++ b/gentianthread/platform/plan_document.py
@@ -7,12 +7,20 @@
 """
 
 import re
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 from ..errors import DocumentError
 from ..ids import ConfigVersion, OrganisationId, RegionId, RouteId, ServiceId
-from ..json_fields import Table, is_usable_text, parse_json
+from ..json_fields import (
+    Items,
+    Table,
+    find_repeated,
+    is_usable_text,
+    lowest_positive,
+    parse_json,
+    readable_values,
+)
 from ..state.fleet_plan import (
     OWN_REGION_ONLY,
     CallerLimits,
@@ -23,6 +31,7 @@
     PlanProblem,
     RequestKind,
     WeightedService,
+    describe_replacement,
 )
 
 PLAN_KEY = "op/config"
@@ -42,14 +51,27 @@
 UNREADABLE_WARM_UP_MS = 10_000.0
 UNREADABLE_WARM_UP_PER_S = 1.0
 
+# Names of sections and fields by the attributes of the plan, where the two differ.
+FIELD_NAMES = {
+    "organisations": "tenants",
+    "service_weights": "weighted_services",
+    "timeout_ms": "timeout",
+    "latency_objective_ms": "target_latency",
+    "open_to_all": "no_auth",
+    "warm_up_ms": "warmup",
+    "warm_up_per_s": "warmup_per_s",
+    "keys": "api_keys",
+    "header_bytes": "max_header_bytes",
+    "body_bytes": "max_body_bytes",
+    "header_timeout_ms": "header_timeout",
+    "idle_timeout_ms": "idle_timeout",
+}
+
 _PREFIX_FORM = "a path between slashes"
 _REFUSAL = "refusal of its requests"
 
 T = TypeVar("T")
 
-# Names and tables of the items of a section.
-_Items = list[tuple[str, Table]]
-
 
 def read_plan(data: bytes) -> FleetPlan:
     """Decode the configuration document.
@@ -88,14 +110,14 @@
         try:
             return read(field, *arguments)
         except DocumentError as error:
-            self._note(error, _describe(fallback))
+            self._note(error, describe_replacement(fallback))
             return fallback
 
     def _note(self, error: DocumentError, used: str | None) -> None:
         field = error.field if is_usable_text(error.field) else ascii(error.field)
         self._problems.append(PlanProblem(field, error.expected, used))
 
-    def _items(self, section: str) -> _Items:
+    def _items(self, section: str) -> Items:
         """Return the items of a section that are tables.
 
         Raises:
@@ -120,10 +142,10 @@
 
     # Services.
 
-    def _read_services(self, entries: _Items) -> dict[ServiceId, FleetService]:
-        longest_ms = max(_readable(entries, lambda item: item.duration_ms("warmup", 0.0)))
-        lowest_per_s = _lowest_positive(
-            _readable(entries, lambda item: item.number("warmup_per_s", 0))
+    def _read_services(self, entries: Items) -> dict[ServiceId, FleetService]:
+        longest_ms = max(readable_values(entries, lambda item: item.duration_ms("warmup", 0.0)))
+        lowest_per_s = lowest_positive(
+            readable_values(entries, lambda item: item.number("warmup_per_s", 0))
         )
         services = {}
         for name, entry in entries:
@@ -149,9 +171,9 @@
     # Routes.
 
     def _read_routes(
-        self, entries: _Items, services: Mapping[ServiceId, FleetService]
+        self, entries: Items, services: Mapping[ServiceId, FleetService]
     ) -> dict[RouteId, HostRoute]:
-        least_important = max(_readable(entries, lambda item: item.integer("priority", 0)))
+        least_important = max(readable_values(entries, lambda item: item.integer("priority", 0)))
         routes: dict[RouteId, HostRoute] = {}
         # Routes whose prefix lacks its last slash; their requests are refused.
         completed: dict[RouteId, HostRoute] = {}
@@ -250,19 +272,21 @@
             name for name in names if isinstance(name, str) and name and is_usable_text(name)
         ]
         if len(readable) < len(names):
-            self._note(error, _describe(readable) if readable else "the node's own region")
+            self._note(
+                error, describe_replacement(readable) if readable else "the node's own region"
+            )
         return frozenset(RegionId(name) for name in readable) or OWN_REGION_ONLY
 
     # Organisations.
 
     def _read_organisations(
-        self, entries: _Items, route_entries: _Items
+        self, entries: Items, route_entries: Items
     ) -> dict[OrganisationId, FleetOrganisation]:
         least_important = max(
-            _readable([*entries, *route_entries], lambda item: item.integer("priority", 0))
+            readable_values([*entries, *route_entries], lambda item: item.integer("priority", 0))
         )
-        lowest_per_s = _lowest_positive(
-            _readable(entries, lambda item: item.number("rate_per_s", 0))
+        lowest_per_s = lowest_positive(
+            readable_values(entries, lambda item: item.number("rate_per_s", 0))
         )
         organisations = {}
         for name in self._table.values.get("tenants") or {}:
@@ -321,27 +345,6 @@
         )
 
 
-def _describe(value: Any) -> str:
-    if isinstance(value, RequestKind):
-        return value.value
-    return "none" if value is None else str(value)
-
-
-def _readable(entries: _Items, read: Callable[[Table], float]) -> list[float]:
-    """Return the readable values of a field of all items, and 0."""
-    values = [0]
-    for _, entry in entries:
-        try:
-            values.append(read(entry))
-        except DocumentError:
-            continue
-    return values
-
-
-def _lowest_positive(values: Iterable[float]) -> float | None:
-    return min((value for value in values if value > 0), default=None)
-
-
 def _read_version(table: Table) -> ConfigVersion:
     match = _VERSION.fullmatch(table.text("version"))
     if match is None:
@@ -352,9 +355,12 @@
 def _check_unique(
     routes: Mapping[RouteId, HostRoute], organisations: Mapping[OrganisationId, FleetOrganisation]
 ) -> None:
-    host_prefixes = [(route.host, route.prefix) for route in routes.values()]
-    if len(set(host_prefixes)) < len(host_prefixes):
-        raise DocumentError(PLAN_KEY, "routes", "one route for each host and prefix")
-    keys = [key for organisation in organisations.values() for key in set(organisation.keys)]
-    if len(set(keys)) < len(keys):
-        raise DocumentError(PLAN_KEY, "tenants", "keys that belong to one organisation each")
+    places = ((route.route_id, (route.host, route.prefix)) for route in routes.values())
+    if both := find_repeated(places):
+        expected = f"one route for each host and prefix, but that of {both[0]} is the same"
+        raise DocumentError(PLAN_KEY, f"routes.{both[1]}", expected)
+    if both := find_repeated(
+        (name, key) for name, each in organisations.items() for key in set(each.keys)
+    ):
+        expected = f"keys that belong to one organisation each, but {both[0]} has one of them"
+        raise DocumentError(PLAN_KEY, f"tenants.{both[1]}", expected)
--- a/gentianthread/state/fleet_plan.py
+++ b/gentianthread/state/fleet_plan.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from enum import Enum
+from typing import Any
 
 import attrs
 
@@ -40,6 +41,13 @@
     used: str | None
 
 
+def describe_replacement(value: Any) -> str:
+    """Return a value that applies in place of an unreadable one, as text for `PlanProblem`."""
+    if isinstance(value, RequestKind):
+        return value.value
+    return "none" if value is None else str(value)
+
+
 @attrs.frozen
 class WeightedService:
     """Assign a share of the requests of a route to one service.
