--- a/gentianthread/state/plan_diff.py
+++ b/gentianthread/state/plan_diff.py
@@ -69,8 +69,8 @@
             new_value = getattr(new[name], rule.attribute)
             if old_value != new_value:
                 change = (
-                    f"from {_format_value(rule.attribute, old_value)} "
-                    f"to {_format_value(rule.attribute, new_value)}"
+                    f"from {format_value(rule.attribute, old_value)} "
+                    f"to {format_value(rule.attribute, new_value)}"
                 )
                 yield f"{kind} {name}: {field} changes {change}"
         if kind == "key" and old[name] != new[name] and old[name].digest != new[name].digest:
@@ -84,7 +84,8 @@
             yield f"upstream {name}: fraction changes from {old:.2%} to {new:.2%}"
 
 
-def _format_value(attribute: str, value: Any) -> str:
+def format_value(attribute: str, value: Any) -> str:
+    """Return the value of an attribute as text, with the unit that its name states."""
     if isinstance(value, Priority):
         return value.name.lower()
     if isinstance(value, bool):
