Add gentianctl check-config

Cause: a mistake in the configuration document shows only in the logs of the nodes that read it. It exits with 0 without errors and warnings, with 1 for warnings and with 2 for errors. Keys are never printed. The verb is not `check`, which checks declarations of gentian-node.

--- a/gentianthread/commands/ctl.py
+++ b/gentianthread/commands/ctl.py
@@ -11,7 +11,15 @@
 
 from .. import __version__
 from ..coordination import operations
-from ..errors import BundleError, DeclarationErrors, PlatformUnavailable, PublishedVersionError
+from ..errors import (
+    BundleError,
+    DeclarationErrors,
+    DocumentError,
+    PlatformUnavailable,
+    PublishedVersionError,
+)
+from ..platform.plan_document import FIELD_NAMES, read_plan
+from ..state.plan_findings import FieldPaths, Severity
 
 EXIT_OK = 0
 EXIT_WRONG_CONTENT = 1
@@ -19,6 +27,10 @@
 EXIT_RISKY = 3
 EXIT_UNAVAILABLE = 4
 
+# Codes of `check-config`; both stop a pipeline, like the codes of the same numbers above.
+EXIT_WARNINGS = 1
+EXIT_ERRORS = 2
+
 _HELP = """Validate, compare and bundle declarations, create keys and inspect nodes.
 
 Declarations are a folder of INI files under version control. To publish a revision:
@@ -31,7 +43,10 @@
    declarations with a higher version.
 
 Exit codes: 0 success; 1 invalid declarations or bundle; 2 usage error; 3 risky changes
-(`diff --strict` only); 4 a node does not answer.
+(`diff --strict` only); 4 a node does not answer. `check-config` exits with 1 for
+warnings and 2 for errors.
+
+`gentianctl check-config FILE` checks the JSON document that sidecars read.
 
 `gentianctl --install-completion` installs completion for your shell.
 """
@@ -86,6 +101,54 @@
     return EXIT_RISKY if strict and revision.warnings else EXIT_OK
 
 
+@app.command(name="check-config")
+def check_config(
+    file: Path,
+    *,
+    against: Path | None = None,
+    regions: str | None = None,
+    as_json: Annotated[bool, Parameter(name="--json", negative="")] = False,
+) -> int:
+    """Check a configuration of sidecars before it is written to the metadata store.
+
+    Prints one line for each finding, the worst first. Exits with code 0 if there are none or only
+    notices, 1 if there are warnings and 2 if there are errors or a file cannot be read.
+
+    Parameters
+    ----------
+    file
+        The JSON document.
+    against
+        The document in force; the differences and the risky steps are reported too.
+    regions
+        Regions of all availability zones, with commas between, as the nodes' settings name them.
+    as_json
+        Print JSON.
+    """
+    known_regions = None if regions is None else [name.strip() for name in regions.split(",")]
+    try:
+        findings = operations.check_config(
+            file, read_plan, FieldPaths(FIELD_NAMES), against, known_regions
+        )
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return EXIT_ERRORS
+    except DocumentError as error:
+        print(f"{against}: {error}", file=sys.stderr)
+        return EXIT_ERRORS
+    counts = {level: sum(each.severity is level for each in findings) for level in Severity}
+    if as_json:
+        print(json.dumps(operations.describe_findings(findings), indent=2))
+    else:
+        for finding in findings:
+            print(finding)
+        summary = ", ".join(f"{count} {level.value}s" for level, count in counts.items())
+        print(f"{file}: {summary}")
+    if counts[Severity.ERROR]:
+        return EXIT_ERRORS
+    return EXIT_WARNINGS if counts[Severity.WARNING] else EXIT_OK
+
+
 @app.command
 def bundle(folder: Path, *, version: Annotated[int, Parameter(name="--version")], out: Path) -> int:
     """Write the values to publish, one file per key of the configuration service.
--- a/gentianthread/coordination/operations.py
+++ b/gentianthread/coordination/operations.py
@@ -4,7 +4,9 @@
 import hashlib
 import json
 import secrets
+from collections.abc import Callable, Iterable
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 import attrs
@@ -12,11 +14,13 @@
 from ..errors import (
     BundleError,
     DeclarationErrors,
+    DocumentError,
     FieldError,
     PlatformUnavailable,
     PublishedVersionError,
 )
-from ..ids import ConfigVersion
+from ..ids import ConfigVersion, RegionId
+from ..json_fields import names_used_twice
 from ..state.bundle import (
     HEAD_KEY,
     Bundle,
@@ -29,8 +33,20 @@
     part_key,
 )
 from ..state.declarations import read_folder
+from ..state.fleet_plan import FleetPlan
+from ..state.fleet_plan_diff import compare_with_force
 from ..state.plan import Plan
+from ..state.plan_checks import CheckInput, check_plan
 from ..state.plan_diff import PlanDiff, compare_plans
+from ..state.plan_findings import (
+    FieldPaths,
+    Finding,
+    invalid_document,
+    repeated_names,
+    sort_findings,
+    unreadable_values,
+    without_unreadable,
+)
 from ..state.plan_rules import valid_name
 
 # 32 random bytes make 43 URL-safe characters.
@@ -114,6 +130,67 @@
     return compare_plans(read_plan(before), read_plan(after))
 
 
+def check_config(
+    file: Path,
+    read: Callable[[bytes], FleetPlan],
+    paths: FieldPaths,
+    against: Path | None = None,
+    regions: Iterable[str] | None = None,
+) -> list[Finding]:
+    """Check a configuration document of the metadata store.
+
+    Args:
+        file: File with the document.
+        read: Decodes a document.
+        paths: Names of its fields.
+        against: File with the document in force, or None.
+        regions: Regions of all availability zones, or None if they are not known.
+
+    Returns:
+        The findings, the worst first.
+
+    Raises:
+        OSError: A file cannot be read.
+        DocumentError: The document in force is invalid.
+    """
+    data = file.read_bytes()
+    force = None if against is None else read(against.read_bytes())
+    try:
+        plan = read(data)
+    except DocumentError as error:
+        return [invalid_document(error, _json_or_none(data), paths)]
+    errors = [
+        *unreadable_values(plan, json.loads(data), paths),
+        *repeated_names(names_used_twice(data)),
+    ]
+    known_regions = None if regions is None else frozenset(map(RegionId, regions))
+    findings = without_unreadable(check_plan(CheckInput(plan, paths, known_regions)), errors)
+    if force is not None:
+        findings += compare_with_force(force, plan, paths)
+    return sort_findings([*errors, *findings])
+
+
+def _json_or_none(data: bytes) -> Any:
+    try:
+        return json.loads(data)
+    except (ValueError, RecursionError):
+        return None
+
+
+def describe_findings(findings: Iterable[Finding]) -> list[dict[str, str]]:
+    """Return findings as JSON values."""
+    return [
+        {
+            "severity": finding.severity.value,
+            "kind": finding.kind.value,
+            "field": finding.field,
+            "found": finding.found,
+            "expected": finding.expected,
+        }
+        for finding in findings
+    ]
+
+
 def write_bundle(folder: Path, version: int, out: Path) -> Bundle:
     """Write the values to publish as files in a folder, the head last.
 
