Say that a tenant which is no table stays as one without keys

Cause: the reader keeps such a tenant, so that routes are not opened, but its problem said that it was left out. Change: the problem names what is used.

--- a/gentianthread/platform/plan_document.py
+++ b/gentianthread/platform/plan_document.py
@@ -68,7 +68,7 @@
 }
 
 _PREFIX_FORM = "a path between slashes"
-_REFUSAL = "refusal of its requests"
+_REFUSAL, _KEYLESS = "refusal of its requests", "an organisation without keys"
 
 T = TypeVar("T")
 
@@ -132,7 +132,7 @@
             try:
                 items.append((name, table.table(name)))
             except DocumentError as error:
-                self._note(error, None)
+                self._note(error, _KEYLESS if section == "tenants" else None)
         return items
 
     def _unusable_name(self, section: str, name: str) -> DocumentError:
@@ -295,7 +295,7 @@
             organisations[organisation_id] = FleetOrganisation(organisation_id, ())
         for name, entry in entries:
             if not is_usable_text(name):
-                self._note(self._unusable_name("tenants", name), "an organisation without keys")
+                self._note(self._unusable_name("tenants", name), _KEYLESS)
                 continue
             has_priority = entry.values.get("priority") is not None
             organisations[OrganisationId(name)] = FleetOrganisation(
--- a/tests/commands/test_check_config.py
+++ b/tests/commands/test_check_config.py
@@ -53,6 +53,19 @@
         for text in ("error: routes.stock.kind", "'uplaod'", "one of", "non_idempotent"):
             self.assertIn(text, line)
 
+    def test_tenant_that_is_no_table(self):
+        """Guards against a statement that nodes leave it out, and against its text in the output.
+
+        Nodes keep it without keys: without any tenant, requests would need no key.
+        """
+        document = self.document()
+        document["tenants"]["other"] = "secret"
+        code, out = self.check(document)
+        self.assertEqual(ctl.EXIT_ERRORS, code)
+        self.assertIn("error: tenants.other: found a text", out)
+        self.assertIn("used instead: an organisation without keys", out)
+        self.assertNotIn("secret", out)
+
     def test_invalid_documents(self):
         """Guards against a document that all nodes refuse, with the entry that makes it so."""
         duplicate = self.document()
