Report the requests that an added route takes from another one

Cause: a new route with a longer prefix moves requests to its services, and was reported as an addition only. Change: the finding names the earlier route; it is a warning if the services differ.

--- a/gentianthread/state/fleet_plan_diff.py
+++ b/gentianthread/state/fleet_plan_diff.py
@@ -85,12 +85,13 @@
                 self._effect_of_removal(section, old[name]),
             )
         for name in sorted(new.keys() - old.keys()):
+            severity, effect = self._effect_of_addition(section, new[name])
             yield Finding(
-                Severity.NOTICE,
+                severity,
                 FindingKind.ADDED,
                 self._paths.path(section, name),
                 f"{kind} is added",
-                _NO_RISK,
+                effect,
             )
         for name in sorted(old.keys() & new.keys()):
             if section == "routes":
@@ -107,6 +108,15 @@
             routes[new_name if is_renamed else name] = route
         return routes
 
+    def _effect_of_addition(self, section: str, item: Any) -> tuple[Severity, str]:
+        """Return severity and effect; a route may take requests from one with a shorter prefix."""
+        earlier = self._force.match(item.host, item.prefix) if section == "routes" else None
+        if earlier is None:
+            return Severity.NOTICE, _NO_RISK
+        is_moved = earlier.service_weights != item.service_weights
+        effect = f"it takes requests from route {earlier.route_id}"
+        return Severity.WARNING if is_moved else Severity.NOTICE, effect
+
     def _effect_of_removal(self, section: str, item: Any) -> str:
         if section == "routes":
             return f"now {self._answer_at(item)}"
--- a/tests/state/test_fleet_plan_diff.py
+++ b/tests/state/test_fleet_plan_diff.py
@@ -52,6 +52,16 @@
         (found,) = self.compare(plan_of((ROUTE, wide)), plan_of((ROUTE,)))
         self.assertIn("404", found.expected)
 
+    def test_requests_that_an_added_route_takes(self):
+        """Guards against a new route with a longer prefix that moves requests unnoticed."""
+        wide = attrs.evolve(ROUTE, route_id=RouteId("wide"), prefix="/")
+        (found,) = self.compare(plan_of((wide,)), plan_of((wide, ROUTE)))
+        self.assertEqual(Severity.NOTICE, found.severity)
+        self.assertIn("from route wide", found.expected)
+        other = attrs.evolve(ROUTE, service_weights=(WeightedService(ORDERS, 1.0),))
+        (found,) = self.compare(plan_of((wide,)), plan_of((wide, other)))
+        self.assertEqual(Severity.WARNING, found.severity)
+
     def test_renamed_route(self):
         """Guards against a change of name, which callers do not notice, shown as a removal."""
         renamed = attrs.evolve(ROUTE, route_id=RouteId("store"))
