Split the modules of the sidecar, the forwarder and the target

Change: the state of a request and its attempts, the report of a sidecar and the classification of responses have modules of their own. Code is moved, not changed.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -21,7 +21,8 @@
 from ...transport.http_names import HOP_BY_HOP
 from ...transport.http_pipeline import BufferedRequest, BufferedResponse, DeliverResponse
 from .crash_reports import REASON_BLOCKED, CrashReports
-from .forwarding import Forwarder, PendingRequest
+from .forwarding import Forwarder
+from .pending_request import PendingRequest
 from .started_request import EntryReply, StartedRequest
 
 # Statuses by which callers learn that a request has not run, and send it again.
--- a/gentianthread/coordination/mesh/retry_budget.py
+++ b/gentianthread/coordination/mesh/retry_budget.py
@@ -13,7 +13,7 @@
 from ...state.target_runs import REASON_CALL_REFUSED, LeafServices, TargetRuns
 
 if TYPE_CHECKING:
-    from .forwarding import PendingRequest
+    from .pending_request import PendingRequest
 
 # Time between two log lines about the budget of one service.
 LOG_PERIOD_MS = 10_000.0
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -16,7 +16,7 @@
 )
 from ...ids import NodeIdentity, StartNumber, UpstreamId
 from ...logs import log
-from ...metrics_text import HistogramMetrics, format_prometheus
+from ...metrics_text import HistogramMetrics
 from ...protocol.dialect import dialects
 from ...protocol.messages_mesh import (
     CrashReport,
@@ -41,7 +41,6 @@
 from ...state.path_delay import PathDelays
 from ...state.placement import Placement
 from ...state.retry_window import FleetBudget
-from ...state.revisions import era_of, format_revision, number_of
 from ...transport.direct_websocket import DirectTransport
 from ...transport.http_pipeline import (
     BufferedRequest,
@@ -61,6 +60,7 @@
 from .peers import PeerLinks
 from .rates import RateCoordinator
 from .retry_budget import RetryBudget
+from .sidecar_report import describe_state, write_metrics
 from .target import LocalTarget
 from .transfer_log import log_transfer
 
@@ -358,88 +358,11 @@
         return BufferedResponse(404, [])
 
     def _write_metrics(self) -> bytes:
-        now_ms = self.clock.now_ms()
-        self.metrics.gauge("target.running", self.target.running)
-        self.metrics.gauge("target.queued", len(self.target.queue))
-        self.metrics.gauge("target.connections", self.pool.open_connections)
-        self.metrics.gauge("target.connections_opened", self.pool.dialled)
-        self.metrics.gauge("target.level", self.target.control.level)
-        self.metrics.gauge("target.limited_level", self.target.control.limited_level)
-        # -1 while the target names no limit, as a limit may be 0.
-        stated_limit_per_s = self.target.stated_limit.per_s
-        self.metrics.gauge(
-            "target.stated_limit_per_s", -1 if stated_limit_per_s is None else stated_limit_per_s
-        )
-        self.metrics.gauge("target.cold", int(self.target.health.warm_up.is_cold(now_ms)))
-        self.metrics.gauge("target.rate_limit_per_s", self.target.rate_limit.rate_per_s(now_ms))
-        self.metrics.gauge("target.throughput_per_s", self.target.capacity.throughput_per_s)
-        self.metrics.gauge("target.work_percent", self.target.capacity.pace.percent(now_ms))
-        self.metrics.gauge("target.invalid_load_figures", self.target.capacity.invalid_figures)
-        transfers = self.balancer.transfers.values()
-        self.metrics.gauge("zones.sent_elsewhere", sum(found.sent for found in transfers))
-        self.metrics.gauge("zones.saved_ms", sum(found.saved_ms for found in transfers))
-        self.metrics.gauge("entry.running", self.entry.running)
-        self.memory_report.write_metrics()
-        blocked = self.crash_reports.suspects.blocked_count(now_ms)
-        self.metrics.gauge("crashes.blocked_requests", blocked)
-        plan = self.follower.plan
-        self.metrics.gauge("plan.version", plan.version if plan else 0)
-        self.metrics.gauge("plan.unreadable_values", len(plan.problems) if plan else 0)
-        self.metrics.gauge("zones.evacuated", len(self.directory.evacuated_zones))
-        self.metrics.gauge("store.era", era_of(self.follower.revision))
-        self.metrics.gauge("store.revision", number_of(self.follower.revision))
-        self.metrics.gauge("peers.links", len(self.peers.links()))
-        return format_prometheus(self.metrics).encode()
+        return write_metrics(self)
 
     def describe(self) -> dict[str, Any]:
         """Return the state of the node for the dump."""
-        plan = self.follower.plan
-        now_ms = self.clock.now_ms()
-        return {
-            "host": self.settings.host,
-            "service": self.settings.service_id,
-            "leaving": self.leaving,
-            "draining": self.draining,
-            "plan": None if plan is None else plan.version,
-            "plan_problems": [] if plan is None else [each.field for each in plan.problems],
-            "revision": format_revision(self.follower.revision),
-            "evacuated_zones": sorted(self.directory.evacuated_zones),
-            "upstreams": [
-                {
-                    "upstream": entry.upstream_id,
-                    "service": entry.service_id,
-                    "host": entry.host,
-                    "state": entry.state.value,
-                    "reachable": self.peers.reachable(entry.host),
-                    "wait_ms": self.balancer.wait_ms(entry, now_ms),
-                }
-                for _, entry in sorted(self.directory.entries.items())
-            ],
-            "target": {
-                "running": self.target.running,
-                "queued": len(self.target.queue),
-                "limit": self.target.limit(),
-                "service_ms": self.target.capacity.service_ms,
-                "level": self.target.control.level,
-                "limited_level": self.target.control.limited_level,
-                "stated_limit_per_s": self.target.stated_limit.per_s,
-                "rate_limit_per_s": self.target.rate_limit.rate_per_s(now_ms),
-                **self.target.health.describe(now_ms),
-                "throughput_per_s": self.target.capacity.throughput_per_s,
-                "work_percent": self.target.capacity.pace.percent(now_ms),
-            },
-            "promised_return_ms": self.entry.return_times.waiting(now_ms),
-            "retry_budgets": self.retry_budget.describe(now_ms),
-            "path_ms": self.balancer.paths.describe(now_ms),
-            "memory": self.memory_report.describe(),
-            "elsewhere": {
-                service_id: found.describe(now_ms)
-                for service_id, found in sorted(self.balancer.transfers.items())
-            },
-            "blocked_requests": self.crash_reports.suspects.blocked_count(now_ms),
-            "counting": self.rate_sharing.counter_host,
-            "feed": {"sources": list(self.feeds.plan.sources), "watching": self.feeds.watching},
-        }
+        return describe_state(self)
 
     async def start(self) -> None:
         """Open the listeners and start the background tasks.
--- a/gentianthread/coordination/mesh/started_forward.py
+++ b/gentianthread/coordination/mesh/started_forward.py
@@ -12,7 +12,8 @@
 from .outcomes import unknown_answer
 
 if TYPE_CHECKING:
-    from .forwarding import Attempts, Forwarder
+    from .forwarding import Forwarder
+    from .pending_request import Attempts
 
 
 class StartedForward:
--- a/gentianthread/coordination/mesh/started_request.py
+++ b/gentianthread/coordination/mesh/started_request.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from .entry import Entry
-    from .forwarding import PendingRequest
+    from .pending_request import PendingRequest
 
 
 @attrs.define(eq=False)
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -20,11 +20,10 @@
 from ...state.target_limit import TargetLimit
 from ...state.target_runs import TargetRuns
 from ...state.work_queue import QueuedWork, WorkQueue
-from ...transport.header_fields import render_fields
-from ...transport.http_names import is_final_status
-from ...transport.target_pool import PooledResponse, ReusedConnectionLost, TargetPool
+from ...transport.target_pool import PooledResponse, TargetPool
 from .crash_reports import REASON_BLOCKED, CrashReports
 from .started_run import StartedRun
+from .target_answers import TargetAnswers
 from .target_evacuation import REASON_EVACUATED, TargetEvacuation
 from .target_health import TargetHealth
 from .target_log import TargetLog
@@ -47,9 +46,6 @@
 # Smallest change of the overload level that is logged: a quarter of one priority.
 LOGGED_LEVEL_STEP = 0.25
 
-# HTTP status of a target that did not run a request because its upstream id names another process.
-MISDIRECTED_REQUEST = 421
-
 
 class LocalTarget:
     """Admit requests to the target of this node and exchange them with it.
@@ -59,6 +55,8 @@
         queue: Requests that wait for a slot.
         control: Computes the overload level of the target.
         notices: What the target says of itself in its answers.
+        log: Logs rejections and stray bytes of the target.
+        low_latency: Low latency of recent successful requests.
         health: Whether the target is cold or gone.
         stated_limit: Limit of the request rate that it names.
         rate_limit: That limit and the one of a cold target.
@@ -101,15 +99,12 @@
         self.pool = pool
         self.crash_reports = crash_reports
         self.dialect = dialect
-        self._request_id_field = dialect.request_id.lower()
-        self._seal_field = dialect.seal.lower()
-        self._not_run_field = dialect.not_run.lower()
-        self._load_field = dialect.load.lower()
+        self._answers = TargetAnswers(self, dialect)
         self.clock = clock
         self.metrics = metrics
         self.decisions = decisions
-        self._log = TargetLog(service_id, clock, metrics)
-        pool.on_stray = self._log.record_stray
+        self.log = TargetLog(service_id, clock, metrics)
+        pool.on_stray = self.log.record_stray
         self._refuse_peers_from_ms = float("inf")
         self.running = 0
         # The sidecar replaces both once the forwarder exists.
@@ -130,7 +125,7 @@
         self.evacuation.on_evacuation_end = lambda: self.health.suspect("its evacuation has ended")
         self.runs = TargetRuns()
         self.capacity = MeasuredCapacity(clock.now_ms())
-        self._low_latency = LowLatency()
+        self.low_latency = LowLatency()
         self._logged_level = 0.0
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self._subscription = directory.changes.subscribe(lambda _: self._update_limit())
@@ -301,7 +296,7 @@
 
         A request is refused at once if its expected wait exceeds its share of the remaining time.
         """
-        low_latency_ms = self._low_latency.value_ms(now_ms)
+        low_latency_ms = self.low_latency.value_ms(now_ms)
         drop_at_ms = deadline_ms - low_latency_ms
         ahead = self.queue.ahead_of(request.inner, request.priority, drop_at_ms)
         wait_ms = self._expected_wait_ms(ahead + 1, now_ms)
@@ -446,71 +441,13 @@
 
     def unknown_answer(self, request: RunRequest, error: Exception) -> RunAnswer:
         """Return the answer for a request that was sent and got no response from the target."""
-        if isinstance(error, ConnectionLost):
-            self.crash_reports.record_loss(request)
-            self.health.record_loss()
-            self.metrics.count("target.lost")
-            on_kept = isinstance(error, ReusedConnectionLost)
-            outcome = RunOutcome.CONNECTION_LOST if on_kept else RunOutcome.UNKNOWN
-            return self._answer(outcome, error.problem)
-        if isinstance(error, TimeoutError):
-            return self._answer(RunOutcome.UNKNOWN, "no answer in time")
-        return self._answer(RunOutcome.UNKNOWN, "fault of the node")
+        return self._answers.unknown(request, error)
 
     def classify_answer(
         self, request: RunRequest, pooled: PooledResponse, started_ms: float
     ) -> RunAnswer:
-        """Classify a response of the target as an answer, a rejection or invalid.
-
-        Args:
-            request: The request.
-            pooled: The response.
-            started_ms: Time at which the request was sent.
-        """
-        self.health.record_answer(self.clock.now_ms())
-        answer, fields = pooled.response, pooled.fields
-        echoes_id = fields.get(self._request_id_field) == request.request_id
-        now_ms = self.clock.now_ms()
-        if echoes_id:
-            self.capacity.record_load(fields.get(self._load_field), self.running, now_ms)
-        is_final = is_final_status(answer.status)
-        is_rejection = is_final and self._is_rejection(answer.status, fields)
-        if is_rejection and (echoes_id or pooled.on_new_connection):
-            self.runs.end(request.request_id)
-            if answer.status == MISDIRECTED_REQUEST:
-                self.notices.record_misdirected(request, started_ms)
-            else:
-                self.notices.read(request, fields, started_ms)
-            self._log.record_rejection(request, pooled, started_ms)
-            return self._answer(RunOutcome.REJECTED, f"target answered {answer.status}")
-        has_seal = self._seal_field in fields
-        if not echoes_id or not is_final or (answer.status < 300 and not has_seal):
-            self.metrics.count("target.invalid_answers")
-            return self._answer(RunOutcome.UNKNOWN, "answer is not the target's own")
-        if has_seal:
-            self.notices.read(request, fields, started_ms)
-        else:
-            # A limit without the seal is not trusted, but leaving is passed on to the caller.
-            self.notices.read_leaving(request, fields, started_ms)
-        self.crash_reports.record_answer(request)
-        self.runs.end(request.request_id, answer.status)
-        took_ms = now_ms - started_ms
-        self.metrics.timing_ms("target.took_ms", took_ms)
-        self.health.record_latency(took_ms, now_ms)
-        self.capacity.record_answer(took_ms, now_ms)
-        if answer.status < 300:
-            self._low_latency.record(took_ms, now_ms)
-        self.metrics.count("target.answered")
-        error_reason = self.runs.error_reason(answer.status, started_ms)
-        run_answer = self._answer(RunOutcome.ANSWERED, error_reason)
-        run_answer.status, run_answer.body = answer.status, answer.body
-        run_answer.fields = render_fields(answer.headers)
-        return run_answer
-
-    def _is_rejection(self, status: int, fields: dict[str, str]) -> bool:
-        # Only an upstream that has run the request seals its answer.
-        is_misdirected = status == MISDIRECTED_REQUEST and self._seal_field not in fields
-        return is_misdirected or self._not_run_field in fields
+        """Classify a response of the target; see `TargetAnswers.classify`."""
+        return self._answers.classify(request, pooled, started_ms)
 
     def _handle_dial_error(self, request: RunRequest, error: DialError) -> RunAnswer:
         self.health.record_dial_failure()
@@ -527,7 +464,8 @@
             running=self.running,
             queued=len(self.queue),
         )
-        return self._answer(RunOutcome.NOT_SENT, reason)
+        return self.make_answer(RunOutcome.NOT_SENT, reason)
 
-    def _answer(self, outcome: RunOutcome, reason: str) -> RunAnswer:
+    def make_answer(self, outcome: RunOutcome, reason: str) -> RunAnswer:
+        """Return an answer with the present load, for the link to complete."""
         return RunAnswer(0, outcome, reason, 0, "", b"", self.load(), 0)
