--- a/tests/coordination/mesh/test_untrusted_callers.py
+++ b/tests/coordination/mesh/test_untrusted_callers.py
@@ -21,6 +21,8 @@
 BODY_CALLERS = 150
 CHUNK_CALLERS = 60
 SMALL_CHUNK_BODY_BYTES = 200_000
+LARGEST_BODY_BYTES = 64 * 1024 * 1024
+CALM_MEMORY_MB = 200
 SLOW_READERS = 40
 SLOW_ANSWER_BYTES = 4_000_000
 SLOW_BYTES_PER_S = 100_000
@@ -128,3 +130,18 @@
             add_slow_readers(crowd, host, "/stock/")
 
         await self.play(fill, ("orders", "catalogue"), work_ms=500.0)
+
+    async def test_largest_legal_body_in_calm(self):
+        """Guards against limits that refuse a single caller within the documented limits."""
+        limits = {"max_body_bytes": LARGEST_BODY_BYTES}
+        async with process_mesh(
+            ("orders", "catalogue"), memory_mb=CALM_MEMORY_MB, limits=limits
+        ) as mesh:
+            host = mesh.nodes[0].host
+            for path in ("/order/1", "/stock/1"):
+                for pieces in (1, 64):
+                    answer = await mesh.upload(host, sized(path, LARGEST_BODY_BYTES, 0, pieces))
+                    self.assertIn(b" 200 ", answer)
+            self.assertEqual([None, None], [node.process.returncode for node in mesh.nodes])
+            peaks_mb = [node.peak_mb for node in mesh.nodes]
+            self.assertLess(max(peaks_mb), CALM_MEMORY_MB)
--- a/tests/coordination/mesh/untrusted_callers.py
+++ b/tests/coordination/mesh/untrusted_callers.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import attrs
 import psutil
@@ -61,7 +62,7 @@
 [platform]
 address = {{store}}:{STORE_PORT}
 [limits]
-memory_mb = {MEMORY_MB}
+memory_mb = {{memory_mb}}
 max_fds = {MAX_FDS}
 """
 
@@ -108,19 +109,20 @@
 class ProcessMesh:
     """Run a store and targets in this process, and one sidecar process beside each target."""
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, memory_mb: int = MEMORY_MB):
         """Create a mesh that is not running yet."""
         self.folder = folder
+        self.memory_mb = memory_mb
         self.network = private_network()
         self.store = MeshStore(f"{self.network}.250")
         self.targets: list[MeshTarget] = []
         self.nodes: list[WatchedProcess] = []
         self._watches: list[asyncio.Task] = []
 
-    async def start(self, services: Iterable[str], work_ms: float) -> None:
+    async def start(self, services: Iterable[str], work_ms: float, **plan: Any) -> None:
         """Start one instance of each service and wait until all know each other."""
         await self.store.open()
-        self.store.put(PLAN_KEY, plan_document())
+        self.store.put(PLAN_KEY, plan_document(**plan))
         for index, service in enumerate(services):
             host = f"{self.network}.{index + 1}"
             target = MeshTarget(host, service, f"{service}-0", slots=64)
@@ -136,7 +138,11 @@
 
     async def _run(self, host: str, service: str) -> None:
         path = self.folder / f"{host}.ini"
-        path.write_text(SETTINGS.format(host=host, service=service, store=self.store.host))
+        path.write_text(
+            SETTINGS.format(
+                host=host, service=service, store=self.store.host, memory_mb=self.memory_mb
+            )
+        )
         with path.with_suffix(".log").open("wb") as output:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -172,6 +178,17 @@
         finally:
             writer.close()
 
+    async def upload(self, host: str, pieces: Iterable[bytes]) -> bytes:
+        """Send a request in pieces and return the first line of its answer."""
+        reader, writer = await asyncio.open_connection(host, OUTBOUND_PORT)
+        try:
+            for piece in pieces:
+                writer.write(piece)
+                await writer.drain()
+            return await reader.readuntil(b"\r\n")
+        finally:
+            writer.close()
+
     async def close(self) -> None:
         """End the processes and close everything."""
         for node in self.nodes:
@@ -186,17 +203,21 @@
 
 
 @asynccontextmanager
-async def process_mesh(services: Iterable[str], work_ms: float = 1.0) -> AsyncIterator[ProcessMesh]:
+async def process_mesh(
+    services: Iterable[str], work_ms: float = 1.0, memory_mb: int = MEMORY_MB, **plan: Any
+) -> AsyncIterator[ProcessMesh]:
     """Run a mesh of sidecar processes.
 
     Args:
         services: Service of each instance.
         work_ms: Time that a target takes for a request.
+        memory_mb: Memory of each process.
+        plan: Tables of the plan that replace the usual ones.
     """
     with tempfile.TemporaryDirectory() as folder:
-        mesh = ProcessMesh(Path(folder))
+        mesh = ProcessMesh(Path(folder), memory_mb)
         try:
-            await mesh.start(services, work_ms)
+            await mesh.start(services, work_ms, **plan)
             yield mesh
         finally:
             await mesh.close()
