Keep sending a response that its caller reads slowly

A response larger than the send buffer of the system leaves a rest in the transport. The system takes more of it only once a good part of its own buffer is free, several MB on loopback, so that the transport held the same number of bytes for longer than idle_timeout although the caller read all the time.

A caller that receives nothing at all for idle_timeout is still dropped.

The new test fails without the change: both the slow and the stopped reader are dropped.

--- a/gentianthread/transport/caller_connection.py
+++ b/gentianthread/transport/caller_connection.py
@@ -82,9 +82,9 @@
         # Whether the caller reads responses more slowly than they come, and what they hold.
         self._output_full = False
         self._output_bytes = 0
-        # Bytes that the transport held at the last sweep, and since when these are so many.
-        self._unsent_bytes = 0
-        self._unsent_since_ms = 0.0
+        # Bytes that the caller had not received at the last sweep, and since when they are as many.
+        self._unreceived_bytes = 0
+        self._unreceived_since_ms = 0.0
         # The request that is being received, and since when its head is incomplete.
         self._target = b""
         self._fields = HeaderFields()
@@ -467,16 +467,18 @@
         """Close the connection if it was idle, or refuse an incomplete head, after a timeout."""
         if self.transport is None:
             return
-        unsent_bytes = self.unsent_bytes()
-        if unsent_bytes:
-            # A slow reader has as much time as it needs; one that reads nothing at all is gone.
-            if unsent_bytes != self._unsent_bytes:
-                self._unsent_bytes, self._unsent_since_ms = unsent_bytes, now_ms
-            elif now_ms - self._unsent_since_ms > limits.idle_timeout_ms:
+        unreceived_bytes = self.unsent_bytes()
+        if unreceived_bytes:
+            # A slow reader has as much time as it needs; one that reads nothing at all is gone. The
+            # system takes bytes from the transport only once megabytes of its buffer are free.
+            unreceived_bytes += unacknowledged_bytes(self.transport.get_extra_info("socket"))
+            if unreceived_bytes != self._unreceived_bytes:
+                self._unreceived_bytes, self._unreceived_since_ms = unreceived_bytes, now_ms
+            elif now_ms - self._unreceived_since_ms > limits.idle_timeout_ms:
                 self._listener.record_refusal("response not read")
                 self.abort()
             return
-        self._unsent_bytes = 0
+        self._unreceived_bytes = 0
         if self._pending:
             return
         if self._lingering_since_ms is not None:
--- a/tests/transport/test_caller_memory.py
+++ b/tests/transport/test_caller_memory.py
@@ -203,3 +203,46 @@
 
         with asyncio.Runner(loop_factory=new_event_loop) as runner:
             runner.run(play())
+
+    def test_slow_reader_gets_all_and_one_that_reads_nothing_is_dropped(self):
+        """Guards against cutting a response whose rest stays in the transport between two reads.
+
+        The system takes more from the transport only once much of its own buffer is free.
+        """
+        case = ListenerCase("run")
+        size = 6 * MB
+
+        async def large(request):
+            return BufferedResponse(200, [], bytes(size))
+
+        async def play():
+            await case.open(handler=large, idle_timeout_ms=1_500)
+            _, stopped_writer = await case.connect()
+            stopped_writer.transport.pause_reading()
+            stopped_writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            slow = socket.socket()
+            # A small buffer, as bytes in the buffer of the reader are received for the system.
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+            slow.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(slow, ("127.0.0.1", case.listener.port))
+            await loop.sock_sendall(slow, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            received = 0
+            # Slowly for twice the timeout, which the rest in the transport does not change.
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                received += len(await loop.sock_recv(slow, 20_000))
+            self.assertEqual({"response not read": 1}, case.memory.refused)
+            self.assertEqual(1, len(case.listener.connections))
+            while received < size:
+                data = await loop.sock_recv(slow, MB)
+                self.assertTrue(data, received)
+                received += len(data)
+            slow.close()
+            stopped_writer.close()
+            await wait_until(lambda: not case.listener.connections)
+            self.assertEqual(0, case.memory.total_bytes)
+            await case.listener.close()
+
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(play())
