Start pipelined requests only as far as memory holds their responses

A pipelined request was admitted at the 2.5 KB of its head. Its response was charged once it was there, without a bound, and gives way to nothing if its caller reads slowly. Sixty connections with 64 requests each were admitted before anything was full. Their responses then took 6.8 times the capacity, and every other request was refused, those of new callers too.

A pipelined request now counts 64 KB more until its response is there, which also makes it a large one: the last part of the capacity is left to connections that hold nothing. While memory is short, a connection runs its requests one after the other, none while its output is full, and parses no further than the next one. What it has read beyond waits, unparsed and charged, and reading pauses. Long reads are parsed in pieces, since the requests in one read were started without a look at memory in between.

Three of the four new tests fail without the change; the fourth guards the order of closing.

--- a/gentianthread/transport/caller_connection.py
+++ b/gentianthread/transport/caller_connection.py
@@ -5,26 +5,21 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+from httptools import HttpParserError
 
-from ..errors import GentianError
 from ..state.fleet_plan import CallerLimits
-from ..state.memory_budget import (
-    FIELD_BYTES,
-    TEXT_BYTES_PER_BYTE,
-    MemoryOwner,
-    buffer_bytes,
-)
+from ..state.memory_budget import SMALL_HOLDER_BYTES, MemoryOwner, buffer_bytes
 from .header_fields import HeaderFields
 from .http_messages import (
     LARGE_BODY_BYTES,
     BufferedRequest,
     BufferedResponse,
     PendingResponse,
-    head_without_upgrade,
     serialize_response,
 )
 from .http_names import decode_text
+from .pipeline_backlog import PipelineBacklog
+from .request_receiver import MESSAGE_BYTES, LimitExceeded, RequestReceiver
 from .sockets import unacknowledged_bytes, unread_bytes
 
 if TYPE_CHECKING:
@@ -34,10 +29,15 @@
 MAX_PIPELINED_REQUESTS = 64
 
 # Reasons for which a connection reads no further bytes; a bit mask.
-PAUSED_BY_PIPELINE, PAUSED_BY_OUTPUT, PAUSED_BY_MEMORY = 1, 2, 4
+PAUSED_BY_PIPELINE, PAUSED_BY_OUTPUT, PAUSED_BY_MEMORY, PAUSED_BY_BACKLOG = 1, 2, 4, 8
+
+# Longest piece of received bytes that is parsed at once, and thus of the requests in it that start
+# before memory is looked at again.
+PARSED_BYTES = 16 * 1024
 
-# Memory of a request or a response beside its text and body.
-MESSAGE_BYTES = 2_048
+# Memory charged for the response of a pipelined request until it is there, as it may have to wait
+# for those before it. Longer responses of targets are read only while there is memory for them.
+RESPONSE_RESERVE_BYTES = SMALL_HOLDER_BYTES
 
 # Time for which the rest of a refused request is read and dropped. Closing the connection earlier
 # would reset it, and the caller might lose the response.
@@ -46,19 +46,8 @@
 # Range of the time in Retry-After for requests that are refused for lack of memory.
 RETRY_AFTER_RANGE_S = (0.5, 2.0)
 
-# Header field with which a caller waits for permission to send its body (RFC 9110, section 10.1.1).
-_EXPECT_FIELD = b"expect"
-
-
-class _LimitExceeded(GentianError):
-    """Report a request that exceeds a limit; it becomes the context of the parser's error."""
-
-    def __init__(self, status: int):
-        self.status = status
-        super().__init__()
-
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(RequestReceiver, asyncio.Protocol):
     """Read the requests of one connection and write their responses in order.
 
     Attributes:
@@ -69,12 +58,12 @@
     def __init__(self, listener: "PipelineListener"):
         """Create a connection that is not made yet."""
         self.transport: asyncio.Transport | None = None
+        super().__init__(listener.limits)
         self._listener = listener
         self._memory = listener.memory
-        self._limits = listener.limits()
-        self._parser = HttpRequestParser(self)
         self._pending: deque[PendingResponse] = deque()
-        self._closing = False
+        self._backlog = PipelineBacklog(self._memory)
+        self._advancing = False
         self._pauses = 0
         self.active_at_ms = listener.clock.now_ms()
         # Since when the connection only waits for its caller to close it.
@@ -85,18 +74,9 @@
         # Bytes that the caller had not received at the last sweep, and since when they are as many.
         self._unreceived_bytes = 0
         self._unreceived_since_ms = 0.0
-        # The request that is being received, and since when its head is incomplete.
-        self._target = b""
-        self._fields = HeaderFields()
-        self._body = bytearray()
-        self._head_bytes = 0
-        self._raw_head_bytes = 0
-        self._in_body = False
+        # Since when the head that is being received is incomplete.
         self._head_since_ms: float | None = None
-        self._expects_continue = False
         self._holds_incomplete = False
-        # Whether the parser reads the head of a request with an Upgrade field again.
-        self._replaying = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -115,6 +95,7 @@
         self._release_output()
 
     def _cancel_pending(self) -> None:
+        self._backlog.clear()
         pending, self._pending = self._pending, deque()
         for pending_response in pending:
             if pending_response.work is not None:
@@ -123,21 +104,26 @@
                 self._release(pending_response)
 
     def data_received(self, data: bytes) -> None:
-        """Parse bytes of requests, and charge the memory of an incomplete one."""
+        """Parse bytes of requests, or keep them while memory is short and others run."""
         if self._closing:
             return
-        now_ms = self._listener.clock.now_ms()
-        self.active_at_ms = now_ms
+        self.active_at_ms = self._listener.clock.now_ms()
+        memory = self._memory
+        if len(data) > PARSED_BYTES or self._backlog or memory.total_bytes > memory.short_bytes:
+            self._backlog.add_data(data)
+            self._advance()
+        else:
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes of requests, and charge the memory of an incomplete one."""
         pending_before = len(self._pending)
         try:
-            try:
-                self._parser.feed_data(data)
-            except HttpParserUpgrade as upgrade:
-                self._feed_without_upgrade(data[upgrade.args[0] :])
+            self._feed(data)
         except HttpParserError as error:
             if not self._closing:
                 cause = error.__context__
-                self._refuse(cause.status if isinstance(cause, _LimitExceeded) else 400)
+                self._refuse(cause.status if isinstance(cause, LimitExceeded) else 400)
             return
         if self._in_body or len(self._pending) > pending_before:
             self._head_since_ms = None
@@ -145,61 +131,13 @@
             # The parser buffers an incomplete field without reporting its size.
             self._raw_head_bytes += len(data)
             if self._head_since_ms is None:
-                self._head_since_ms = now_ms
+                self._head_since_ms = self._listener.clock.now_ms()
             if self._raw_head_bytes > self._limits.header_bytes:
                 self._refuse(431)
                 return
         if self._in_body or self._raw_head_bytes or self._head_bytes or self._holds_incomplete:
             self._charge_incomplete()
 
-    def _feed_without_upgrade(self, data: bytes) -> None:
-        """Parse the bytes after a head with an Upgrade field, which is not supported.
-
-        The library takes them for another protocol, the body of the request included.
-        """
-        while not self._closing:
-            head = head_without_upgrade(self._parser, self._fields)
-            self._parser, self._replaying = HttpRequestParser(self), True
-            self._parser.feed_data(head)
-            self._replaying = False
-            try:
-                self._parser.feed_data(data)
-            except HttpParserUpgrade as upgrade:
-                data = data[upgrade.args[0] :]
-            else:
-                return
-
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Start a request with the current limits."""
-        if self._replaying:
-            return
-        self._limits = self._listener.limits()
-        self._target, self._fields = b"", HeaderFields()
-        self._head_bytes = self._raw_head_bytes = 0
-        self._expects_continue = False
-
-    def on_url(self, url: bytes) -> None:
-        """Append bytes of the path and query."""
-        if self._replaying:
-            return
-        self._target += url
-        self._head_bytes += len(url)
-        if self._head_bytes > self._limits.header_bytes:
-            raise _LimitExceeded(431)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
-        if self._replaying:
-            return
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > self._limits.header_bytes:
-            raise _LimitExceeded(431)
-        self._fields.add(name, value)
-        if len(name) == len(_EXPECT_FIELD) and name.lower() == _EXPECT_FIELD:
-            self._expects_continue = value.lower() == b"100-continue"
-
     def on_headers_complete(self) -> None:
         """Send an interim response 100 if the caller waits for it before its body."""
         if self._parser.should_upgrade() and not self._is_tunnel():
@@ -209,16 +147,6 @@
         if self._expects_continue and not self._pending:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _is_tunnel(self) -> bool:
-        return self._parser.get_method() == b"CONNECT"
-
-    def on_body(self, data: bytes) -> None:
-        """Append bytes of the body."""
-        # Chunks are not kept apart, as each would be an object of its own.
-        self._body += data
-        if len(self._body) > self._limits.body_bytes:
-            raise _LimitExceeded(413)
-
     def on_message_complete(self) -> None:
         """Start the work for the request."""
         upgrades = self._parser.should_upgrade()
@@ -236,9 +164,8 @@
         if self._holds_incomplete:
             self._holds_incomplete = False
             self._memory.end_incomplete(self)
-        memory = self._memory
         pending.held_bytes = self._head_cost_bytes() + len(body)
-        memory.charge(MemoryOwner.WAITING, self, pending.held_bytes)
+        self._memory.charge(MemoryOwner.WAITING, self, pending.held_bytes)
         request = BufferedRequest(
             method,
             decode_text(self._target),
@@ -250,20 +177,65 @@
         if closes:
             # The bytes after this request are ignored.
             self._closing = True
+        if self._backlog.requests or not self._may_start(pending):
+            self._backlog.add_request(pending, request)
+            self._pause(PAUSED_BY_BACKLOG)
+            return
+        self._start(pending, request)
+        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            self._pause(PAUSED_BY_PIPELINE)
+
+    # Pipelined requests. Each of them may leave a response that a slow reader makes wait. While
+    # memory is short, a connection therefore runs its requests one after the other.
+
+    def _may_start(self, pending: PendingResponse) -> bool:
+        memory = self._memory
+        if pending is not self._pending[0]:
+            return memory.total_bytes + RESPONSE_RESERVE_BYTES <= memory.short_bytes
+        return not self._output_full or memory.total_bytes <= memory.short_bytes
+
+    def _start(self, pending: PendingResponse, request: BufferedRequest) -> None:
+        memory = self._memory
+        if pending is not self._pending[0] or self.unsent_bytes():
+            # Also makes the request a large one, so that the last part of the capacity is left to
+            # connections that hold nothing.
+            pending.held_bytes += RESPONSE_RESERVE_BYTES
+            memory.charge(MemoryOwner.WAITING, self, RESPONSE_RESERVE_BYTES)
         if memory.total_bytes > memory.short_bytes and not self._listener.admits(
             self, pending.held_bytes
         ):
             self._set_response(pending, self._out_of_memory())
             return
         pending.work = self._listener.start(request, partial(self._set_response, pending))
-        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-            self._pause(PAUSED_BY_PIPELINE)
 
-    # Memory.
+    def _advance(self) -> None:
+        """Start deferred requests and parse deferred bytes, as far as memory allows it."""
+        if self._advancing or self.transport is None or self.transport.is_closing():
+            return
+        backlog = self._backlog
+        self._advancing = True
+        try:
+            while backlog and self.transport is not None:
+                if backlog.requests:
+                    if not self._may_start(backlog.requests[0][0]):
+                        break
+                    self._start(*backlog.requests.popleft())
+                elif self._closing:
+                    backlog.clear()
+                elif len(self._pending) >= MAX_PIPELINED_REQUESTS:
+                    break
+                else:
+                    one_request = self._memory.is_short() and not self._in_body
+                    self._parse(backlog.take_data(PARSED_BYTES, one_request))
+        finally:
+            self._advancing = False
+            backlog.charge_data()
+        if backlog:
+            self._pause(PAUSED_BY_BACKLOG)
+        else:
+            self._resume(PAUSED_BY_BACKLOG)
 
-    def _head_cost_bytes(self) -> int:
-        field_count = len(self._fields.pairs)
-        return MESSAGE_BYTES + field_count * FIELD_BYTES + self._head_bytes * TEXT_BYTES_PER_BYTE
+    # Memory.
 
     def _charge_incomplete(self) -> None:
         """Charge the request that is being received, and give way if memory is short."""
@@ -397,6 +369,8 @@
                 return
         if self._pauses and len(self._pending) < MAX_PIPELINED_REQUESTS:
             self._resume(PAUSED_BY_PIPELINE)
+        if self._backlog:
+            self._advance()
 
     def _is_last_request(self) -> bool:
         """Return whether no further request has come, which would be left without a response."""
--- a/tests/transport/test_caller_memory.py
+++ b/tests/transport/test_caller_memory.py
@@ -167,6 +167,105 @@
         await self.listener.close()
 
 
+class TestPipeliningSlowReaders(ListenerCase):
+    REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def answer_slowly(self, request):
+        self.running += 1
+        self.max_running = max(self.running, self.max_running)
+        await asyncio.sleep(0.1)
+        self.running -= 1
+        self.requests.append(request.target)
+        return BufferedResponse(200, [], b"ok" if request.target == "/ok" else bytes(60_000))
+
+    async def open_slow(self, capacity_bytes):
+        self.running = self.max_running = 0
+        await self.open(capacity_bytes=capacity_bytes, handler=self.answer_slowly)
+
+    async def test_ordinary_caller_is_answered_beside_them(self):
+        """Guards against responses that fill the memory, as pipelined requests start without it."""
+        await self.open_slow(8 * MB)
+        crowd = []
+        for _ in range(60):
+            reader, writer = await self.connect(receive_bytes=4_096)
+            reader._transport.pause_reading()
+            writer.write(self.REQUEST * 64)
+            crowd.append(writer)
+        statuses = []
+        for _ in range(10):
+            await asyncio.sleep(0.2)
+            reader, writer = await self.connect()
+            writer.write(b"GET /ok HTTP/1.1\r\nHost: a\r\n\r\n")
+            statuses.append((await self.read_response(reader))[0])
+            writer.close()
+        self.assertEqual([200] * 10, statuses)
+        self.assertLess(self.memory.peak_bytes, self.memory.capacity_bytes)
+        for writer in crowd:
+            writer.transport.abort()
+        await wait_until(lambda: not self.listener.connections)
+        self.assertEqual(0, self.memory.total_bytes)
+        await self.listener.close()
+
+    async def test_deferred_requests_are_all_answered_in_order(self):
+        """Guards against requests that are lost, or run twice, once they have waited for memory."""
+        await self.open_slow(MB)
+        reader, writer = await self.connect()
+        expected = [f"/{number}" for number in range(40)]
+        data = b"".join(
+            b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nsome text" % number
+            for number in range(40)
+        )
+        # In two pieces that end within a request.
+        writer.write(data[:1_000])
+        await asyncio.sleep(0.02)
+        writer.write(data[1_000:])
+        for _ in expected:
+            status, _, body = await self.read_response(reader)
+            self.assertEqual((200, 60_000), (status, len(body)))
+        self.assertEqual(sorted(expected), sorted(self.requests))
+        # Half of the capacity, in which each response counts as 64 KB.
+        self.assertLessEqual(self.max_running, 9)
+        self.assertGreater(self.max_running, 4)
+        await wait_until(lambda: not self.memory.total_bytes)
+        writer.write(self.REQUEST)
+        self.assertEqual(200, (await self.read_response(reader))[0])
+        writer.close()
+        await self.listener.close()
+
+    async def test_request_that_closes_is_the_last_one_after_a_wait(self):
+        """Guards against running what follows the last request, and against cutting it off."""
+        await self.open_slow(MB)
+        reader, writer = await self.connect()
+        writer.write(self.REQUEST * 20)
+        writer.write(b"GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        writer.write(self.REQUEST * 20)
+        for _ in range(21):
+            status, fields, _ = await self.read_response(reader)
+            self.assertEqual(200, status)
+        self.assertEqual("close", fields["connection"])
+        self.assertEqual(b"", await reader.read())
+        self.assertEqual((21, "/last"), (len(self.requests), self.requests[-1]))
+        await wait_until(lambda: not self.listener.connections)
+        self.assertEqual(0, self.memory.total_bytes)
+        await self.listener.close()
+
+    async def test_requests_that_wait_end_with_their_connection(self):
+        """Guards against running all requests, or holding their memory, after their caller left.
+
+        Reading is paused, so that only the first response shows that the caller is gone.
+        """
+        await self.open_slow(MB)
+        _, writer = await self.connect()
+        writer.write(self.REQUEST * 1_000)
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await wait_until(lambda: not self.listener.connections)
+        self.assertEqual(0, self.memory.total_bytes)
+        await asyncio.sleep(0.3)
+        self.assertLess(len(self.requests), 32)
+        await self.listener.close()
+
+
 class TestSlowReaders(TestCase):
     """Run on the event loop of the sidecar, whose transports write without copies."""
 
