Cancel transfers of a silent link at the peer

When a link went silent during the transfer of a large body, the node dropped its side without a word. If the link recovered by a late answer to a probe, the peer kept its side for as long as the link existed: a whole answer, charged and counted as unsent, so that a planned stop waited for it, or the received part of a request.

The node now sends CancelRun for each call that it gives up while its transfer is under way.

Each end numbers its own calls, but cancelling a call dropped bodies of both directions. Requests use dialled links only, so that nothing collided. Cancelling now says whose call it is, so that a request cannot lose its body and run without it.

--- a/gentianthread/coordination/mesh/body_transfers.py
+++ b/gentianthread/coordination/mesh/body_transfers.py
@@ -280,6 +280,12 @@
         if body is not None:
             self._intake.receive(body, part.data)
 
+    def add_body(self, message: RunRequest | RunAnswer) -> None:
+        """Add the body that was received for a message, if it has a large one."""
+        body = self.take(message.call, of_answer=isinstance(message, RunAnswer))
+        if body is not None:
+            message.body = body
+
     def take(self, call: int, of_answer: bool) -> bytearray | None:
         """Return the complete body that was received for a message, if it has a large one."""
         body = self.incoming.pop((call, of_answer), None)
@@ -302,20 +308,31 @@
         """Return whether no body is being sent or received."""
         return not self._outgoing and not self.incoming
 
-    def cancel(self, call: int) -> bool:
-        """Drop the bodies of a call that is no longer wanted, in either direction.
+    def cancel_own(self, call: int) -> bool:
+        """Drop the bodies of a call of this node, which is no longer wanted or was answered.
 
         Returns:
-            Whether the call is a request that was not sent, as its body was not sent completely.
+            Whether the request was not sent, as its body was not sent completely.
         """
         was_unsent = (call, False) in self._outgoing
-        for key in ((call, False), (call, True)):
-            self._drop_outgoing(key)
-            body = self.incoming.pop(key, None)
-            if body is not None:
-                self._intake.end(body)
+        self._drop_outgoing((call, False))
+        self._drop_incoming((call, True))
         return was_unsent
 
+    def cancel_of_peer(self, call: int) -> None:
+        """Drop the bodies of a call of the peer. Each end numbers its own calls."""
+        self._drop_incoming((call, False))
+        self._drop_outgoing((call, True))
+
+    def has_body(self, call: int) -> bool:
+        """Return whether a body of a call of this node is being sent or received."""
+        return (call, False) in self._outgoing or (call, True) in self.incoming
+
+    def _drop_incoming(self, key: BodyKey) -> None:
+        body = self.incoming.pop(key, None)
+        if body is not None:
+            self._intake.end(body)
+
     def close(self) -> None:
         """Drop all bodies."""
         for key in list(self._outgoing):
--- a/gentianthread/coordination/mesh/peer_link.py
+++ b/gentianthread/coordination/mesh/peer_link.py
@@ -218,14 +218,17 @@
     def cancel(self, number: int) -> None:
         """Ask the peer to stop a request that is not yet answered."""
         if self._calls.pop(number, None) is not None and not self.closed:
-            self._transfers.cancel(number)
+            self._transfers.cancel_own(number)
             self.post(CancelRun(number))
 
     def _fail_calls(self, calls: list[PeerCall], error: Exception) -> None:
         for call in calls:
             # An earlier callback may have cancelled this call.
             if self._calls.pop(call.number, None) is not None:
-                was_unsent = self._transfers.cancel(call.number)
+                if not self.closed and self._transfers.has_body(call.number):
+                    # The link may recover, and the peer would keep its part of the transfer.
+                    self.post(CancelRun(call.number))
+                was_unsent = self._transfers.cancel_own(call.number)
                 call.on_end(PeerUnreachable(UpstreamId(self.host)) if was_unsent else error)
 
     def start(self) -> None:
@@ -357,23 +360,19 @@
             self._record_answer()
             self._owner.on_revision(self, message.revision)
             if not self._transfers.is_idle:
-                body = self._transfers.take(message.call, of_answer=True)
-                if body is not None:
-                    message.body = body
+                self._transfers.add_body(message)
                 # The peer may refuse a request before its body is sent.
-                self._transfers.cancel(message.call)
+                self._transfers.cancel_own(message.call)
             call = self._calls.pop(message.call, None)
             if call is not None:
                 call.on_end(message)
         elif isinstance(message, RunRequest):
             self._owner.on_revision(self, message.revision)
             if self._transfers.incoming:
-                body = self._transfers.take(message.call, of_answer=False)
-                if body is not None:
-                    message.body = body
+                self._transfers.add_body(message)
             self._start_run(message)
         elif isinstance(message, CancelRun):
-            self._transfers.cancel(message.call)
+            self._transfers.cancel_of_peer(message.call)
             run = self._end_run(message.call)
             if run is not None:
                 run.cancel()
--- a/tests/coordination/mesh/test_body_transfers.py
+++ b/tests/coordination/mesh/test_body_transfers.py
@@ -147,7 +147,8 @@
                 self.receive(message)
         self.assertGreater(self.memory.sum_of(MemoryOwner.LINK_IN), 0)
         for transfers in (self.sender, self.receiver):
-            transfers.cancel(1)
+            transfers.cancel_own(1)
+            transfers.cancel_of_peer(1)
             transfers.close()
         self.assertEqual((0, 0), (self.memory.total_bytes, self.sender_memory.total_bytes))
         self.assertEqual([], self.sender.next_parts(MB))
@@ -161,11 +162,34 @@
             self.sender.offer(make_request(call, 4 * MB))
         self.sender.on_credit(BodyCredit(2, False, 4 * MB))
         self.assertIsInstance(self.sender.next_parts(5 * MB)[-1], RunRequest)
-        self.assertEqual((True, False), (self.sender.cancel(1), self.sender.cancel(2)))
+        self.assertEqual((True, False), (self.sender.cancel_own(1), self.sender.cancel_own(2)))
         self.assertFalse(self.sender.has_answers)
         self.sender.offer(make_answer(3, MB))
         self.assertTrue(self.sender.has_answers)
 
+    async def test_calls_of_both_ends_with_the_same_number_are_told_apart(self):
+        """Guards against dropping the body of a request, which would then run without one."""
+        self.connect()
+        self.sender.offer(make_request(1, MB))
+        self.sender.offer(make_answer(1, MB))
+        for message in [*self.to_receiver]:
+            self.receive(message)
+        self.sender.cancel_of_peer(1)
+        self.assertEqual((True, False), (self.sender.has_body(1), self.sender.has_answers))
+        self.receiver.cancel_own(1)
+        self.assertEqual([(1, False)], list(self.receiver.incoming))
+        self.to_receiver.clear()
+        self.exchange()
+        self.assertEqual([(1, MB)], [(each.call, len(each.body)) for each in self.received])
+        self.sender.offer(make_request(2, MB))
+        self.sender.offer(make_answer(2, MB))
+        for message in [*self.to_receiver]:
+            self.receive(message)
+        self.assertTrue(self.sender.cancel_own(2))
+        self.assertEqual((False, True), (self.sender.has_body(2), self.sender.has_answers))
+        self.receiver.cancel_of_peer(2)
+        self.assertEqual([(2, True)], list(self.receiver.incoming))
+
     async def test_sender_that_exceeds_its_permission_is_refused(self):
         """Guards against a peer that ignores flow control."""
         self.connect()
--- a/tests/coordination/mesh/test_peer_link.py
+++ b/tests/coordination/mesh/test_peer_link.py
@@ -23,6 +23,7 @@
     RunRequest,
 )
 from gentianthread.state.balancer import LoadReport
+from gentianthread.state.memory_budget import MemoryBudget
 
 from ...base import VirtualTimeTestCase
 
@@ -366,3 +367,91 @@
         self.answer(1)
         self.assertEqual(200, (await call).status)
         await self.links.close()
+
+
+class DelayedPipe(FakeConnection):
+    """Deliver messages to the other end after 1 ms, or only once it is no longer paused."""
+
+    def __init__(self):
+        super().__init__()
+        self.other = None
+        self.paused = False
+        self.delayed = []
+
+    def post(self, data):
+        asyncio.get_running_loop().call_later(0.001, self.other.arrive, data)
+
+    def arrive(self, data):
+        if self.paused:
+            self.delayed.append(data)
+        elif not self.aborted:
+            self.receive(data)
+
+    def resume(self):
+        self.paused = False
+        delayed, self.delayed = self.delayed, []
+        for data in delayed:
+            self.arrive(data)
+
+
+class TestTransferOverSilentLink(VirtualTimeTestCase):
+    async def open_node(self, host, number):
+        clock = LoopClock()
+        memory = MemoryBudget(float("inf"), clock.now_ms)
+        identity = NodeIdentity(UpstreamId(host), AvailabilityZoneId("a"), StartNumber(number))
+        links = PeerLinks(
+            identity, b"", 7000, UnreachableTransport(), clock, MemoryMetrics(), Random(1), memory
+        )
+        await links.open(host, 7000)
+        links.make_probe = lambda number=0, answers=0: Probe(0, False, number, answers)
+        links.revision = lambda: 0
+        links.on_revision = lambda link, revision: None
+        links.is_in_other_zone = lambda host: False
+        return links
+
+    async def transfer(self, request_bytes, answer_bytes):
+        """Let a link go silent during a transfer, and recover; return both nodes' links."""
+        caller = await self.open_node("10.0.0.1", 1)
+        peer = await self.open_node("10.0.0.2", 2)
+        ends = DelayedPipe(), DelayedPipe()
+        ends[0].other, ends[1].other = ends[1], ends[0]
+        link = PeerLink("10.0.0.2", ends[0], caller, dialled=True)
+        peer_link = PeerLink("10.0.0.1", ends[1], peer, dialled=False)
+        for owner, each in ((caller, link), (peer, peer_link)):
+            owner._register(each)
+            each.start()
+
+        async def runner(request):
+            self.bodies_run.append(len(request.body))
+            body = bytes(answer_bytes)
+            return RunAnswer(0, RunOutcome.ANSWERED, "", 200, "", body, NO_LOAD, 0)
+
+        peer.runner, peer.starter = runner, lambda request, deliver: None
+        self.bodies_run, results = [], []
+        fields = (0, "catalogue", "i-1", "", 0, False, True, False, 9_000.0, "a", "POST", "/")
+        link.begin(RunRequest(*fields, "", bytes(request_bytes), 0), results.append)
+        await asyncio.sleep(0.0075)
+        ends[0].paused = True
+        await asyncio.sleep((SILENT_AFTER_MS + 300) / 1000)
+        self.assertEqual((True, 1), (link.silent, len(results)))
+        self.assertIsInstance(results[0], ConnectionLost | PeerUnreachable)
+        ends[0].resume()
+        await asyncio.sleep(1)
+        self.assertEqual((False, False), (link.silent, link.closed))
+        return caller, peer
+
+    async def check_nothing_is_held(self, caller, peer):
+        self.assertEqual((0, 0), (caller.memory.total_bytes, peer.memory.total_bytes))
+        self.assertFalse(peer.busy)
+        for links in (caller, peer):
+            await links.close()
+
+    async def test_peer_drops_an_answer_that_nobody_waits_for(self):
+        """Guards against answers that stay charged for as long as a link exists that recovered."""
+        await self.check_nothing_is_held(*await self.transfer(10, 8 * 1024 * 1024))
+        self.assertEqual([10], self.bodies_run)
+
+    async def test_peer_drops_a_request_whose_rest_never_comes(self):
+        """Guards against half requests that stay charged, or run, after a link has recovered."""
+        await self.check_nothing_is_held(*await self.transfer(8 * 1024 * 1024, 10))
+        self.assertEqual([], self.bodies_run)
