Send no health checks while a node drains

A check counts as a request that runs at the target, so that a planned stop waited for it, and for the repeated ones while the target was unreachable. Once draining has begun, none is sent.

Measured: the new test fails without the change and passes with it.

--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -110,7 +110,7 @@
         self.decisions = decisions
         self._log = TargetLog(service_id, clock, metrics)
         pool.on_stray = self._log.record_stray
-        self._refuse_peers_from_ms = float("inf")
+        self._draining, self._refuse_peers_from_ms = False, float("inf")
         self.running = 0
         # The sidecar replaces both once the forwarder exists.
         self.dependency_level: Callable[[], tuple[float, float]] = lambda: (0.0, 0.0)
@@ -126,7 +126,7 @@
         self.health.reserve, self.health.release = self._reserve_check, self._release_check
         self.health.on_change = self._on_limit_change
         self.rate_limit = TargetLimit(self.stated_limit, self.health.warm_up)
-        self.health.may_check = lambda: not self.evacuation.in_force
+        self.health.may_check = lambda: not (self.evacuation.in_force or self._draining)
         self.evacuation.on_evacuation_end = lambda: self.health.suspect("its evacuation has ended")
         self.runs = TargetRuns()
         self.capacity = MeasuredCapacity(clock.now_ms())
@@ -186,12 +186,12 @@
         )
 
     def refuse_peers(self, from_ms: float) -> None:
-        """Refuse new requests of peers from a time on; those already accepted continue.
+        """Refuse new requests of peers from a time on, and send no more health checks.
 
         Args:
             from_ms: Clock time in ms.
         """
-        self._refuse_peers_from_ms = from_ms
+        self._draining, self._refuse_peers_from_ms = True, from_ms
 
     async def run(self, request: RunRequest) -> RunAnswer:
         """Run a request of a peer, or of this node if its `call` is 0, and return its answer."""
--- a/tests/coordination/mesh/test_cold_mesh.py
+++ b/tests/coordination/mesh/test_cold_mesh.py
@@ -125,6 +125,22 @@
         self.assertEqual([200] * 10, await self.send("orders-0", 10))
         await self.stop()
 
+    async def test_node_that_drains_sends_no_checks(self):
+        """Guards against a planned stop that waits for health checks, which count as requests."""
+        await self.start_cold({"catalogue": 1})
+        sidecar, target = self.sidecar("catalogue-0"), self.target("catalogue-0")
+        sidecar.begin_draining()
+        checks, attempts = target.checks, sidecar.metrics.counters["target.health_checks"]
+        # The target is unreachable at first, so that a check would be repeated.
+        await target.crash(0.2)
+        sidecar.target.health.suspect("test")
+        for _ in range(50):
+            await asyncio.sleep(0.01)
+            self.assertFalse(sidecar.busy)
+        self.assertEqual(checks, target.checks)
+        self.assertEqual(attempts, sidecar.metrics.counters["target.health_checks"])
+        await self.stop()
+
     async def test_new_settings_apply_without_a_restart(self):
         """Guards against a bound that stays at its old value until the process starts again."""
         await self.start_cold({"catalogue": 1})
