--- a/tests/coordination/mesh/cold_fleet.py
+++ b/tests/coordination/mesh/cold_fleet.py
@@ -17,7 +17,8 @@
 from gentianthread.state.balancer import Balancer
 from gentianthread.state.directory import Directory, UpstreamEntry
 from gentianthread.state.fleet_plan import FleetService
-from gentianthread.state.overload_level import KnownLevels
+from gentianthread.state.overload_level import KnownLevels, rank_of
+from gentianthread.state.return_times import ReturnTimes
 from gentianthread.transport.http_pipeline import BufferedResponse
 from gentianthread.transport.target_pool import PooledResponse
 
@@ -191,7 +192,8 @@
         self.nodes, self.tasks = [None] * count, [None] * count
         self.metrics = HistogramMetrics()
         self.balancer = Balancer(AvailabilityZoneId("a"), self.clock.now_ms, self.random)
-        self.levels = KnownLevels(self.random)
+        self.levels = KnownLevels()
+        self.return_times = ReturnTimes(self.random)
         self._numbers = 0
         for number, target in enumerate(self.targets):
             target.on_start = lambda number=number: self._list_later(number)
@@ -267,7 +269,8 @@
         now_ms = self.clock.now_ms()
         pool = self.directory.ready(SERVICE_ID)
         fraction = self.levels.refused_fraction(SERVICE_ID, 1, 1, now_ms, len(pool))
-        if self.levels.refuses(fraction):
+        draw = self.return_times.draw(SERVICE_ID, 1, now_ms)
+        if draw < fraction:
             served.refused += 1
             return
         tried = set()
@@ -276,7 +279,7 @@
             if entry is None:
                 break
             tried.add(entry.upstream_id)
-            answer = await self._attempt(entry)
+            answer = await self._attempt(entry, rank_of(1, 1, draw))
             if answer.outcome is RunOutcome.ANSWERED:
                 served.answered += 1
                 return
@@ -285,17 +288,24 @@
                 return
         served.refused += 1
 
-    async def _attempt(self, entry):
+    async def _attempt(self, entry, rank):
         self._numbers += 1
         number = int(entry.upstream_id.partition("-")[2].partition("-")[0])
         head = (self._numbers, SERVICE_ID, entry.upstream_id, "", 1, False, True, True, 1_500.0)
-        request = RunRequest(*head, f"r{self._numbers}", "GET", f"/{self._numbers}", "", b"", 0)
+        request = RunRequest(
+            *head, f"r{self._numbers}", "GET", f"/{self._numbers}", "", b"", 0, rank=rank
+        )
         self.balancer.record_sent(entry.upstream_id)
         answer = await self.nodes[number].run(request)
         self.balancer.record_ended(entry.upstream_id, answer.load)
         load = answer.load
         self.levels.record(
-            SERVICE_ID, entry.upstream_id, load.level, self.clock.now_ms(), load.rate_per_s
+            SERVICE_ID,
+            entry.upstream_id,
+            load.level,
+            self.clock.now_ms(),
+            load.rate_per_s,
+            load.limited_level,
         )
         if answer.outcome is RunOutcome.ANSWERED:
             self.balancer.record_success(entry.upstream_id)
