Name the field of the remaining cold time once, and reword seven docstrings

Cause: the stand-in spelled a field of the platform itself; some docstrings opened with unusual verbs. Change: a constant of the adapter, and the field's usual verbs. No behaviour changes.

--- a/gentianthread/coordination/mesh/evacuation_documents.py
+++ b/gentianthread/coordination/mesh/evacuation_documents.py
@@ -107,7 +107,7 @@
         self.evacuations.note_complete_read(revision)
 
     def send_known(self, link: PeerLink) -> None:
-        """Tell a node what is known of each zone; called as they begin to follow each other."""
+        """Send a node what is known of each zone; called as they begin to follow each other."""
         records = tuple(self.evacuations.records())
         if records:
             link.post(EvacuationRecords(records))
--- a/gentianthread/coordination/mesh/retry_budget.py
+++ b/gentianthread/coordination/mesh/retry_budget.py
@@ -20,7 +20,7 @@
 
 
 class RetryBudget:
-    """Hold the retry windows of a node, and find out which repeats count at which service.
+    """Store the retry windows of a node, and find out which repeats count at which service.
 
     Attributes:
         leaf_services: Services that make no calls.
--- a/gentianthread/platform/documents.py
+++ b/gentianthread/platform/documents.py
@@ -12,6 +12,7 @@
 
 UPSTREAM_PREFIX = "servers/"
 EVACUATION_PREFIX = "op/evacuate/"
+WARM_UP_LEFT_FIELD = "warmup_left"
 
 _PORT = re.compile(r"\d{1,5}", re.ASCII)
 # Ids are sent to targets as the value of a header field.
@@ -41,7 +42,7 @@
         AvailabilityZoneId(table.text("zone")),
         max(1, table.integer("slots")),
         table.choice("state", _UPSTREAM_STATES),
-        table.duration_ms("warmup_left", 0.0),
+        table.duration_ms(WARM_UP_LEFT_FIELD, 0.0),
         # Wall clock of the upstream's start; older upstreams do not write this field.
         table.integer("born", 0),
         table.integer("sequence", 0),
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -354,7 +354,7 @@
 @message(120)
 @attrs.frozen
 class EvacuationRecords:
-    """Tell another node what is known of the evacuations of zones.
+    """Transfer what a node knows of the evacuations of zones.
 
     Attributes:
         records: The records.
--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -18,7 +18,7 @@
 from ..clock import SystemClock
 from ..coordination.mesh.sidecar import Sidecar
 from ..ids import AvailabilityZoneId, ServiceId
-from ..platform.documents import PLAN_KEY, UPSTREAM_PREFIX
+from ..platform.documents import PLAN_KEY, UPSTREAM_PREFIX, WARM_UP_LEFT_FIELD
 from ..platform.names import ADAPTER, DIALECT
 from ..settings import Address
 from ..sidecar_settings import SidecarSettings
@@ -210,7 +210,7 @@
             "born": self.started_at_ms,
         }
         left_ms = self.cold_left_ms()
-        return entry | {"warmup_left": f"{left_ms:.3f}ms"} if left_ms else entry
+        return entry | {WARM_UP_LEFT_FIELD: f"{left_ms:.3f}ms"} if left_ms else entry
 
     def load_figures(self) -> str:
         """Return the load figures of an answer."""
--- a/gentianthread/state/path_delay.py
+++ b/gentianthread/state/path_delay.py
@@ -1,4 +1,4 @@
-"""Learn the delay of the path to each availability zone from the fastest exchanges.
+"""Estimate the delay of the path to each availability zone from the fastest exchanges.
 
 This handles links whose delay differs (1.4 ms between zones of a region, 8 ms between regions) and
 links whose bandwidth decreases, which shows as a longer delay.
--- a/gentianthread/state/return_times.py
+++ b/gentianthread/state/return_times.py
@@ -1,4 +1,4 @@
-"""Tell callers that are refused under overload when to return, and let those that did go first.
+"""Assign refused callers a time to return, and let those that did go before new ones.
 
 Load: callers ask for more than a service serves for seconds, for example after a loss of power, and
 send refused requests again after the time in Retry-After. If all are told about the same time, they
--- a/tests/state/admission_model.py
+++ b/tests/state/admission_model.py
@@ -141,7 +141,7 @@
 
 
 class Node:
-    """Hold what one node knows of levels."""
+    """Store what one node knows of levels."""
 
     def __init__(self, model):
         self.levels = KnownLevels()
--- a/tests/state/retry_budget_model.py
+++ b/tests/state/retry_budget_model.py
@@ -56,7 +56,7 @@
 
 
 class Node:
-    """Hold the state of the node beside one target."""
+    """Store the state of the node beside one target."""
 
     def __init__(self, rules, node_count, service):
         self.rules = rules
