Revert the level that follows from the limit of a cold target

Each service on the way up the call graph reported the level of the one behind it anew while it decayed over 5 s. The order of calls by deadlines, the mean level of large services and the virtual queue stay.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -13,7 +13,7 @@
 from ...state.directory import Directory
 from ...state.fleet_plan import FleetOrganisation, FleetPlan, HostRoute
 from ...state.fleet_rate import LimitChanges, NodeRates
-from ...state.overload_level import KnownLevels, rank_of
+from ...state.overload_level import KnownLevels
 from ...state.return_times import ReturnTimes, has_returned
 from ...state.timeout_estimate import TimeoutEstimate
 from ...transport.callbacks import Cancellable
@@ -362,7 +362,6 @@
             returned=pending.returned,
             objective_missed=pending.objective_missed,
         )
-        pending.rank = rank_of(priority, lowest_priority, draw)
         if draw >= refused_fraction:
             self.return_times.record_admitted(service_id, priority, now_ms)
             return None
--- a/gentianthread/coordination/mesh/forwarding.py
+++ b/gentianthread/coordination/mesh/forwarding.py
@@ -91,36 +91,29 @@
         self.upstreams = AvailableUpstreams(
             directory, placement, lambda host: peers.reachable(host), local_target.address[0]
         )
-        self._dependency_level_cache = (float("-inf"), (0.0, 0.0))
+        self._dependency_level_cache = (float("-inf"), 0.0)
         directory.evacuations.subscribe(self._forget_levels)
 
     def _forget_levels(self, zones: frozenset[AvailabilityZoneId]) -> None:
         """Forget the overload levels of the upstreams that get no more requests."""
-        self._dependency_level_cache = (float("-inf"), (0.0, 0.0))
+        self._dependency_level_cache = (float("-inf"), 0.0)
         for entry in self.directory.entries.values():
             if entry.availability_zone in zones:
                 self.levels.forget(entry.service_id, entry.upstream_id)
 
-    def dependency_level(self) -> tuple[float, float]:
-        """Return the highest overload level of the services that this node's own target calls.
-
-        Returns:
-            The level, and the part of it that is due to targets that limit their callers.
-        """
+    def dependency_level(self) -> float:
+        """Return the highest overload level of the services that this node's own target calls."""
         now_ms = self.clock.now_ms()
-        until_ms, levels = self._dependency_level_cache
+        until_ms, level = self._dependency_level_cache
         if now_ms >= until_ms:
             # Unreachable upstreams accept no requests, so that they must not lower the mean level.
             counts = {
                 name: len(self.reachable_upstreams(name, now_ms))
                 for name in self.local_target.runs.called_services
             }
-            levels = (
-                self.levels.highest_level(now_ms, counts),
-                self.levels.highest_limited_level(now_ms, counts),
-            )
-            self._dependency_level_cache = (now_ms + CACHE_TTL_MS, levels)
-        return levels
+            level = self.levels.highest_level(now_ms, counts)
+            self._dependency_level_cache = (now_ms + CACHE_TTL_MS, level)
+        return level
 
     def reachable_upstreams(
         self, service_id: ServiceId, now_ms: float
@@ -384,7 +377,6 @@
             allowed_regions=encode_regions(pending.allowed_regions),
             repeated=pending.inherited or pending.send_count > 1,
             depth=pending.depth,
-            rank=pending.rank,
         )
 
     def _record_outcome(
@@ -402,7 +394,6 @@
                     answer.load.level,
                     now_ms,
                     answer.load.rate_per_s,
-                    answer.load.limited_level,
                 )
             self.retry_budget.leaf_services.record(pending.service_id, answer.load.makes_calls)
             if answer.load.leaving_id:
--- a/gentianthread/coordination/mesh/pending_request.py
+++ b/gentianthread/coordination/mesh/pending_request.py
@@ -32,7 +32,6 @@
         inherited: Whether the run that made this call may have been a repeat itself.
         depth: Number of calls on the way from the root request to this one; 0 for a root request.
         sent_ms: Time of the last send.
-        rank: Rank of the root request; see `state.overload_level.rank_of`.
         attempts: Upstream and outcome of each attempt that has ended without an answer.
         allowed_regions: Regions in which it may run, or None for all.
     """
@@ -55,7 +54,6 @@
     inherited: bool = False
     depth: int = 0
     sent_ms: float = 0.0
-    rank: float = 0.0
     attempts: tuple[str, ...] = ()
     allowed_regions: frozenset[RegionId] | None = None
 
--- a/gentianthread/coordination/mesh/retry_budget.py
+++ b/gentianthread/coordination/mesh/retry_budget.py
@@ -1,7 +1,6 @@
 """Decide which requests may be sent again, within the retry budgets of their services."""
 
 from collections.abc import Callable
-from random import Random
 from typing import TYPE_CHECKING
 
 from ...events import RETRIES_OVER_BUDGET
@@ -32,7 +31,6 @@
         fleet_budget: Callable[[], FleetBudget],
         runs: TargetRuns,
         metrics: Metrics,
-        random: Random,
     ):
         """Create a node without any requests.
 
@@ -40,12 +38,10 @@
             fleet_budget: Returns the budget of all nodes together.
             runs: Runs on the target of this node.
             metrics: Counts repeats.
-            random: Source of the ranks that calls take over from runs.
         """
         self.fleet_budget = fleet_budget
         self.runs = runs
         self.metrics = metrics
-        self.random = random
         self.leaf_services = LeafServices()
         self.windows: dict[ServiceId, RetryWindow] = {}
         self._log_from_ms: dict[ServiceId, float] = {}
@@ -56,7 +52,6 @@
             self.runs.record_call(pending.service_id)
             pending.depth = self.runs.depth + 1
             pending.inherited = self.runs.repeated_under_way(now_ms)
-            pending.rank = self.runs.draw_rank(self.random)
         window = self.windows.get(pending.service_id)
         if window is None:
             window = self.windows[pending.service_id] = RetryWindow(0.0, 0.0, 0.0)
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -194,9 +194,7 @@
             PathDelays(settings.availability_zone, settings.regions),
         )
         self.levels = KnownLevels()
-        self.retry_budget = RetryBudget(
-            self._fleet_retry_budget, self.target.runs, self.metrics, random
-        )
+        self.retry_budget = RetryBudget(self._fleet_retry_budget, self.target.runs, self.metrics)
         self.forwarder = Forwarder(
             self.directory,
             self.balancer,
--- a/gentianthread/coordination/mesh/sidecar_report.py
+++ b/gentianthread/coordination/mesh/sidecar_report.py
@@ -17,7 +17,6 @@
     sidecar.metrics.gauge("target.connections", sidecar.pool.open_connections)
     sidecar.metrics.gauge("target.connections_opened", sidecar.pool.dialled)
     sidecar.metrics.gauge("target.level", sidecar.target.control.level)
-    sidecar.metrics.gauge("target.limited_level", sidecar.target.control.limited_level)
     # -1 while the target names no limit, as a limit may be 0.
     stated_limit_per_s = sidecar.target.stated_limit.per_s
     sidecar.metrics.gauge(
@@ -75,7 +74,6 @@
             "limit": sidecar.target.limit(),
             "service_ms": sidecar.target.capacity.service_ms,
             "level": sidecar.target.control.level,
-            "limited_level": sidecar.target.control.limited_level,
             "stated_limit_per_s": sidecar.target.stated_limit.per_s,
             "rate_limit_per_s": sidecar.target.rate_limit.rate_per_s(now_ms),
             **sidecar.target.health.describe(now_ms),
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -15,8 +15,8 @@
 from ...state.capacity import MeasuredCapacity
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
+from ...state.overload_level import LevelControl
 from ...state.placement import BoundRuns
-from ...state.target_level import TargetLevel
 from ...state.target_limit import TargetLimit
 from ...state.target_runs import TargetRuns
 from ...state.work_queue import QueuedWork, WorkQueue
@@ -62,7 +62,7 @@
         rate_limit: That limit and the one of a cold target.
         runs: What is known of the runs on it and of their calls.
         capacity: Measures how long requests take on the target, and how many may run.
-        dependency_level: Returns `Forwarder.dependency_level`.
+        dependency_level: Returns the highest overload level of the services that the target calls.
         highest_level: Returns the rank of the most important requests, which bounds the level.
         evacuation: Whether the zone of the target is evacuated.
         bound_runs: Runs that are bound to regions.
@@ -108,12 +108,12 @@
         self._draining, self._refuse_peers_from_ms = False, float("inf")
         self.running = 0
         # The sidecar replaces both once the forwarder exists.
-        self.dependency_level: Callable[[], tuple[float, float]] = lambda: (0.0, 0.0)
+        self.dependency_level: Callable[[], float] = lambda: 0.0
         self.highest_level: Callable[[], float] = lambda: 0.0
         self.queue = WorkQueue()
         self.bound_runs = BoundRuns()
         self.evacuation = TargetEvacuation(address, directory, self.queue)
-        self.control = TargetLevel(clock.now_ms())
+        self.control = LevelControl(clock.now_ms())
         self.notices = TargetNotices(address, directory, dialect, clock, metrics)
         self.notices.on_limit_change = self._on_limit_change
         self.stated_limit = self.notices.limit
@@ -144,7 +144,7 @@
         now_ms = self.clock.now_ms()
         if lifted:
             # The level was computed for the limit.
-            self.control = TargetLevel(now_ms)
+            self.control = LevelControl(now_ms)
         self._dispatch(now_ms)
 
     def _is_full(self) -> bool:
@@ -160,9 +160,7 @@
         """Return the load that is reported with each answer."""
         now_ms = self.clock.now_ms()
         self._update_level(now_ms)
-        dependency_level, limited_level = self.dependency_level()
-        limited_level = max(limited_level, self.control.limited_level)
-        level = max(self.control.level, dependency_level, limited_level)
+        level = max(self.control.level, self.dependency_level())
         leaving = self.notices.leaving
         return LoadReport(
             self.running,
@@ -176,7 +174,6 @@
             0 if leaving is None else leaving.started_at_ms,
             self.capacity.throughput_per_s,
             self.capacity.pace.percent(now_ms),
-            limited_level=limited_level,
             makes_calls=self.runs.makes_calls,
         )
 
@@ -197,7 +194,7 @@
         reason = self._refusal_reason(request, now_ms)
         if reason:
             return self._refuse(request, reason)
-        self._record_arrival(request, now_ms)
+        self._record_arrival(now_ms)
         self.health.check_connections(now_ms)
         if len(self.queue) or not self._reserve_slot(now_ms):
             reason = await self._wait_for_slot(request, now_ms, deadline_ms)
@@ -247,7 +244,7 @@
             return None
         self._record_sent(request, now_ms)
         self.bound_runs.start(request.allowed_regions)
-        self._record_arrival(request, now_ms)
+        self._record_arrival(now_ms)
         self._reserve_slot(now_ms)
         return run
 
@@ -379,9 +376,9 @@
             else:
                 self._dispatch(now_ms)
 
-    def _record_arrival(self, request: RunRequest, now_ms: float) -> None:
+    def _record_arrival(self, now_ms: float) -> None:
         self._update_level(now_ms)
-        self.control.record_arrival(request.rank, now_ms)
+        self.control.record_arrival()
 
     def _update_level(self, now_ms: float) -> None:
         if not self.control.is_due(now_ms):
@@ -396,10 +393,8 @@
             wait_ms,
             now_ms,
             self.highest_level(),
-            self.rate_limit.rate_per_s(now_ms),
-            len(self.queue),
         )
-        level = max(self.control.level, self.control.limited_level)
+        level = self.control.level
         if abs(level - self._logged_level) >= LOGGED_LEVEL_STEP:
             self._logged_level = level
             self.decisions.write(LEVEL_CHANGED, service_id=self.service_id, overload_level=level)
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -57,7 +57,6 @@
         allowed_regions: Names of the regions in which it and its calls may run, separated by
             newlines; empty if they are not limited. One text keeps the fast path of the decoder.
         depth: Number of calls on the way from the root request to this one; 0 for a root request.
-        rank: Rank of the root request; levels refuse smaller ranks first.
     """
 
     call: int
@@ -78,7 +77,6 @@
     repeated: bool = False
     allowed_regions: str = ""
     depth: int = 0
-    rank: float = 0.0
 
 
 @message(101)
--- a/gentianthread/state/overload_level.py
+++ b/gentianthread/state/overload_level.py
@@ -166,14 +166,11 @@
     level: float
     reported_at_ms: float
     rate_per_s: float
-    limited_level: float
 
     def differs_from(self, before: "_ReportedLevel") -> bool:
         """Return whether the level of the service has to be computed again at once."""
-        return (
-            abs(self.level - before.level) > LEVEL_TOLERANCE
-            or abs(self.limited_level - before.limited_level) > LEVEL_TOLERANCE
-            or bool(self.rate_per_s) != bool(before.rate_per_s)
+        return abs(self.level - before.level) > LEVEL_TOLERANCE or bool(self.rate_per_s) != bool(
+            before.rate_per_s
         )
 
 
@@ -188,14 +185,6 @@
     # of 30 or 80 upstreams in the time for which levels hold; those that it heard from stand for
     # the others then. With fewer upstreams, a single slow one must not count for all.
     SAMPLE_SIZE = 8
-    # Levels of limited targets hold longer: they are needed most where few requests are admitted,
-    # so that few answers renew them.
-    LIMITED_HOLD_MS = 1_000.0
-    LIMITED_FADE_MS = 4_000.0
-    # Upstreams of a service, or all of fewer, that must be known to limit their callers before
-    # their levels count, while none has reported within LIMITED_HOLD_MS that it does not. Otherwise
-    # the others may have room.
-    LIMITED_SAMPLE_SIZE = 3
     # Reports on a service above which those of upstreams that have gone are removed.
     MAX_REPORTS = 512
     # Time for which the computed level of a service is used again.
@@ -215,7 +204,6 @@
         level: float,
         now_ms: float,
         rate_per_s: float = 0.0,
-        limited_level: float = 0.0,
     ) -> None:
         """Store a reported level.
 
@@ -225,16 +213,14 @@
             level: The level.
             now_ms: Present time in ms.
             rate_per_s: Rate to which the upstream limits its callers; 0 if it does not.
-            limited_level: Level of targets that limit their callers: of the upstream, or of a
-                service behind it.
         """
-        if level > 0 or rate_per_s > 0 or limited_level > 0:
+        if level > 0 or rate_per_s > 0:
             self._raised_at_ms[service_id] = now_ms
         reported = self._reported.setdefault(service_id, {})
         if len(reported) >= self.MAX_REPORTS:
             self._forget_old(reported, now_ms)
         before = reported.get(upstream)
-        report = reported[upstream] = _ReportedLevel(level, now_ms, rate_per_s, limited_level)
+        report = reported[upstream] = _ReportedLevel(level, now_ms, rate_per_s)
         if before is None or report.differs_from(before):
             self._cache.pop(service_id, None)
 
@@ -260,20 +246,12 @@
         cached = self._cache.get(service_id)
         if cached is not None and now_ms < cached[0] and upstream_count == cached[1]:
             return cached[2]
-        level = max(
-            self._mean_level(reported, now_ms, upstream_count),
-            self._mean_limited_level(reported, now_ms, upstream_count),
-        )
+        level = self._mean_level(reported, now_ms, upstream_count)
         self._cache[service_id] = (now_ms + self.CACHE_TTL_MS, upstream_count, level)
         return level
 
-    def limited_level(self, service_id: ServiceId, now_ms: float, upstream_count: int) -> float:
-        """Return the level of a service due to targets that limit their callers."""
-        reported = self._recent_reports(service_id, now_ms)
-        return self._mean_limited_level(reported, now_ms, upstream_count) if reported else 0.0
-
     def _forget_old(self, reported: dict[Hashable, _ReportedLevel], now_ms: float) -> None:
-        oldest_ms = now_ms - self.LIMITED_HOLD_MS - self.LIMITED_FADE_MS
+        oldest_ms = now_ms - self.HOLD_MS - self.FADE_MS
         for upstream, entry in list(reported.items()):
             if entry.reported_at_ms <= oldest_ms:
                 del reported[upstream]
@@ -285,7 +263,7 @@
         raised_at_ms = self._raised_at_ms.get(service_id)
         if raised_at_ms is None:
             return None
-        if now_ms - raised_at_ms >= self.LIMITED_HOLD_MS + self.LIMITED_FADE_MS:
+        if now_ms - raised_at_ms >= self.HOLD_MS + self.FADE_MS:
             # All levels have decayed.
             del self._raised_at_ms[service_id], self._reported[service_id]
             return None
@@ -316,36 +294,6 @@
             return total / unlimited_count
         return limited_total / rate_per_s if rate_per_s else 0.0
 
-    def _mean_limited_level(
-        self, reported: dict[Hashable, _ReportedLevel], now_ms: float, upstream_count: int
-    ) -> float:
-        """Return the mean over the upstreams heard from, which stand for those not heard.
-
-        The levels of a service behind are the same on all upstreams of the service before it, so
-        that one report is enough. Upstreams of a cold service are cold together, whatever they
-        reported before.
-        """
-        limited_total = limited_weight = weighted_rate = total = weight = 0.0
-        limited_count, has_room = 0, False
-        for entry in reported.values():
-            age_ms = now_ms - entry.reported_at_ms
-            fraction = 1 - max(0.0, age_ms - self.LIMITED_HOLD_MS) / self.LIMITED_FADE_MS
-            if fraction <= 0:
-                continue
-            if entry.rate_per_s:
-                limited_total += entry.limited_level * fraction * entry.rate_per_s
-                weighted_rate += fraction * entry.rate_per_s
-                limited_weight += fraction
-                limited_count += 1
-            else:
-                total += entry.limited_level * fraction
-                weight += fraction
-                has_room = has_room or age_ms < self.LIMITED_HOLD_MS
-        needed_count = max(1, min(upstream_count, self.LIMITED_SAMPLE_SIZE))
-        if has_room or limited_count < needed_count:
-            return total / max(1.0, weight)
-        return limited_total / weighted_rate * min(1.0, limited_weight)
-
     def highest_level(self, now_ms: float, upstream_counts: dict[ServiceId, int]) -> float:
         """Return the highest level of several services, given their numbers of upstreams."""
         return max(
@@ -356,16 +304,6 @@
             default=0.0,
         )
 
-    def highest_limited_level(self, now_ms: float, upstream_counts: dict[ServiceId, int]) -> float:
-        """Return the highest level of several services due to targets that limit their callers."""
-        return max(
-            (
-                self.limited_level(service_id, now_ms, count)
-                for service_id, count in upstream_counts.items()
-            ),
-            default=0.0,
-        )
-
     def refused_fraction(
         self,
         service_id: ServiceId,
--- a/gentianthread/state/target_runs.py
+++ b/gentianthread/state/target_runs.py
@@ -4,8 +4,6 @@
 since a service behind their target turns their calls down.
 """
 
-from collections import deque
-from random import Random
 from typing import Protocol
 
 import attrs
@@ -23,9 +21,6 @@
 # in a cycle, the depth would rise with each call.
 MAX_DEPTH = 18
 
-# Ranks of the last runs that are kept: about as many as run at a time on a target.
-MAX_KNOWN_RANKS = 16
-
 # Reason beside an error status of a target one of whose calls was refused while the request ran.
 REASON_CALL_REFUSED = "a call was refused"
 
@@ -41,7 +36,6 @@
     remaining_ms: float
     repeated: bool
     depth: int
-    rank: float
 
 
 @attrs.define(eq=False)
@@ -67,14 +61,12 @@
         self.called_services: set[ServiceId] = set()
         self.depth = 0
         self._repeated: dict[str, _Runs] = {}
-        self._ranks: deque[float] = deque(maxlen=MAX_KNOWN_RANKS)
         self._call_refused_at_ms = float("-inf")
         self._successes = 0
 
     def begin(self, request: StartedRequest, now_ms: float) -> None:
         """Record that a request was sent to the target."""
         self.depth = min(MAX_DEPTH, max(self.depth, request.depth))
-        self._ranks.append(request.rank)
         if not request.repeated:
             return
         self._forget_expired(now_ms)
@@ -120,17 +112,6 @@
         """Record that the target called a service."""
         self.called_services.add(service_id)
 
-    def draw_rank(self, random: Random) -> float:
-        """Return the rank of one of the last runs, drawn at random, as that of a call.
-
-        The node does not know which run made the call. Levels follow the ranks of many calls.
-
-        Args:
-            random: Source of the draw.
-        """
-        count = len(self._ranks)
-        return self._ranks[int(random.random() * count)] if count else 0.0
-
     def record_refused_call(self, now_ms: float) -> None:
         """Record that a call of the target ended unserved: rejected, or without a place in time."""
         self._call_refused_at_ms = now_ms
--- a/gentianthread/state/upstream_view.py
+++ b/gentianthread/state/upstream_view.py
@@ -37,7 +37,6 @@
     leaving_start_ms: int = 0
     throughput_per_s: float = 0.0
     work_percent: float = 0.0
-    limited_level: float = 0.0
     makes_calls: bool | None = None
 
 
