--- a/gentianthread/platform/documents.py
+++ b/gentianthread/platform/documents.py
@@ -2,7 +2,6 @@
 
 import ipaddress
 import re
-from collections.abc import Callable
 
 from ..ids import AvailabilityZoneId, ServiceId, UpstreamId
 from ..json_fields import Table, is_usable_text, parse_json
@@ -62,7 +61,7 @@
     """Decode the JSON documents of the metadata store."""
 
     plan = staticmethod(read_plan)
-    upstream: Callable[[UpstreamId, bytes], UpstreamEntry] = staticmethod(read_upstream)
+    upstream = staticmethod(read_upstream)
 
     def kind(self, key: str) -> DocumentKind:
         """Return the kind of the document stored under a key."""
