--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,7 @@
 FREEZE_SHARE = 0.11
 
 # Machines of each zone.
-SIZES = {"cleveland": 7, "toledo": 6, "erie": 6}
+SIZES = {"cleveland": 7, "toledo": 7, "erie": 7}
 
 PER_S = 20
 PROBES = 15
