Take runs of peers in a stop only while they can end

A run that a peer sends 1.7 s after SIGTERM and that takes 4 s with its calls can't end in time; its late calls are refused, or its own answer is lost with the link (502 for an order).

Cause: the node beside the target took every request until it drained, whatever time its runs take.

Change: the node measures how long its target's runs take, by priority and by whether they are calls. In a stop it refuses those of which the median would end too late; a refused request has not been sent and goes to another instance. A lower bound than the 95% of calls, as a service of one or two instances must not be deprived of one for a few long runs.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -25,6 +25,7 @@
 from .forwarding import Forwarder
 from .pending_request import PendingRequest
 from .started_request import EntryReply, StartedRequest
+from .target import END_MARGIN_MS
 
 # Statuses by which callers learn that a request has not run, and send it again.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -33,9 +34,6 @@
 # their own, as refusals before any attempt are far more frequent under overload.
 ATTEMPTED_LINES_PER_S = 50
 
-# Time before the end of a stopping node at which its last requests are answered.
-END_MARGIN_MS = 50.0
-
 # A stopping node passes on a call of its target only if this fraction of the recent calls of the
 # same route would have ended by its end, with a margin for the error of the estimate. The run that
 # makes the call is lost in any case if it does not end: a call that is refused has not run, while
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -414,7 +414,7 @@
         Args:
             ends_at_ms: Time of the clock in ms.
         """
-        self.entry.ends_at_ms = ends_at_ms
+        self.entry.ends_at_ms = self.target.ends_at_ms = ends_at_ms
 
     def begin_draining(self) -> None:
         """Refuse new requests of peers and notify them; requests in flight continue."""
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -13,6 +13,7 @@
 from ...protocol.messages_mesh import RunAnswer, RunOutcome, RunRequest
 from ...state.balancer import LoadReport
 from ...state.capacity import MeasuredCapacity
+from ...state.completion_times import CompletionTimes
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
 from ...state.overload_level import LevelControl
@@ -35,6 +36,15 @@
 ROOT_WAIT_FRACTION = 0.3
 INNER_WAIT_FRACTION = 0.5
 
+# Time before the end of a stopping node at which its last requests are answered.
+END_MARGIN_MS = 50.0
+
+# A stopping node takes a request of a peer only if this fraction of the recent runs of the same
+# class would have ended by its end. It is refused otherwise, and another instance serves it. With a
+# higher fraction a few long runs would withhold the target from its service for the whole stop.
+RUN_QUANTILE = 0.5
+
+REASON_LEAVING = "node is leaving"
 
 # Requests that run at once after a start until the first answer of the target tells whether it
 # limits their rate.
@@ -66,6 +76,8 @@
         highest_level: Returns the rank of the most important requests, which bounds the level.
         evacuation: Whether the zone of the target is evacuated.
         bound_runs: Runs that are bound to regions.
+        ends_at_ms: Time at which a stopping node ends; infinity before.
+        run_times: How long requests take on the target, by their class.
     """
 
     def __init__(
@@ -106,6 +118,8 @@
         self.log = TargetLog(service_id, clock, metrics)
         pool.on_stray = self.log.record_stray
         self._draining, self._refuse_peers_from_ms = False, float("inf")
+        self.ends_at_ms = float("inf")
+        self.run_times = CompletionTimes()
         self.running = 0
         # The sidecar replaces both once the forwarder exists.
         self.dependency_level: Callable[[], float] = lambda: 0.0
@@ -190,7 +204,7 @@
         now_ms = received_ms = self.clock.now_ms()
         deadline_ms = now_ms + request.remaining_ms
         if request.call and now_ms >= self._refuse_peers_from_ms:
-            return self._refuse(request, "node is leaving")
+            return self._refuse(request, REASON_LEAVING)
         reason = self._refusal_reason(request, now_ms)
         if reason:
             return self._refuse(request, reason)
@@ -286,8 +300,24 @@
             return "target is gone"
         if self.crash_reports.block_ms(request):
             return REASON_BLOCKED
+        if request.call and not self._can_end(request, now_ms):
+            return REASON_LEAVING
         return ""
 
+    def _can_end(self, request: RunRequest, now_ms: float) -> bool:
+        """Return whether a run that starts now is expected to be over before this node ends."""
+        if self.ends_at_ms == float("inf"):
+            return True
+        expected_ms = self.run_times.expected_ms(_class_of(request), RUN_QUANTILE, now_ms)
+        if expected_ms is None:
+            return True
+        left_ms = self.ends_at_ms - END_MARGIN_MS - now_ms
+        return min(expected_ms, request.remaining_ms) <= left_ms
+
+    def record_run(self, request: RunRequest, took_ms: float, now_ms: float) -> None:
+        """Record how long a request took that the target has answered."""
+        self.run_times.record(_class_of(request), took_ms, now_ms)
+
     async def _wait_for_slot(self, request: RunRequest, now_ms: float, deadline_ms: float) -> str:
         """Wait for a slot; return why the request gets none, or an empty string.
 
@@ -464,3 +494,8 @@
     def make_answer(self, outcome: RunOutcome, reason: str) -> RunAnswer:
         """Return an answer with the present load, for the link to complete."""
         return RunAnswer(0, outcome, reason, 0, "", b"", self.load(), 0)
+
+
+def _class_of(request: RunRequest) -> tuple[bool, int]:
+    """Return what tells the kinds of requests of one service apart."""
+    return request.inner, request.priority
--- a/tests/coordination/mesh/test_changes.py
+++ b/tests/coordination/mesh/test_changes.py
@@ -339,6 +339,42 @@
         self.assertEqual(200, (await self.call_inner("catalogue-0", "/ledger/1")).status)
         await self.stop()
 
+    async def stock_calls(self, count):
+        """Return the statuses of calls that a peer sends at once to the service of two targets."""
+        replies = [self.call("orders-0", f"/stock/{number}") for number in range(count)]
+        return {reply.status for reply in await asyncio.gather(*replies)}
+
+    async def test_run_that_cannot_end_in_a_stop_goes_to_another_instance(self):
+        """Guards against runs of peers that are taken shortly before the drain and cut off.
+
+        Their calls come late in the stop, and their callers get an error.
+        """
+        await self.start({"catalogue": 2, "orders": 1})
+        leaving = self.target("catalogue-0")
+        for work_ms in (1, 700, 700):
+            leaving.work_ms = self.target("catalogue-1").work_ms = work_ms
+            self.assertEqual({200}, await self.stock_calls(8))
+        node = self.sidecar("catalogue-0")
+        node.begin_leaving(node.clock.now_ms() + 600)
+        before = len(leaving.seen)
+        self.assertEqual({200}, await self.stock_calls(4))
+        self.assertEqual(before, len(leaving.seen))
+        await self.stop()
+
+    async def test_run_that_can_end_in_a_stop_is_taken(self):
+        """Guards against a service that is deprived of a target before its node has to drain."""
+        await self.start({"catalogue": 2, "orders": 1})
+        leaving = self.target("catalogue-0")
+        for work_ms in (1, 100, 100):
+            leaving.work_ms = self.target("catalogue-1").work_ms = work_ms
+            self.assertEqual({200}, await self.stock_calls(8))
+        node = self.sidecar("catalogue-0")
+        node.begin_leaving(node.clock.now_ms() + 5_000)
+        before = len(leaving.seen)
+        self.assertEqual({200}, await self.stock_calls(8))
+        self.assertGreater(len(leaving.seen), before)
+        await self.stop()
+
     async def test_requests_in_flight_at_the_end_of_a_stop_are_answered(self):
         """Guards against a closed connection in place of an answer, also for an order that runs."""
         await self.start({"catalogue": 1, "orders": 1})
