Refuse requests of peers that wait for a slot when a node ends

What callers saw: 502 for an order that was never sent to a target: it waited in the queue of a node whose stop had used up its grace time.

Cause: a node that ended answered the requests of its own callers, and closed its links while requests of peers waited; the peers could only take them for lost.

Change: the node refuses what waits before it closes its links. A refusal is sent as not run, so that the peer asks another instance, or answers 503.

Figures: test_requests_of_peers_that_wait_at_the_end_of_a_stop_are_refused got 502 for all orders before the change, and gets 503 for those that waited after it.

--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -428,8 +428,9 @@
         self.entry.refuses_callers = True
 
     def end_requests(self) -> None:
-        """Answer the requests of callers that are still in flight at the end of the node."""
+        """Answer the requests that are still in flight at the end of the node."""
         self.entry.end_requests()
+        self.target.end_waits()
 
     @property
     def busy(self) -> bool:
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -118,7 +118,7 @@
         self.log = TargetLog(service_id, clock, metrics)
         pool.on_stray = self.log.record_stray
         self._draining, self._refuse_peers_from_ms = False, float("inf")
-        self.ends_at_ms = float("inf")
+        self.ends_at_ms, self._ended = float("inf"), False
         self.run_times = CompletionTimes()
         self.running = 0
         # The sidecar replaces both once the forwarder exists.
@@ -343,7 +343,7 @@
         self._dispatch(now_ms)
         try:
             async with asyncio.timeout(max(0.0, work.drop_at_ms - now_ms) / 1000):
-                return "" if await slot else self.evacuation.refused_wait_reason()
+                return "" if await slot else self._refused_wait_reason()
         except TimeoutError:
             self._leave_queue(work)
             return "no time left"
@@ -356,6 +356,18 @@
         slot_wait_ms = position * self.capacity.service_ms / self.capacity.limit
         return max(slot_wait_ms, self.rate_limit.wait_ms(position, now_ms))
 
+    def _refused_wait_reason(self) -> str:
+        """Return why a request that waited for a slot gets none."""
+        return REASON_LEAVING if self._ended else self.evacuation.refused_wait_reason()
+
+    def end_waits(self) -> None:
+        """Refuse the requests that wait for a slot, since the node ends.
+
+        Their callers would otherwise lose the link, and could not know that nothing was sent.
+        """
+        self._ended = True
+        self.queue.refuse_all()
+
     def _leave_queue(self, work: QueuedWork) -> None:
         """Stop waiting; a slot that was assigned in the meantime goes to the next request."""
         if self.queue.remove(work):
--- a/gentianthread/coordination/mesh/target_evacuation.py
+++ b/gentianthread/coordination/mesh/target_evacuation.py
@@ -50,12 +50,6 @@
         was_in_force = self.in_force
         self.in_force = entry is not None and self._directory.is_evacuated(entry)
         if self.in_force and not was_in_force:
-            self._refuse_waiting()
+            self._queue.refuse_all()
         elif was_in_force and not self.in_force:
             self.on_evacuation_end()
-
-    def _refuse_waiting(self) -> None:
-        while len(self._queue):
-            work = self._queue.pop()
-            if not work.slot.done():
-                work.slot.set_result(False)
--- a/gentianthread/state/work_queue.py
+++ b/gentianthread/state/work_queue.py
@@ -76,6 +76,12 @@
             return work
         return None
 
+    def refuse_all(self) -> None:
+        """Remove all requests, and resolve their slots as refused."""
+        while (work := self.pop()) is not None:
+            if not work.slot.done():
+                work.slot.set_result(False)
+
     def remove(self, work: QueuedWork) -> bool:
         """Remove a request, and return whether it was queued."""
         key = (not work.inner, work.priority)
--- a/tests/coordination/mesh/test_changes.py
+++ b/tests/coordination/mesh/test_changes.py
@@ -375,6 +375,26 @@
         self.assertGreater(len(leaving.seen), before)
         await self.stop()
 
+    async def test_requests_of_peers_that_wait_at_the_end_of_a_stop_are_refused(self):
+        """Guards against a 502 for an order that was never sent, as it waited in a queue."""
+        await self.start({"catalogue": 1, "orders": 1})
+        await self.call("catalogue-0", "/order/0", method="POST")
+        target, node = self.target("orders-0"), self.sidecar("orders-0")
+        target.work_ms = 400
+        running = node.target.limit()
+        calls = [
+            asyncio.ensure_future(self.call("catalogue-0", f"/order/{number}", method="POST"))
+            for number in range(1, running + 3)
+        ]
+        await self.until(lambda: len(node.target.queue) == 2)
+        node.begin_leaving(node.clock.now_ms() + 100)
+        node.end_requests()
+        await node.stop()
+        statuses = sorted([(await call).status for call in calls])
+        self.assertEqual([502] * running + [503] * 2, statuses)
+        self.assertEqual(running + 1, len(target.seen))
+        await self.stop()
+
     async def test_requests_in_flight_at_the_end_of_a_stop_are_answered(self):
         """Guards against a closed connection in place of an answer, also for an order that runs."""
         await self.start({"catalogue": 1, "orders": 1})
