--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -25,7 +25,7 @@
 from .forwarding import Forwarder
 from .pending_request import PendingRequest
 from .started_request import EntryReply, StartedRequest
-from .target import END_MARGIN_MS
+from .target_stop import END_MARGIN_MS
 
 # Statuses by which callers learn that a request has not run, and send it again.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -414,12 +414,12 @@
         Args:
             ends_at_ms: Time of the clock in ms.
         """
-        self.entry.ends_at_ms = self.target.ends_at_ms = ends_at_ms
+        self.entry.ends_at_ms = self.target.stop.ends_at_ms = ends_at_ms
 
     def begin_draining(self) -> None:
         """Refuse new requests of peers and notify them; requests in flight continue."""
         self.draining = True
-        self.target.refuse_peers(self.clock.now_ms() + PEER_DRAIN_GRACE_MS)
+        self.target.stop.refuse_peers(self.clock.now_ms() + PEER_DRAIN_GRACE_MS)
         for link in self.peers.links():
             link.post(self.peers.make_probe())
 
--- a/gentianthread/coordination/mesh/target.py
+++ b/gentianthread/coordination/mesh/target.py
@@ -13,7 +13,6 @@
 from ...protocol.messages_mesh import RunAnswer, RunOutcome, RunRequest
 from ...state.balancer import LoadReport
 from ...state.capacity import MeasuredCapacity
-from ...state.completion_times import CompletionTimes
 from ...state.directory import Directory, UpstreamState
 from ...state.latency import LowLatency
 from ...state.overload_level import LevelControl
@@ -30,22 +29,13 @@
 from .target_log import TargetLog
 from .target_message import build_target_request, idle_limit_ms
 from .target_notices import TargetNotices
+from .target_stop import REASON_LEAVING, TargetStop
 
 # Fraction of its remaining time that a request may wait for a slot. Inner calls may wait longer,
 # since refusing them wastes the work that other targets have done before.
 ROOT_WAIT_FRACTION = 0.3
 INNER_WAIT_FRACTION = 0.5
 
-# Time before the end of a stopping node at which its last requests are answered.
-END_MARGIN_MS = 50.0
-
-# A stopping node takes a request of a peer only if this fraction of the recent runs of the same
-# class would have ended by its end. It is refused otherwise, and another instance serves it. With a
-# higher fraction a few long runs would withhold the target from its service for the whole stop.
-RUN_QUANTILE = 0.5
-
-REASON_LEAVING = "node is leaving"
-
 # Requests that run at once after a start until the first answer of the target tells whether it
 # limits their rate.
 UNINFORMED_CONCURRENCY = 3
@@ -76,8 +66,7 @@
         highest_level: Returns the rank of the most important requests, which bounds the level.
         evacuation: Whether the zone of the target is evacuated.
         bound_runs: Runs that are bound to regions.
-        ends_at_ms: Time at which a stopping node ends; infinity before.
-        run_times: How long requests take on the target, by their class.
+        stop: Which requests are still taken while the node stops.
     """
 
     def __init__(
@@ -117,9 +106,7 @@
         self.decisions = decisions
         self.log = TargetLog(service_id, clock, metrics)
         pool.on_stray = self.log.record_stray
-        self._draining, self._refuse_peers_from_ms = False, float("inf")
-        self.ends_at_ms, self._ended = float("inf"), False
-        self.run_times = CompletionTimes()
+        self.stop = TargetStop()
         self.running = 0
         # The sidecar replaces both once the forwarder exists.
         self.dependency_level: Callable[[], float] = lambda: 0.0
@@ -135,7 +122,7 @@
         self.health.reserve, self.health.release = self._reserve_check, self._release_check
         self.health.on_change = self._on_limit_change
         self.rate_limit = TargetLimit(self.stated_limit, self.health.warm_up)
-        self.health.may_check = lambda: not (self.evacuation.in_force or self._draining)
+        self.health.may_check = lambda: not (self.evacuation.in_force or self.stop.draining)
         self.evacuation.on_evacuation_end = lambda: self.health.suspect("its evacuation has ended")
         self.runs = TargetRuns()
         self.capacity = MeasuredCapacity(clock.now_ms())
@@ -191,19 +178,11 @@
             makes_calls=self.runs.makes_calls,
         )
 
-    def refuse_peers(self, from_ms: float) -> None:
-        """Refuse new requests of peers from a time on, and send no more health checks.
-
-        Args:
-            from_ms: Clock time in ms.
-        """
-        self._draining, self._refuse_peers_from_ms = True, from_ms
-
     async def run(self, request: RunRequest) -> RunAnswer:
         """Run a request of a peer, or of this node if its `call` is 0, and return its answer."""
         now_ms = received_ms = self.clock.now_ms()
         deadline_ms = now_ms + request.remaining_ms
-        if request.call and now_ms >= self._refuse_peers_from_ms:
+        if self.stop.refuses(request, now_ms):
             return self._refuse(request, REASON_LEAVING)
         reason = self._refusal_reason(request, now_ms)
         if reason:
@@ -241,7 +220,7 @@
             no idle connection for it.
         """
         now_ms = self.clock.now_ms()
-        if self._is_full() or len(self.queue) or now_ms >= self._refuse_peers_from_ms:
+        if self._is_full() or len(self.queue) or self.stop.refuses(request, now_ms):
             return None
         self.health.check_connections(now_ms)
         if self.rate_limit.wait_ms(1, now_ms):
@@ -300,24 +279,10 @@
             return "target is gone"
         if self.crash_reports.block_ms(request):
             return REASON_BLOCKED
-        if request.call and not self._can_end(request, now_ms):
+        if not self.stop.can_end(request, now_ms):
             return REASON_LEAVING
         return ""
 
-    def _can_end(self, request: RunRequest, now_ms: float) -> bool:
-        """Return whether a run that starts now is expected to be over before this node ends."""
-        if self.ends_at_ms == float("inf"):
-            return True
-        expected_ms = self.run_times.expected_ms(_class_of(request), RUN_QUANTILE, now_ms)
-        if expected_ms is None:
-            return True
-        left_ms = self.ends_at_ms - END_MARGIN_MS - now_ms
-        return min(expected_ms, request.remaining_ms) <= left_ms
-
-    def record_run(self, request: RunRequest, took_ms: float, now_ms: float) -> None:
-        """Record how long a request took that the target has answered."""
-        self.run_times.record(_class_of(request), took_ms, now_ms)
-
     async def _wait_for_slot(self, request: RunRequest, now_ms: float, deadline_ms: float) -> str:
         """Wait for a slot; return why the request gets none, or an empty string.
 
@@ -358,14 +323,14 @@
 
     def _refused_wait_reason(self) -> str:
         """Return why a request that waited for a slot gets none."""
-        return REASON_LEAVING if self._ended else self.evacuation.refused_wait_reason()
+        return REASON_LEAVING if self.stop.ended else self.evacuation.refused_wait_reason()
 
     def end_waits(self) -> None:
         """Refuse the requests that wait for a slot, since the node ends.
 
         Their callers would otherwise lose the link, and could not know that nothing was sent.
         """
-        self._ended = True
+        self.stop.ended = True
         self.queue.refuse_all()
 
     def _leave_queue(self, work: QueuedWork) -> None:
@@ -506,8 +471,3 @@
     def make_answer(self, outcome: RunOutcome, reason: str) -> RunAnswer:
         """Return an answer with the present load, for the link to complete."""
         return RunAnswer(0, outcome, reason, 0, "", b"", self.load(), 0)
-
-
-def _class_of(request: RunRequest) -> tuple[bool, int]:
-    """Return what tells the kinds of requests of one service apart."""
-    return request.inner, request.priority
--- a/gentianthread/coordination/mesh/target_answers.py
+++ b/gentianthread/coordination/mesh/target_answers.py
@@ -86,7 +86,7 @@
         target.metrics.timing_ms("target.took_ms", took_ms)
         target.health.record_latency(took_ms, now_ms)
         target.capacity.record_answer(took_ms, now_ms)
-        target.record_run(request, took_ms, now_ms)
+        target.stop.record_run(request, took_ms, now_ms)
         if answer.status < 300:
             target.low_latency.record(took_ms, now_ms)
         target.metrics.count("target.answered")
--- a/tests/coordination/mesh/test_promises.py
+++ b/tests/coordination/mesh/test_promises.py
@@ -208,8 +208,8 @@
                 self.loop.call_later(min(duration_s, 1.0), restore)
         else:
             target = self.sidecars[HOSTS.index(host)].target
-            target.refuse_peers(target.clock.now_ms())
-            self.loop.call_later(min(duration_s, 0.7), target.refuse_peers, float("inf"))
+            target.stop.refuse_peers(target.clock.now_ms())
+            self.loop.call_later(min(duration_s, 0.7), target.stop.refuse_peers, float("inf"))
 
     async def close(self):
         for sidecar in self.sidecars:
