Find another source at once when the watchers of the store are frozen

Cause: nodes behind a frozen source noticed it only by the age of the store's last answer (up to 1.4 s), called the store in the order of their positions 0.3 s apart, and a node that took over told only its frozen sources. A frozen head stayed chosen, as only links with requests under way are checked.

Ruled out: the zone whose head is not frozen (no late node there), batching, traffic.

Change: a source that sends no state for 0.9 s is passed over. A node without feeds follows a few random nodes of its zone for 2 s, so that a change of one reaches all, whoever is lost. Where sources are silent a few random nodes call the store; where they report an outage, order and rate are as before. A state says whether its sender can tell an outage from the loss of its sources. A node that takes over sends its sources the changes, for 3 s; former sources are told that they are left.

--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -42,14 +42,15 @@
 from .feeds import WATCHER_MAX_WAIT_MS, DocumentFeeds
 from .peer_link import PeerLink
 from .plan_problems import log_plan_problems
+from .store_turn import FEED_CHECK_MS, StoreTurn
 from .upstream_documents import UpstreamDocuments
 
 # Maximum duration of one watch. The store charges for each call; keep-alives detect a connection
 # that went silent.
 WATCH_MAX_WAIT_MS = 15_000.0
 
-# Duration of a watch while the store is away: the first answer tells when it returned, which a
-# longer watch would delay until the next change.
+# Duration of a watch while the store is away or the feeds are lost: the first answer tells that the
+# store is there, which a longer watch would delay until the next change.
 PROBE_WAIT_MS = 1.0
 
 # Delay after a change, so that changes in quick succession cost one call. It must stay well below
@@ -60,9 +61,6 @@
 # it. The maximum is part of `state.relisting.RETURN_LAG_MS`.
 BACKOFF_RANGE_MS = (150.0, 400.0)
 
-# Interval at which a node that follows a feed checks that the feed is alive.
-FEED_CHECK_MS = 100.0
-
 # Initial and maximum interval at which a starting node looks for other nodes in the store; it
 # doubles on each try, with jitter.
 SAMPLE_INTERVAL_RANGE_MS = (200.0, 1_200.0)
@@ -83,7 +81,6 @@
         revision: Revision up to which the documents are complete; 0 before the first read.
         ready: Set once a plan and at least one upstream are known.
         documents: Stored documents by key, undecoded, for sending to peers.
-        feeds: Feeds of the zones' watchers; if None, this node always watches the store.
         on_plan: Called after a plan was put in force.
         store_answered_ms: Time of the store's last answer; minus infinity while it is unavailable.
         evacuations: Applies the documents of evacuations.
@@ -120,7 +117,7 @@
         self.revision = 0
         self.ready = asyncio.Event()
         self.documents: dict[str, Document] = {}
-        self.feeds: DocumentFeeds | None = None
+        self._feeds: DocumentFeeds | None = None
         self.on_plan: Callable[[], None] = lambda: None
         self.store_answered_ms = float("-inf")
         self._history = EntryHistory(reader, heartbeat_ms, clock)
@@ -128,8 +125,7 @@
         self.evacuations = EvacuationDocuments(reader, directory, self.documents)
         # Revision of the last complete read, before which removals may be unknown.
         self._removals_known_from = 0
-        # Whether this node has lost its feeds and called the store since.
-        self._called_without_feed = False
+        self._turn: StoreTurn | None = None
         self._watch: asyncio.Future | None = None
         # A peer that knows a newer revision, that revision, and when it was first reported.
         self._newer_peer: tuple[PeerLink, int, float] | None = None
@@ -138,6 +134,16 @@
         self._backoff_ms = BACKOFF_RANGE_MS[0]
         self._sample_interval_ms = SAMPLE_INTERVAL_RANGE_MS[0]
 
+    @property
+    def feeds(self) -> DocumentFeeds | None:
+        """Return the feeds of the zones' watchers; if None, this node always watches the store."""
+        return self._feeds
+
+    @feeds.setter
+    def feeds(self, feeds: DocumentFeeds) -> None:
+        self._feeds = feeds
+        self._turn = StoreTurn(feeds, self.clock, self.random)
+
     async def run(self) -> None:
         """Follow the store or a feed until cancelled."""
         while True:
@@ -164,7 +170,7 @@
             await self._read_all()
             return
         wait_ms = WATCH_MAX_WAIT_MS if self.feeds is None else WATCHER_MAX_WAIT_MS
-        if self._outage_started_ms is not None:
+        if self._outage_started_ms is not None or self._has_lost_feeds():
             wait_ms = PROBE_WAIT_MS
         self.metrics.count("store.calls")
         self._watch = asyncio.ensure_future(self.store.watch(self.revision, wait_ms))
@@ -194,23 +200,16 @@
             self._note_feed_return()
             await self.clock.sleep_ms(FEED_CHECK_MS)
             return False
+        # Silent sources are passed over, which changes this node's position.
+        feeds.choose_sources()
+        if feeds.watching:
+            return True
         if feeds.is_outage_reported():
             # This node's first call may come after the outage, and must know of it then.
             self._note_outage("reported by the nodes that this one follows")
         if feeds.plan.position == 0:
             return True
-        if self._called_without_feed:
-            delay_ms = feeds.plan.next_call_delay_ms(self.random.random())
-        else:
-            delay_ms = feeds.plan.first_call_delay_ms()
-        while delay_ms > 0:
-            step_ms = min(FEED_CHECK_MS, delay_ms)
-            await self.clock.sleep_ms(step_ms)
-            delay_ms -= step_ms
-            if not feeds.is_lost() or feeds.watching:
-                return False
-        self._called_without_feed = True
-        return True
+        return await self._turn.is_due()
 
     async def _look_for_nodes(self) -> None:
         """Find nodes to follow in a page of the store; their feeds bring all documents."""
@@ -265,27 +264,36 @@
         log(STORE_LOST, problem=problem, version=version)
         self.store_answered_ms = float("-inf")
         if self.feeds is not None:
+            self.feeds.reports_outage = True
             self.feeds.send_state()
 
     def _note_store_answer(self, revision: int) -> None:
         now_ms = self.clock.now_ms()
-        without_feed = self.feeds is not None and not self.feeds.watching and self.feeds.is_lost()
+        without_feed = self._has_lost_feeds() and not self.feeds.watching
         self.store_answered_ms = now_ms
         self._backoff_ms = BACKOFF_RANGE_MS[0]
         if without_feed:
             self.feeds.take_over()
         if self._outage_started_ms is not None:
-            log(STORE_REGAINED, away_ms=now_ms - self._outage_started_ms)
-            self._outage_started_ms = None
+            self._note_outage_end()
             self._change_relisting(self._relisting.begin, revision, now_ms)
 
     def _note_feed_return(self) -> None:
         """Record that the store answers a node that this one follows."""
-        self._called_without_feed = False
+        self._turn.reset()
         self._backoff_ms = BACKOFF_RANGE_MS[0]
         if self._outage_started_ms is not None:
-            log(STORE_REGAINED, away_ms=self.clock.now_ms() - self._outage_started_ms)
-            self._outage_started_ms = None
+            self._note_outage_end()
+
+    def _note_outage_end(self) -> None:
+        log(STORE_REGAINED, away_ms=self.clock.now_ms() - self._outage_started_ms)
+        self._outage_started_ms = None
+        if self.feeds is not None:
+            self.feeds.reports_outage = False
+
+    def _has_lost_feeds(self) -> bool:
+        """Return whether the nodes that this one follows tell nothing recent of the store."""
+        return self.feeds is not None and self.feeds.is_lost()
 
     def describe_store_return(self) -> StoreReturn:
         """Return the last return of the store for messages to other nodes."""
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -181,6 +181,7 @@
             self.follower.describe_store_return,
             lambda: self.follower.plan.version if self.follower.plan else 0,
             clock,
+            random,
         )
         self.follower.feeds = self.feeds
         self.feeds.send_documents = self.follower.send_documents
@@ -377,6 +378,7 @@
             self.follower.run,
             self.follower.maintain,
             self.feeds.run,
+            self.feeds.search.run,
             self.rate_sharing.run,
             self.target.health.run,
         )
--- a/gentianthread/protocol/messages_mesh.py
+++ b/gentianthread/protocol/messages_mesh.py
@@ -195,11 +195,14 @@
         revision: Revision that the sender knows.
         takes_changes: Whether the sender also wants to receive each change.
         plan_version: Version of the sender's plan; 0 if it has none.
+        lease_ms: Time for which the sender is a follower, or None if until the link closes; 0 ends
+            it.
     """
 
     revision: int
     takes_changes: bool
     plan_version: int
+    lease_ms: float | None = None
 
 
 @message(109)
@@ -209,13 +212,14 @@
 
     Attributes:
         revision: Revision that the node knows.
-        store_age_ms: Time since the store last answered the node or one that it follows.
+        store_age_ms: Time since the store last answered the node or one that it follows; None if
+            the node has lost its sources and can't tell whether the store answers.
         plan_version: Version of the node's plan; 0 if it has none.
         store_return: Last return of the store that the node knows.
     """
 
     revision: int
-    store_age_ms: float
+    store_age_ms: float | None
     plan_version: int
     store_return: StoreReturn
 
--- a/gentianthread/state/feed_plan.py
+++ b/gentianthread/state/feed_plan.py
@@ -25,6 +25,15 @@
 POLL_INTERVAL_PER_NODE_MS = 300.0
 
 
+# Expected number of nodes of a zone that call the store in the first turn after all sources went
+# silent, beside the one at the first position. It doubles with each of a few turns. Which nodes are
+# lost is not known, so that the choice is random: an order by position would wait for each lost
+# node that is next in line.
+EARLY_CALLS = 3
+EARLY_TURNS = 3
+EARLY_TURN_MS = 150.0
+
+
 @attrs.frozen
 class FeedPlan:
     """Describe the part of one node in the distribution of changes.
@@ -47,6 +56,14 @@
         """Return the wait before a node that lost its feeds calls the store."""
         return max(0, self.position - 1) * TAKEOVER_STEP_MS
 
+    def early_call_probability(self, turn: int) -> float:
+        """Return the probability with which a node whose sources are all silent calls the store.
+
+        Args:
+            turn: Number of the turn, from 1 to `EARLY_TURNS`.
+        """
+        return min(1.0, EARLY_CALLS * 2 ** (turn - 1) / self.zone_size)
+
     def next_call_delay_ms(self, draw: float) -> float:
         """Return the wait before the next store call of a node that is still without a feed.
 
--- a/tests/coordination/mesh/follower_fleet.py
+++ b/tests/coordination/mesh/follower_fleet.py
@@ -36,6 +36,10 @@
 PAGE_ENTRIES = 50
 STALE_CALL_PRICE = 0.1
 LINK_DELAY_S = 0.002
+DIAL_TIMEOUT_S = 0.35
+
+# Step in which frozen nodes look whether they are awake again.
+FREEZE_STEP_S = 0.01
 
 
 @attrs.frozen
@@ -94,6 +98,7 @@
         silent_s: If not 0, calls get no answer and fail after this time, also those that began in
             the last moments before the store is back.
         refused: Hosts whose calls fail.
+        frozen: Hosts that make no calls and read no answers at present.
     """
 
     def __init__(self):
@@ -101,6 +106,7 @@
         self.down = False
         self.silent_s = 0.0
         self.refused = set()
+        self.frozen = set()
         self.revision = 1
         self.items = {}
         self.events = []
@@ -157,7 +163,12 @@
     def connect(cls, host, port, source_address):
         raise NotImplementedError
 
+    async def _wait_while_frozen(self):
+        while self.host in self.store.frozen:  # noqa: ASYNC110  # Virtual time.
+            await asyncio.sleep(FREEZE_STEP_S)
+
     async def _charge(self, price=1.0):
+        await self._wait_while_frozen()
         self.store.charged += price
         await self._fail_if_silent()
         await asyncio.sleep(0.004)
@@ -185,13 +196,14 @@
         end_s = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
             await self._fail_if_silent()
-            if self.store.down:
+            if self.store.down or self.host in self.store.refused:
                 raise PlatformUnavailable("watch", "connection reset")
             if era_of(revision) != era_of(self.store.revision):
                 raise HistoryLost("watch", "restored")
             if self.loses_history:
                 self.loses_history = False
                 raise HistoryLost("watch", "compacted")
+            await self._wait_while_frozen()
             found = tuple(event for event in self.store.events if event.revision > revision)
             if found:
                 return StoreRead(found, found[-1].revision)
@@ -199,6 +211,7 @@
                 async with asyncio.timeout_at(end_s):
                     await self.store.changed.wait()
             except TimeoutError:
+                await self._wait_while_frozen()
                 return StoreRead((), self.store.revision)
 
     async def close(self):
@@ -223,7 +236,9 @@
         asyncio.get_running_loop().call_later(LINK_DELAY_S, self._deliver, message)
 
     def _deliver(self, message):
-        if not self.closed:
+        if self.fleet.is_held_up(self.local, self.host):
+            asyncio.get_running_loop().call_later(FREEZE_STEP_S, self._deliver, message)
+        elif not self.closed and (self.local, self.host) not in self.fleet.cut:
             node = self.fleet.nodes[self.host]
             node.receive(node.peers.link(self.local), message)
 
@@ -243,6 +258,9 @@
         await asyncio.sleep(LINK_DELAY_S * 4)
         if host not in self.fleet.nodes:
             raise PeerUnreachable(UpstreamId(host))
+        if host not in self.links and self.fleet.is_held_up(self.host, host):
+            await asyncio.sleep(DIAL_TIMEOUT_S)
+            raise PeerUnreachable(UpstreamId(host))
         return self.link(host)
 
     def link(self, host):
@@ -283,6 +301,7 @@
             self.follower.describe_store_return,
             lambda: self.follower.plan.version if self.follower.plan else 0,
             clock,
+            fleet.random,
         )
         self.follower.feeds = self.feeds
         self.feeds.send_documents = self.follower.send_documents
@@ -291,7 +310,12 @@
         self.directory = directory
         self.tasks = [
             asyncio.ensure_future(work)
-            for work in (self.follower.run(), self.follower.maintain(), self.feeds.run())
+            for work in (
+                self.follower.run(),
+                self.follower.maintain(),
+                self.feeds.run(),
+                self.feeds.search.run(),
+            )
         ]
 
     def receive(self, link, message):
@@ -320,6 +344,7 @@
         heartbeat_ms: Interval at which upstreams write their entries, as the settings of nodes say.
         nodes: Running nodes by host.
         messages: Messages between nodes so far.
+        cut: Pairs of hosts of which the first one's messages do not reach the second one.
     """
 
     def __init__(self, size, zones, seed=1, heartbeat_ms=1_500.0):
@@ -328,6 +353,7 @@
         self.random = Random(seed)
         self.nodes = {}
         self.messages = 0
+        self.cut = set()
         self.zone_by_host = {
             f"10.{place % zones}.0.{place}": f"zone-{place % zones}" for place in range(size)
         }
@@ -353,6 +379,10 @@
             *(task for node in stopped for task in node.tasks), return_exceptions=True
         )
 
+    def is_held_up(self, local, host):
+        """Return whether one of two nodes is frozen, so that messages wait."""
+        return not self.store.frozen.isdisjoint((local, host))
+
     def evacuated(self):
         """Return the different sets of evacuated zones on the nodes that run."""
         return {node.directory.evacuated_zones for node in self.nodes.values()}
--- a/tests/coordination/mesh/test_feed_states.py
+++ b/tests/coordination/mesh/test_feed_states.py
@@ -83,7 +83,7 @@
         hosts = list(self.fleet.nodes)
         for host, other in zip(hosts, reversed(hosts), strict=True):
             feeds = self.fleet.nodes[host].feeds
-            feeds._choose_sources = lambda: None
+            feeds.choose_sources = lambda: None
             feeds.plan = FeedPlan(False, (other,), 1, 2)
         await asyncio.sleep(FEED_INTERVAL_MS / 1000 + 0.1)
         await self.check_messages(2, 2 * MAX_STATES_PER_S)
--- a/tests/state/test_feed_plan.py
+++ b/tests/state/test_feed_plan.py
@@ -1,6 +1,11 @@
 """Pattern: hundreds of nodes follow one store that charges for every call."""
 
-from gentianthread.state.feed_plan import WATCHED_ZONES, plan_feeds
+from gentianthread.state.feed_plan import (
+    EARLY_CALLS,
+    EARLY_TURNS,
+    WATCHED_ZONES,
+    plan_feeds,
+)
 
 from ..base import TestCase
 
@@ -54,6 +59,22 @@
             first = sorted(plan.first_call_delay_ms() for plan in plans)
             self.assertLessEqual(sum(delay_ms < 1_000 for delay_ms in first), 6)
 
+    def test_early_calls_do_not_grow_with_the_zone(self):
+        """Guards against a zone that calls a silent store as often as it has nodes."""
+        for size in (7, 33, 112):
+            hosts = fleet(size, 1)
+            plan = plan_feeds(min(hosts["zone-0"]), "zone-0", hosts)
+            turns = range(1, EARLY_TURNS + 1)
+            expected = sum(size * plan.early_call_probability(turn) for turn in turns)
+            self.assertLessEqual(expected, EARLY_CALLS * (2**EARLY_TURNS - 1))
+
+    def test_early_calls_do_not_depend_on_the_nodes_that_are_lost(self):
+        """Guards against a take-over that waits for each lost node that is next in line."""
+        hosts = fleet(33, 1)
+        plans = [plan_feeds(host, "zone-0", hosts) for host in hosts["zone-0"]]
+        for turn in range(1, EARLY_TURNS + 1):
+            self.assertEqual(1, len({plan.early_call_probability(turn) for plan in plans}))
+
     def test_node_of_an_unlisted_zone_follows_the_watchers(self):
         """Guards against a starting node that watches because its zone is not listed yet."""
         plan = plan_feeds("10.9.0.1", "zone-9", fleet(30, 6))
