Log whether a request was cut off at the end of its node

How often a call is passed on late and broken off nevertheless could not be told from other timeouts. The reason in event 711 and the counter entry.refused.* now say so; calls that are refused because the node ends first had a reason of their own already. test_call_that_takes_longer_than_before_is_answered checks both counters.

--- a/gentianthread/coordination/mesh/entry.py
+++ b/gentianthread/coordination/mesh/entry.py
@@ -434,9 +434,11 @@
 
     def timeout_reply(self, pending: PendingRequest) -> EntryReply:
         """Return the reply for a request whose deadline has passed."""
+        is_cut = self.clock.now_ms() >= self.ends_at_ms - END_MARGIN_MS - DEADLINE_TOLERANCE_MS
+        reason = "cut off at the end of the node" if is_cut else "out of time"
         if pending.may_have_run:
-            return EntryReply(504, "out of time")
-        return self._unavailable("out of time")
+            return EntryReply(504, reason)
+        return self._unavailable(reason)
 
     def fault_reply(self, pending: PendingRequest | None) -> EntryReply:
         """Return the reply for a request that failed because of an error in the node.
--- a/tests/coordination/mesh/test_changes.py
+++ b/tests/coordination/mesh/test_changes.py
@@ -300,6 +300,9 @@
         self.assertEqual(504, reply.status)
         late = await self.call_inner("catalogue-0", "/ledger/7")
         self.assertEqual((503, 6), (late.status, len(self.target("orders-0").seen)))
+        counters = self.sidecar("catalogue-0").metrics.counters
+        self.assertEqual(1, counters["entry.refused.cut_off_at_the_end_of_the_node"])
+        self.assertEqual(1, counters["entry.refused.node_ends_before_the_call"])
         await self.stop()
 
     async def test_call_that_cannot_end_in_a_stop_is_refused(self):
