Charge what slow readers leave in the buffers of their transports

Cause: responses were charged only while the buffer of a transport was over its limit; up to 64 KB of each connection below it were charged to nobody, so that the budget never saw the process short.

Ruled out: the connections themselves, 3,250 idle ones take 6.3 MB together.

--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -200,14 +200,12 @@
             self._note_feed_return()
             await self.clock.sleep_ms(FEED_CHECK_MS)
             return False
-        # Silent sources are passed over, which changes this node's position.
+        # Silent sources are passed over, which may make this node a watcher or a head.
         feeds.choose_sources()
-        if feeds.watching:
-            return True
         if feeds.is_outage_reported():
             # This node's first call may come after the outage, and must know of it then.
             self._note_outage("reported by the nodes that this one follows")
-        if feeds.plan.position == 0:
+        if feeds.watching or feeds.plan.position == 0:
             return True
         return await self._turn.is_due()
 
@@ -286,6 +284,7 @@
             self._note_outage_end()
 
     def _note_outage_end(self) -> None:
+        """Record that the store is back."""
         log(STORE_REGAINED, away_ms=self.clock.now_ms() - self._outage_started_ms)
         self._outage_started_ms = None
         if self.feeds is not None:
--- a/gentianthread/transport/caller_connection.py
+++ b/gentianthread/transport/caller_connection.py
@@ -324,6 +324,19 @@
         self._resume(PAUSED_BY_OUTPUT)
         self._flush()
 
+    def _charge_unsent(self, unsent_bytes: int) -> None:
+        """Charge what stays in the buffer of the transport, also below its limit.
+
+        Each of thousands of slow readers may fill it nearly to the limit. Responses that leave the
+        buffer between two sweeps are never charged, which keeps the writing of most of them cheap.
+        """
+        if self._output_full or unsent_bytes == self._output_bytes:
+            return
+        self._release_output()
+        if unsent_bytes:
+            self._output_bytes = unsent_bytes
+            self._memory.charge(MemoryOwner.ANSWER_OUT, self, unsent_bytes)
+
     def _release_output(self) -> None:
         self._memory.release(MemoryOwner.ANSWER_OUT, self, self._output_bytes)
         self._output_bytes = 0
@@ -442,6 +455,7 @@
         if self.transport is None:
             return
         unreceived_bytes = self.unsent_bytes()
+        self._charge_unsent(unreceived_bytes)
         if unreceived_bytes:
             # A slow reader has as much time as it needs; one that reads nothing at all is gone. The
             # system takes bytes from the transport only once megabytes of its buffer are free.
--- a/gentianthread/transport/http_pipeline.py
+++ b/gentianthread/transport/http_pipeline.py
@@ -230,6 +230,7 @@
             now_ms, limits = self.clock.now_ms(), self.limits()
             for connection in list(self.connections):
                 connection.sweep(now_ms, limits)
+            self._evict_overfull()
 
     @property
     def busy(self) -> int:
--- a/tests/transport/test_caller_memory.py
+++ b/tests/transport/test_caller_memory.py
@@ -303,6 +303,42 @@
         with asyncio.Runner(loop_factory=new_event_loop) as runner:
             runner.run(play())
 
+    def test_small_responses_that_stay_in_the_transport_are_charged(self):
+        """Guards against thousands of slow readers who hold less than the limit of the transport.
+
+        Up to 64 KB of each were charged to nobody, as in `review/8`.
+        """
+        case = ListenerCase("run")
+        count = 10
+
+        async def small(request):
+            return BufferedResponse(200, [], bytes(5_000))
+
+        async def play():
+            await case.open(handler=small)
+            reader, writer = await case.connect(receive_bytes=4_096)
+            reader._transport.pause_reading()
+            await wait_until(lambda: case.listener.connections)
+            connection = next(iter(case.listener.connections))
+            raw = connection.transport.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+            writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" * count)
+            await wait_until(lambda: connection.unsent_bytes() > 5_000)
+            await wait_until(lambda: case.memory.sum_of(MemoryOwner.ANSWER_OUT) > 0)
+            unsent_bytes = connection.unsent_bytes()
+            self.assertEqual(unsent_bytes, case.memory.sum_of(MemoryOwner.ANSWER_OUT))
+            reader._transport.resume_reading()
+            for _ in range(count):
+                status, _, body = await case.read_response(reader)
+                self.assertEqual((200, 5_000), (status, len(body)))
+            await wait_until(lambda: not case.memory.total_bytes)
+            writer.close()
+            await wait_until(lambda: not case.listener.connections)
+            await case.listener.close()
+
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(play())
+
     def test_slow_reader_gets_all_and_one_that_reads_nothing_is_dropped(self):
         """Guards against cutting a response whose rest stays in the transport between two reads.
 
