Look for nodes behind a page of the list that names none

Callers saw: after a restart of all sidecars almost no request was served, for as long as an entry of another writer stood in the list of upstreams; its name held &, +, #, % or a blank, and the list had more than one page.

Cause: a starting node reads one page of the list, to find nodes whose feeds bring all documents. It read the first page only. Names with these characters sort before letters and digits, and a page ends at about 500 items or 1 MB, so that such an entry can have the first page to itself. A page that names nobody left the node without sources, and a node without sources never calls the store itself: it read the same page again, for ever. No node started, so none could tell another.

Ruled out: the characters themselves. They are escaped in the query, the pages after the entry are read completely, and with the same entry on a page of two items all nodes served.

Change: the search goes on behind a page that names no node, and the next search begins at the page that did. The store stand-in ends pages at 1 MB, too.

Why it works: the pages together name every node, and a node whose own upstream is listed finds itself at the latest, which makes it a watcher if nobody else answers. One more page costs a tenth of a call.

Weighed: to let every node without sources call the store. At 195 nodes each would then read all pages at the same moment, at ten times the price and under the limit of reads per second.

--- a/gentianthread/coordination/mesh/feeds.py
+++ b/gentianthread/coordination/mesh/feeds.py
@@ -29,6 +29,7 @@
 from ...state.relisting import StoreReturn
 from ...state.source_silence import SILENT_AFTER_MS, STATE_INTERVAL_MS, SourceSilence
 from ...transport.metadata_store import Document
+from .entry_sample import HostsByZone
 from .feed_search import FeedSearch
 from .peer_link import PeerLink
 from .peers import PeerLinks
@@ -141,10 +142,10 @@
         self.on_neighbour: Callable[[PeerLink], None] = lambda link: None
         self._started_ms = clock.now_ms()
         self._deputy_until_ms = float("-inf")
-        # Nodes of an outdated page of entries, used until the directory has entries.
-        self._startup_hosts: dict[AvailabilityZoneId, list[str]] = {}
+        # Nodes of outdated pages of entries, used until the directory has entries.
+        self._startup_hosts: HostsByZone = {}
         # Nodes for which the plan was made.
-        self._planned_hosts: dict[AvailabilityZoneId, set[str]] = {}
+        self._planned_hosts: HostsByZone = {}
         # The last revision sent to each follower; None for followers that receive only the state.
         self._followers: dict[PeerLink, int | None] = {}
         # When those followers are forgotten that follow this node for a while.
@@ -190,7 +191,7 @@
         await self._follow_sources()
         self._end_following()
 
-    async def start_with(self, hosts_by_zone: dict[AvailabilityZoneId, list[str]]) -> None:
+    async def start_with(self, hosts_by_zone: HostsByZone) -> None:
         """Follow nodes of a possibly outdated list until the directory has entries.
 
         Args:
@@ -261,12 +262,12 @@
                 del self._left_links[host]
                 link.post(FollowFeed(self.revision(), False, self.plan_version(), 0.0))
 
-    def _reachable_hosts(self) -> dict[AvailabilityZoneId, set[str]]:
-        hosts_by_zone: dict[AvailabilityZoneId, set[str]] = {}
+    def _reachable_hosts(self) -> HostsByZone:
+        hosts_by_zone: HostsByZone = {}
         for entry in self.directory.entries.values():
             hosts_by_zone.setdefault(entry.availability_zone, set()).add(entry.host)
         if not hosts_by_zone:
-            hosts_by_zone = {zone: set(hosts) for zone, hosts in self._startup_hosts.items()}
+            hosts_by_zone = self._startup_hosts
         silent = self._silence.silent(self.clock.now_ms())
         return {
             zone: {
--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -16,7 +16,6 @@
     STORE_REGAINED,
     STORE_RESTORED,
 )
-from ...ids import AvailabilityZoneId
 from ...logs import log
 from ...metrics import Metrics
 from ...protocol.messages_mesh import (
@@ -38,6 +37,7 @@
     StoreRead,
 )
 from .entry_history import EntryHistory
+from .entry_sample import EntrySample
 from .evacuation_documents import EvacuationDocuments
 from .feeds import WATCHER_MAX_WAIT_MS, DocumentFeeds
 from .peer_link import PeerLink
@@ -125,6 +125,7 @@
         self.evacuations = EvacuationDocuments(reader, directory, self.documents)
         # Revision of the last complete read, before which removals may be unknown.
         self._removals_known_from = 0
+        self._sample = EntrySample(store, reader, metrics)
         self._turn: StoreTurn | None = None
         self._watch: asyncio.Future | None = None
         # A peer that knows a newer revision, that revision, and when it was first reported.
@@ -210,22 +211,8 @@
         return await self._turn.is_due()
 
     async def _look_for_nodes(self) -> None:
-        """Find nodes to follow in a page of the store; their feeds bring all documents."""
-        self.metrics.count("store.sampled")
-        page = await self.store.sample_entries()
-        hosts_by_zone: dict[AvailabilityZoneId, list[str]] = {}
-        for document in page.documents:
-            try:
-                entry = self.reader.upstream(self.reader.upstream_id(document.key), document.data)
-            except DocumentError as error:
-                log(
-                    DOCUMENT_REFUSED,
-                    key=document.key,
-                    revision=format_revision(page.revision),
-                    problem=str(error),
-                )
-                continue
-            hosts_by_zone.setdefault(entry.availability_zone, []).append(entry.host)
+        """Find nodes to follow in the store's list; their feeds bring all documents."""
+        hosts_by_zone = await self._sample.read(whole=self.feeds.is_lost())
         await self.feeds.start_with(hosts_by_zone)
         if not self.feeds.watching:
             await self.clock.sleep_ms(self._sample_interval_ms * (0.5 + self.random.random()))
--- a/gentianthread/platform/store.py
+++ b/gentianthread/platform/store.py
@@ -21,6 +21,7 @@
     HistoryLost,
     MetadataStore,
     StoreAdapter,
+    StorePage,
     StoreRead,
     store_adapters,
 )
@@ -141,12 +142,12 @@
             PlatformUnavailable: The store failed, or was restored in the meantime.
         """
         documents: list[Document] = []
-        first_revision, after = None, ""
-        while True:
-            query = {"prefix": prefix} | ({"after": after} if after else {})
+        first_revision: int | None = None
+        after: str | None = ""
+        while after is not None:
             needs_plan = self._has_plan and prefix == OPERATOR_PREFIX and not after
             fits = partial(_is_page, prefix, after, self._last_revision, needs_plan=needs_plan)
-            page = await self._get(CALL_RANGE, query, fits)
+            page = await self._get(CALL_RANGE, _range_query(prefix, after), fits)
             era = page.era if era is None else era
             if page.era != era:
                 raise PlatformUnavailable(CALL_RANGE, "the store was restored during the read")
@@ -154,15 +155,15 @@
             first_revision = revision if first_revision is None else first_revision
             page_documents = _documents(page, _FIELD_ITEMS)
             documents += page_documents
-            if not page.content.get("has_more") or not page_documents:
-                return documents, first_revision
-            after = page_documents[-1].key
+            after = _next_after(page, page_documents, after)
+        return documents, first_revision
 
-    async def sample_entries(self) -> StoreRead:
-        """Read the first page of entries, which the store may answer from an outdated copy."""
-        query = {"prefix": UPSTREAM_PREFIX, "allow_stale": "1"}
-        page = await self._get(CALL_RANGE, query, partial(_is_page, UPSTREAM_PREFIX, "", 0))
-        return StoreRead(tuple(_documents(page, _FIELD_ITEMS)), _revision(page))
+    async def sample_entries(self, after: str = "") -> StorePage:
+        """Read a page of entries, which the store may answer from an outdated copy."""
+        query = _range_query(UPSTREAM_PREFIX, after) | {"allow_stale": "1"}
+        page = await self._get(CALL_RANGE, query, partial(_is_page, UPSTREAM_PREFIX, after, 0))
+        documents = _documents(page, _FIELD_ITEMS)
+        return StorePage(tuple(documents), _revision(page), _next_after(page, documents, after))
 
     async def watch(self, revision: int, wait_ms: float) -> StoreRead:
         """Wait for changes to any item."""
@@ -239,6 +240,23 @@
     return all(document.key.startswith(prefix) and document.key > after for document in documents)
 
 
+def _range_query(prefix: str, after: str) -> dict[str, str]:
+    return {"prefix": prefix} | ({"after": after} if after else {})
+
+
+def _next_after(page: _Answer, documents: list[Document], after: str) -> str | None:
+    """Return the key after which the next page of a range begins, or None after the last one.
+
+    Args:
+        page: A page.
+        documents: Its documents.
+        after: Key after which it begins.
+    """
+    if not page.content.get("has_more") or not documents:
+        return None
+    return documents[-1].key
+
+
 def _has_plan(documents: list[Document]) -> bool:
     return any(document.key == PLAN_KEY for document in documents)
 
--- a/gentianthread/standins/mesh.py
+++ b/gentianthread/standins/mesh.py
@@ -496,6 +496,14 @@
         for sidecar in sidecars:
             await sidecar.follower.ready.wait()
 
+    async def restart_sidecars(self) -> None:
+        """Stop all sidecars, and start them anew while the targets run on."""
+        for instance in self.instances.values():
+            await instance.sidecar.stop()
+        for instance in self.instances.values():
+            instance.sidecar = Sidecar(instance.sidecar.settings, SystemClock())
+            await instance.sidecar.start()
+
     async def stop(self) -> None:
         """Close everything."""
         for instance in self.instances.values():
--- a/gentianthread/standins/mesh_store.py
+++ b/gentianthread/standins/mesh_store.py
@@ -18,6 +18,9 @@
 # Differs from the ports of an instance in `mesh`.
 STORE_PORT = 7806
 
+# Size of the values, as text, at which the page of a range ends.
+PAGE_BYTES = 1_000_000
+
 
 class MeshStore:
     """Store items with revisions and serve reads and watches.
@@ -27,7 +30,7 @@
         down: Whether each call is refused with 503.
         refused: Addresses whose calls are refused.
         deaf: Whether waiting watches hear nothing.
-        page: Items of one page of a range.
+        page: Items of one page of a range, which ends earlier at `PAGE_BYTES`.
         era: Number of restores so far.
     """
 
@@ -123,13 +126,16 @@
     def _read_range(self, query: dict[str, str]) -> BufferedResponse:
         prefix, after = query.get("prefix", ""), query.get("after", "")
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
-        return _json(
-            {
-                "items": [self._item(key) for key in keys[: self.page]],
-                "has_more": len(keys) > self.page,
-                "at_rev": self.revision,
-            }
-        )
+        items: list[dict[str, Any]] = []
+        size_bytes = 0
+        for key in keys[: self.page]:
+            item = self._item(key)
+            size_bytes += len(item["value"])
+            # A page has one item at least, so that a read goes on.
+            if items and size_bytes > PAGE_BYTES:
+                break
+            items.append(item)
+        return _json({"items": items, "has_more": len(keys) > len(items), "at_rev": self.revision})
 
     async def _watch(self, query: dict[str, str], host: str) -> BufferedResponse:
         after, wait_ms = int(query["after"]), int(query["wait_ms"])
--- a/gentianthread/transport/metadata_store.py
+++ b/gentianthread/transport/metadata_store.py
@@ -54,6 +54,17 @@
     revision: int
 
 
+@attrs.frozen
+class StorePage(StoreRead):
+    """Store a page of a longer read.
+
+    Attributes:
+        next_after: Key after which the next page begins, or None if this is the last one.
+    """
+
+    next_after: str | None
+
+
 class MetadataStore(ABC):
     """Read the documents of a store, with a timeout for each call; nothing is written."""
 
@@ -77,8 +88,11 @@
         """
 
     @abstractmethod
-    async def sample_entries(self) -> StoreRead:
-        """Return some entries of upstreams, possibly outdated, at a lower price than a full read.
+    async def sample_entries(self, after: str = "") -> StorePage:
+        """Return a page of upstream entries, possibly outdated, at a lower price than a full read.
+
+        Args:
+            after: Key after which the page begins; empty for the first page.
 
         Raises:
             PlatformUnavailable: The store failed or did not respond in time.
--- a/tests/coordination/mesh/follower_fleet.py
+++ b/tests/coordination/mesh/follower_fleet.py
@@ -28,6 +28,7 @@
     DocumentReader,
     HistoryLost,
     MetadataStore,
+    StorePage,
     StoreRead,
 )
 
@@ -35,6 +36,9 @@
 EVACUATION_PREFIX = "evacuate/"
 PAGE_ENTRIES = 50
 STALE_CALL_PRICE = 0.1
+
+# Content of an entry that names no upstream.
+ODD_ENTRY = b"odd"
 LINK_DELAY_S = 0.002
 DIAL_TIMEOUT_S = 0.35
 
@@ -74,6 +78,8 @@
             raise DocumentError(PLAN_KEY, "", "a version") from error
 
     def upstream(self, upstream_id, data):
+        if data == ODD_ENTRY:
+            raise DocumentError(upstream_id, "", "an entry")
         host, zone, *rest = data.decode().split()
         state, start, write = (*rest, *("ready", 0, 0)[len(rest) :])
         return UpstreamEntry(
@@ -99,6 +105,7 @@
             the last moments before the store is back.
         refused: Hosts whose calls fail.
         frozen: Hosts that make no calls and read no answers at present.
+        large: Keys of entries that have a page to themselves.
     """
 
     def __init__(self):
@@ -107,6 +114,7 @@
         self.silent_s = 0.0
         self.refused = set()
         self.frozen = set()
+        self.large = set()
         self.revision = 1
         self.items = {}
         self.events = []
@@ -123,9 +131,19 @@
         self.changed = asyncio.Event()
 
     def entries(self):
-        """Return the entries of upstreams."""
+        """Return the entries of upstreams in the order of their keys."""
         other = (PLAN_KEY, EVACUATION_PREFIX)
-        return [item for key, item in self.items.items() if not key.startswith(other)]
+        return [item for key, item in sorted(self.items.items()) if not key.startswith(other)]
+
+    def page(self, after):
+        """Return the page of entries after a key."""
+        entries = [item for item in self.entries() if item.key > after]
+        fills_page = [item.key in self.large for item in entries]
+        size = PAGE_ENTRIES
+        if any(fills_page):
+            size = min(size, max(1, fills_page.index(True)))
+        next_after = entries[size - 1].key if len(entries) > size else None
+        return StorePage(tuple(entries[:size]), self.revision, next_after)
 
     def go_down(self, silent_s=0.0):
         """Fail all calls, also the watches that wait; without an answer if a time is given."""
@@ -181,15 +199,16 @@
             raise PlatformUnavailable("call", "no answer in time")
 
     async def read_all(self):
-        entries = self.store.entries()
-        for _ in range(2 + len(entries) // PAGE_ENTRIES):
+        await self._charge()
+        after = ""
+        while after is not None:
             await self._charge()
+            after = self.store.page(after).next_after
         return StoreRead(tuple(self.store.items.values()), self.store.revision)
 
-    async def sample_entries(self):
+    async def sample_entries(self, after=""):
         await self._charge(STALE_CALL_PRICE)
-        entries = self.store.entries()
-        return StoreRead(tuple(entries[:PAGE_ENTRIES]), self.store.revision)
+        return self.store.page(after)
 
     async def watch(self, revision, wait_ms):
         await self._charge()
--- a/tests/coordination/mesh/test_store_calls.py
+++ b/tests/coordination/mesh/test_store_calls.py
@@ -5,7 +5,7 @@
 from gentianthread.coordination.mesh.feeds import WATCHER_MAX_WAIT_MS
 
 from ...base import VirtualTimeTestCase
-from .follower_fleet import PLAN_KEY, FollowerFleet
+from .follower_fleet import ODD_ENTRY, PLAN_KEY, STALE_CALL_PRICE, FollowerFleet
 
 # Calls of a whole calm day, and of the worst one, that the users' price leaves room for.
 CALM_DAY_CALLS = 200
@@ -42,6 +42,23 @@
             await fleet.stop()
         self.assertLessEqual(charged[675], charged[30] + 3)
 
+    async def test_start_beside_an_entry_that_fills_the_first_page_costs_one_page_more(self):
+        """Guards against nodes that wait for the first page of the list to name others.
+
+        Nor may all of them read the whole list in its place.
+        """
+        for size in (30, 195, 675):
+            fleet = FollowerFleet(size, 6)
+            fleet.list_all()
+            fleet.store.put("&odd", ODD_ENTRY)
+            fleet.store.large.add("&odd")
+            fleet.start()
+            await asyncio.sleep(CHANGE_LIMIT_S)
+            self.assertEqual(size, fleet.ready())
+            extra = size * STALE_CALL_PRICE
+            self.assertLessEqual(fleet.store.charged, 0.2 * size + 40 + extra)
+            await fleet.stop()
+
     async def test_entries_that_appear_after_the_nodes_cost_little(self):
         """Guards against nodes that all watch the store until their zones are listed."""
         fleet = FollowerFleet(195, 6)
