Read the whole list before a starting node takes its turn at the store

Callers saw: after a restart of all, nodes without a configuration for 10 s and more while the first page of the list held only entries of instances that were gone, or of foreign addresses. Such nodes answer 503.

Cause: a starting node without a feed takes its turn at the store by the nodes that its page names. Fifty entries of instances that are gone stand before it, and nobody of them answers. The nodes that run are on the next page, so that it cannot find those of them that have the documents by now.

Ruled out: the length of the list alone.

Change: once its feed is lost, a starting node reads the list to its end before it takes its turn, once.

Why it works: nodes that run are in the choice of sources and in the search from then on.

--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -194,7 +194,7 @@
         feeds = self.feeds
         if feeds is None or feeds.watching:
             return True
-        if not self.revision and not (feeds.plan.sources and feeds.is_lost()):
+        if not self.revision and self._is_sample_due():
             await self._look_for_nodes()
             return False
         if not feeds.is_lost():
@@ -210,11 +210,22 @@
             return True
         return await self._turn.is_due()
 
+    def _is_sample_due(self) -> bool:
+        """Return whether a starting node looks for other nodes before it calls the store itself.
+
+        Nodes of a part of the list may all be gone. Before it calls the store, a node without a
+        feed looks for others in the whole list, once.
+        """
+        if self.feeds.is_lost() and self.feeds.plan.sources:
+            return not self._sample.is_whole
+        return True
+
     async def _look_for_nodes(self) -> None:
         """Find nodes to follow in the store's list; their feeds bring all documents."""
         hosts_by_zone = await self._sample.read(whole=self.feeds.is_lost())
         await self.feeds.start_with(hosts_by_zone)
-        if not self.feeds.watching:
+        may_call_now = self.feeds.watching or not self._is_sample_due()
+        if not may_call_now:
             await self.clock.sleep_ms(self._sample_interval_ms * (0.5 + self.random.random()))
             self._sample_interval_ms = min(
                 SAMPLE_INTERVAL_RANGE_MS[1], self._sample_interval_ms * 2
--- a/tests/coordination/mesh/test_foreign_entries.py
+++ b/tests/coordination/mesh/test_foreign_entries.py
@@ -7,6 +7,7 @@
 import json
 
 from gentianthread.platform.documents import UPSTREAM_PREFIX
+from gentianthread.standins.mesh import PEER_PORT
 
 from .base import MeshTestCase
 
@@ -21,6 +22,21 @@
 # As text it fills a page on its own.
 LARGE = bytes(800_000)
 
+# Number of entries of instances that are gone.
+GONE = 50
+
+
+async def hold(reader, writer):
+    """Read what a peer sends, and never answer."""
+    try:
+        while await reader.read(65_536):
+            pass
+    except asyncio.CancelledError:
+        # The test has ended.
+        pass
+    finally:
+        writer.close()
+
 
 class TestForeignEntries(MeshTestCase):
     async def start_nodes(self, page=50):
@@ -30,6 +46,18 @@
     def put(self, name, value):
         self.fleet.store.put(UPSTREAM_PREFIX + name, value)
 
+    def entry(self, **changes):
+        """Return the entry of an upstream of a service that no configuration names."""
+        usual = {"service": "archive", "zone": "a", "slots": 8, "state": "ready"}
+        return json.dumps(usual | {"address": "127.0.0.9:80"} | changes).encode()
+
+    def put_gone(self):
+        """Write entries of instances that are gone, and return their addresses."""
+        hosts = [f"{self.fleet.network}.{100 + number}" for number in range(GONE)]
+        for host in hosts:
+            self.put(f"&gone-{host}", self.entry(address=f"{host}:80"))
+        return hosts
+
     async def served(self):
         """Return the nodes that answer a request of a caller."""
         nodes = list(self.fleet.instances)
@@ -63,8 +91,27 @@
 
     async def test_restart_of_all_beside_an_entry_with_odd_fields(self):
         """Guards against a page whose only entry names no upstream to use."""
-        good = {"service": "catalogue", "address": "127.0.0.9:80", "zone": "a", "slots": 8}
-        odd_fields = ({"state": "resting"}, {"zone": None}, {"slots": "many"}, {"address": 9})
+        odd_fields = ({"state": "resting"}, {"zone": None}, {"slots": "many"}, {"address": 9}, {})
         for change in odd_fields:
-            entry = good | {"state": "ready"} | change
-            await self.play("+odd", json.dumps(entry).encode(), 1)
+            await self.play("+odd", self.entry(**change), 1)
+
+    async def test_restart_of_all_beside_many_entries_of_instances_that_are_gone(self):
+        """Guards against nodes that try the same unreachable nodes again and again."""
+        for page in (GONE, 500):
+            await self.start_nodes(page)
+            self.put_gone()
+            await self.restart()
+            await self.stop()
+
+    async def test_restart_of_all_beside_entries_with_addresses_that_say_nothing(self):
+        """Guards against a page whose nodes accept links and never answer."""
+        for page in (2, 500):
+            await self.start_nodes(page)
+            hosts = [f"{self.fleet.network}.{100 + number}" for number in range(4)]
+            listeners = [await asyncio.start_server(hold, host, PEER_PORT) for host in hosts]
+            for host in hosts:
+                self.put(f"&silent-{host}", self.entry(address=f"{host}:80"))
+            await self.restart()
+            await self.stop()
+            for listener in listeners:
+                listener.close()
