Remember unreachable nodes of a page until the documents are known

Callers saw: after a restart of all beside entries of instances that are gone, single nodes needed up to 3.05 s until they were ready, more than the 3 s of `contact`.

Cause: a node that cannot be reached is kept out of the choice of sources as long as the directory lists it. While a node starts, its directory is empty, so that the next check (0.1 s) forgot the failed dial; the node chose the same unreachable sources at the next choice, and never came to the next ones in line.

Change: before the first documents, the pages of the list say which nodes are known.

Evidence: test_unreachable_node_of_a_page_is_not_chosen_again_at_once fails without the change of `is_listed` (a node that cannot be reached counted as reachable within 0.5 s) and passes with it.

Why it works: failed dials are repeated in the background with backoff, as for listed nodes, and the choice passes over the node meanwhile.

--- a/gentianthread/coordination/mesh/feeds.py
+++ b/gentianthread/coordination/mesh/feeds.py
@@ -278,6 +278,12 @@
             for zone, hosts in hosts_by_zone.items()
         }
 
+    def is_known(self, host: str) -> bool:
+        """Return whether a node may be there, by the documents or, before them, by the pages."""
+        if self.directory.entries:
+            return host in self.directory.hosts()
+        return any(host in hosts for hosts in self._startup_hosts.values())
+
     def followable(self) -> tuple[list[str], list[str]]:
         """Return the nodes that can be asked, of the own zone and of all others."""
         own_zone: list[str] = []
--- a/gentianthread/coordination/mesh/sidecar.py
+++ b/gentianthread/coordination/mesh/sidecar.py
@@ -259,7 +259,7 @@
         self.peers.is_in_other_zone = self._is_in_other_zone
         self.peers.revision = lambda: self.follower.revision
         self.peers.make_probe = self._make_probe
-        self.peers.is_listed = lambda host: host in self.directory.hosts()
+        self.peers.is_listed = self.feeds.is_known
         self.peers.on_revision = self.follower.note_peer_revision
         self.peers.handlers = {
             DocumentsWanted: self.follower.on_documents_wanted,
--- a/tests/coordination/mesh/test_foreign_entries.py
+++ b/tests/coordination/mesh/test_foreign_entries.py
@@ -103,6 +103,23 @@
             await self.restart()
             await self.stop()
 
+    async def test_unreachable_node_of_a_page_is_not_chosen_again_at_once(self):
+        """Guards against a starting node that follows the same unreachable nodes in turn.
+
+        It forgot at once that they cannot be reached, as no document listed them yet.
+        """
+        await self.start_nodes(page=GONE)
+        gone = self.put_gone()
+        await self.fleet.restart_sidecars()
+        node = self.sidecar("catalogue-0")
+        await self.until(lambda: not all(map(node.peers.reachable, gone)))
+        unreachable = [host for host in gone if not node.peers.reachable(host)]
+        for _ in range(50):
+            await asyncio.sleep(0.01)
+            self.assertEqual([], [host for host in unreachable if node.peers.reachable(host)])
+        self.assertEqual({}, node.directory.entries)
+        await self.stop()
+
     async def test_restart_of_all_beside_entries_with_addresses_that_say_nothing(self):
         """Guards against a page whose nodes accept links and never answer."""
         for page in (2, 500):
