Name any key in the query for the next page of the store's list

Cause: the key after which the next page begins could not be encoded, so that each read of the list failed with UnicodeEncodeError and the task that follows the store was restarted again and again. In the same query a blank was sent as a plus sign. That is the convention of forms; a store that decodes by RFC 3986 begins the page behind another key, and the entries between a blank and a plus sign are missed.

Change: the query encodes surrogates as their three bytes and a blank as %20.

Why it works: every decoder takes %20 for a blank, and ids of upstreams are visible ASCII, which sorts before all that a decoder may make of a surrogate.

--- a/gentianthread/platform/store.py
+++ b/gentianthread/platform/store.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 from typing import Any
-from urllib.parse import urlencode
+from urllib.parse import quote, urlencode
 
 import attrs
 
@@ -195,7 +195,7 @@
         *,
         wait_ms: float = 0.0,
     ) -> _Answer:
-        path = f"{BASE_PATH}{call}?{urlencode(query)}"
+        path = f"{BASE_PATH}{call}?{_encode_query(query)}"
         request = make_request("GET", path, self._header_fields, b"", "", wait_ms + READ_TIMEOUT_MS)
         pooled = await self._exchange(call, request)
         answer = _read_answer(call, pooled)
@@ -240,6 +240,14 @@
     return all(document.key.startswith(prefix) and document.key > after for document in documents)
 
 
+def _encode_query(query: dict[str, str]) -> str:
+    """Return a query that may hold any key, also one with a surrogate, as JSON allows.
+
+    A blank is sent as %20, since a plus sign stands for it in forms only.
+    """
+    return urlencode(query, quote_via=quote, safe="", errors="surrogatepass")
+
+
 def _range_query(prefix: str, after: str) -> dict[str, str]:
     return {"prefix": prefix} | ({"after": after} if after else {})
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -34,6 +34,52 @@
         self.assertEqual(server.revision, read.revision)
         await self.close()
 
+    async def test_reads_all_pages_around_odd_keys(self):
+        """Guards against a key whose characters change the query for the page after it.
+
+        A store may take a plus sign in a query for itself or for a blank.
+        """
+        names = (
+            " blank",
+            "!",
+            "#",
+            "%20",
+            "&prefix=x",
+            "+",
+            "a b",
+            "a+b",
+            "ä",
+            "\u2028",
+            "\U0001f511",
+        )
+        for plus_is_blank in (False, True):
+            server, store = await self.open()
+            server.page = 1
+            server.plus_is_blank = plus_is_blank
+            server.put("op/config", plan_document())
+            keys = [f"servers/{name}" for name in names]
+            for key in keys:
+                server.put(key, b"{}")
+            read = await store.read_all()
+            self.assertEqual(["op/config", *keys], [document.key for document in read.documents])
+            sampled, after = [], ""
+            while after is not None:
+                page = await store.sample_entries(after)
+                sampled += [document.key for document in page.documents]
+                after = page.next_after
+            self.assertEqual(keys, sampled)
+            await self.close()
+
+    async def test_reads_the_pages_after_a_key_that_cannot_be_encoded(self):
+        """Guards against a key with a lone surrogate, as JSON allows, that ends the read."""
+        server, store = await self.open()
+        server.page = 1
+        for name in ("a", "b\ud800", "c", "\udfff"):
+            server.put(f"servers/{name}", b"{}")
+        read = await store.read_all()
+        self.assertIn("servers/c", [document.key for document in read.documents])
+        await self.close()
+
     async def test_reads_evacuations_and_no_other_items_of_operators(self):
         """Guards against a node that starts and sends to an evacuated zone."""
         server, store = await self.open()
