Read the whole list at once if no node of a page can be reached

Cause: a node whose page names only nodes that cannot be reached had no sources, and waited for the loss of its feed (1.2 s) and for the end of its present interval (up to 1.8 s) until it read on.

Change: it reads on at once, if the page is not the whole list. A list of one page counts as read whole, so that nothing is read twice.

Why it works: nobody of the page can bring the documents, so that waiting for a feed cannot help.

--- a/gentianthread/coordination/mesh/entry_sample.py
+++ b/gentianthread/coordination/mesh/entry_sample.py
@@ -19,7 +19,7 @@
     the list: entries of other programs may fill it, and its nodes may all be gone.
 
     Attributes:
-        is_whole: Whether all pages were requested at the last read.
+        is_whole: Whether all pages were requested at the last read, or were tried to be.
     """
 
     def __init__(self, store: MetadataStore, reader: DocumentReader, metrics: Metrics):
@@ -51,6 +51,7 @@
         """
         hosts_by_zone: HostsByZone = {}
         after: str | None = "" if whole else self._first_after
+        is_from_start = not after
         self.is_whole = whole
         self._first_after = ""
         while after is not None:
@@ -60,10 +61,10 @@
             self._add_hosts(page, hosts_by_zone)
             if hosts_by_zone and was_empty:
                 self._first_after = after
-            if hosts_by_zone and not whole:
-                self.is_whole = not after and page.next_after is None
-                break
+            if hosts_by_zone and not whole and page.next_after is not None:
+                return hosts_by_zone
             after = page.next_after
+        self.is_whole = is_from_start
         return hosts_by_zone
 
     def _add_hosts(self, page: StorePage, hosts_by_zone: HostsByZone) -> None:
--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -222,9 +222,12 @@
 
     async def _look_for_nodes(self) -> None:
         """Find nodes to follow in the store's list; their feeds bring all documents."""
-        hosts_by_zone = await self._sample.read(whole=self.feeds.is_lost())
-        await self.feeds.start_with(hosts_by_zone)
-        may_call_now = self.feeds.watching or not self._is_sample_due()
+        feeds = self.feeds
+        await feeds.start_with(await self._sample.read(whole=feeds.is_lost()))
+        if not (feeds.plan.sources or feeds.watching or self._sample.is_whole):
+            # None of the nodes of these pages can be reached.
+            await feeds.start_with(await self._sample.read(whole=True))
+        may_call_now = feeds.watching or not self._is_sample_due()
         if not may_call_now:
             await self.clock.sleep_ms(self._sample_interval_ms * (0.5 + self.random.random()))
             self._sample_interval_ms = min(
--- a/tests/coordination/mesh/test_store_calls.py
+++ b/tests/coordination/mesh/test_store_calls.py
@@ -5,7 +5,13 @@
 from gentianthread.coordination.mesh.feeds import WATCHER_MAX_WAIT_MS
 
 from ...base import VirtualTimeTestCase
-from .follower_fleet import ODD_ENTRY, PLAN_KEY, STALE_CALL_PRICE, FollowerFleet
+from .follower_fleet import (
+    ODD_ENTRY,
+    PAGE_ENTRIES,
+    PLAN_KEY,
+    STALE_CALL_PRICE,
+    FollowerFleet,
+)
 
 # Calls of a whole calm day, and of the worst one, that the users' price leaves room for.
 CALM_DAY_CALLS = 200
@@ -15,6 +21,10 @@
 DAY_S = 42.0
 MEASURED_S = 2.8
 
+# Time after its start in which a node must be ready in any case, as the platform counts it as in
+# touch from then on.
+CONTACT_S = 3.0
+
 # Delay within which a change must be in force, and a node ready after its start.
 CHANGE_LIMIT_S = 2.0
 
@@ -59,6 +69,23 @@
             self.assertLessEqual(fleet.store.charged, 0.2 * size + 40 + extra)
             await fleet.stop()
 
+    async def test_start_beside_pages_of_gone_instances(self):
+        """Guards against nodes without a configuration while a page names only gone instances."""
+        for size, zones in ((6, 2), (21, 3), (195, 6)):
+            for pages in (1, 3):
+                fleet = FollowerFleet(size, zones)
+                fleet.list_all()
+                for number in range(pages * PAGE_ENTRIES):
+                    place = number % zones
+                    host = f"10.{place}.9.{number}"
+                    fleet.store.put(f"&gone-{number:03}", f"{host} zone-{place}".encode())
+                fleet.start()
+                await asyncio.sleep(CONTACT_S)
+                self.assertEqual(size, fleet.ready(), f"{size} nodes, {pages} pages")
+                extra = size * STALE_CALL_PRICE * (2 * pages + 4)
+                self.assertLessEqual(fleet.store.charged, 0.2 * size + 40 + extra)
+                await fleet.stop()
+
     async def test_entries_that_appear_after_the_nodes_cost_little(self):
         """Guards against nodes that all watch the store until their zones are listed."""
         fleet = FollowerFleet(195, 6)
