Refuse a page of the store's list that does not lead to the next one

Found while checking the other places that read pages; not seen with callers.

Cause: an empty page that says that more items follow ended the read, and what had come by then passed for the whole list, so that every upstream behind it counted as removed. A page whose last key is not behind the key that was asked for was read again without end.

Change: both count as a failed read, which is repeated after the backoff while the known documents hold.

Evidence: test_page_that_does_not_lead_on_is_not_taken_for_the_end_of_the_list failed before (no error for the empty page) and passes.

Why it works: neither page tells after which key the rest of the list begins, so that no part of it can be missing unnoticed.

--- a/gentianthread/platform/store.py
+++ b/gentianthread/platform/store.py
@@ -259,9 +259,14 @@
         page: A page.
         documents: Its documents.
         after: Key after which it begins.
+
+    Raises:
+        PlatformUnavailable: More items follow, and the page does not lead to them.
     """
-    if not page.content.get("has_more") or not documents:
+    if not page.content.get("has_more"):
         return None
+    if not documents or documents[-1].key <= after:
+        raise PlatformUnavailable(CALL_RANGE, "page does not lead to the next one")
     return documents[-1].key
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import socket
 
 from gentianthread.errors import PlatformUnavailable
@@ -10,6 +11,18 @@
 from ..base import SocketTestCase
 
 
+def promise_more(read_range):
+    """Return a read whose pages of entries say that more items follow."""
+
+    def read(query):
+        answer = read_range(query)
+        if query["prefix"] == "servers/":
+            answer.body = json.dumps(json.loads(answer.body) | {"has_more": True}).encode()
+        return answer
+
+    return read
+
+
 class TestStore(SocketTestCase):
     async def open(self):
         server = MeshStore(f"{private_network()}.250")
@@ -80,6 +93,34 @@
         self.assertIn("servers/c", [document.key for document in read.documents])
         await self.close()
 
+    async def test_page_that_does_not_lead_on_is_not_taken_for_the_end_of_the_list(self):
+        """Guards against upstreams that count as removed after an empty page, or a read for ever.
+
+        Either page says that more items follow, and neither tells after which key.
+        """
+        server, store = await self.open()
+        server.page = 2
+        for number in range(5):
+            server.put(f"servers/i-{number}", b"{}")
+        read_range = server._read_range
+
+        def read_empty(query):
+            is_second = query.get("after") == "servers/i-1"
+            return read_range(query | {"after": "servers/i-9"} if is_second else query)
+
+        def read_again(query):
+            return read_range({name: text for name, text in query.items() if name != "after"})
+
+        for odd_read in (read_empty, read_again):
+            server._read_range = promise_more(odd_read)
+            with self.assertRaisesType(PlatformUnavailable):
+                await store.read_all()
+            after = ""
+            with self.assertRaisesType(PlatformUnavailable):
+                while after is not None:
+                    after = (await store.sample_entries(after)).next_after
+        await self.close()
+
     async def test_reads_evacuations_and_no_other_items_of_operators(self):
         """Guards against a node that starts and sends to an evacuated zone."""
         server, store = await self.open()
