Read an item of the store that has no value as an empty document

Found while checking the other places that read items; not seen with callers.

Cause: an entry of another writer may be empty, and a store may leave an empty field out of its answer. The item then counted as malformed, and with it the whole page and the read of the list.

Ruled out: values that are not base64. The store encodes them, whatever a writer put there, so that such an answer stays an outage, as test_malformed_answer_is_an_outage says.

Change and evidence: a missing value is an empty one, which names no upstream and no configuration. test_item_without_a_value_leaves_the_others_readable failed before (item is malformed: KeyError) and passes.

--- a/gentianthread/platform/store.py
+++ b/gentianthread/platform/store.py
@@ -331,7 +331,10 @@
 
 def _document(item: Any, era: int) -> Document:
     try:
-        data = None if item.get("tombstone") else base64.b64decode(item["value"], validate=True)
+        data = None
+        if not item.get("tombstone"):
+            # Encoders may leave out an empty value.
+            data = base64.b64decode(item.get("value", ""), validate=True)
         return Document(str(item["key"]), data, combine_revision(era, int(item["revision"])))
     except (
         AttributeError,
--- a/gentianthread/standins/mesh_store.py
+++ b/gentianthread/standins/mesh_store.py
@@ -134,7 +134,7 @@
         size_bytes = 0
         for key in keys[: self.page]:
             item = self._item(key)
-            size_bytes += len(item["value"])
+            size_bytes += len(item.get("value", ""))
             # A page has one item at least, so that a read goes on.
             if items and size_bytes > PAGE_BYTES:
                 break
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -93,6 +93,29 @@
         self.assertIn("servers/c", [document.key for document in read.documents])
         await self.close()
 
+    async def test_item_without_a_value_leaves_the_others_readable(self):
+        """Guards against an entry without content that fails the read of all.
+
+        Encoders may leave out a field that is empty.
+        """
+        server, store = await self.open()
+        server.put("op/config", plan_document())
+        for name in ("a", "b", "c"):
+            server.put(f"servers/{name}", b"{}")
+        make_item = server._item
+
+        def make_empty(key):
+            item = make_item(key)
+            return {name: item[name] for name in item if (key, name) != ("servers/b", "value")}
+
+        server._item = make_empty
+        documents = {each.key: each.data for each in (await store.read_all()).documents}
+        self.assertEqual(b"", documents["servers/b"])
+        self.assertEqual((b"{}", b"{}"), (documents["servers/a"], documents["servers/c"]))
+        page = await store.sample_entries()
+        self.assertEqual([b"{}", b"", b"{}"], [each.data for each in page.documents])
+        await self.close()
+
     async def test_page_that_does_not_lead_on_is_not_taken_for_the_end_of_the_list(self):
         """Guards against upstreams that count as removed after an empty page, or a read for ever.
 
