Keep only the revision of an entry that names no upstream

Found while checking what is kept of entries that cannot be used; not seen with callers.

Cause: the whole content of such an entry, up to 1 MB, stayed in the documents of each node, in the history of removals, and in what nodes send each other, also to other availability zones, where bytes are dear. A message holds 70 MB at most; with a hundred entries of 0.9 MB (readings, 90 MB in each node) the documents would not fit into one.

Change: an entry that cannot be decoded is kept without its content.

Evidence: test_entries_that_cannot_be_used_take_no_memory failed before (the four values of 800 KB were kept) and passes. test_entry_that_cannot_be_used_may_change passes before and after.

Why it works: a later change of the entry has a higher revision, and an empty document is refused like the one it stands for, so that nodes that get it from others come to the same list.

--- a/gentianthread/coordination/mesh/upstream_documents.py
+++ b/gentianthread/coordination/mesh/upstream_documents.py
@@ -2,6 +2,8 @@
 
 from collections.abc import MutableMapping
 
+import attrs
+
 from ...errors import DocumentError
 from ...events import UPSTREAM_CHANGED
 from ...logs import log
@@ -83,6 +85,8 @@
             entry = self._reader.upstream(upstream_id, document.data)
         except DocumentError:
             self._directory.remove(upstream_id)
+            # Other programs may write much, and its revision alone tells other nodes of the entry.
+            self._documents[document.key] = attrs.evolve(document, data=b"")
             raise
         listed = self._directory.entries.get(upstream_id)
         if listed is None or listed.state is not entry.state:
--- a/tests/coordination/mesh/test_foreign_entries.py
+++ b/tests/coordination/mesh/test_foreign_entries.py
@@ -157,3 +157,41 @@
             await self.list_as("orders-0", "draining")
         self.assertNotIn(PEER_CLOSED.number, [record.extra["number"] for record in records.records])
         await self.stop()
+
+    async def test_entries_that_cannot_be_used_take_no_memory(self):
+        """Guards against nodes that keep and pass on the content of entries of other writers.
+
+        With a hundred large ones the documents no longer fit into a message to another node.
+        """
+        await self.start_nodes()
+        names = [f"&large-{number}" for number in range(4)]
+        for name in names:
+            self.put(name, LARGE)
+        await self.publish(2)
+        await self.restart()
+        await self.publish(3)
+        for instance in self.fleet.instances.values():
+            documents = instance.sidecar.follower.documents
+            kept = [documents[UPSTREAM_PREFIX + name].data for name in names]
+            self.assertEqual([b""] * len(names), kept)
+        await self.stop()
+
+    async def test_entry_that_cannot_be_used_may_change(self):
+        """Guards against an upstream that stays unknown, or known, after its entry has changed."""
+        await self.start_nodes()
+        instances = self.fleet.instances.values()
+
+        def is_listed(name):
+            return [name in instance.sidecar.directory.entries for instance in instances]
+
+        for _ in range(2):
+            self.put("x", UNREADABLE)
+            self.put("y", self.entry())
+            await self.until(lambda: all(is_listed("y")) and not any(is_listed("x")))
+            self.put("x", self.entry())
+            self.put("y", UNREADABLE)
+            await self.until(lambda: all(is_listed("x")) and not any(is_listed("y")))
+        self.fleet.store.remove(UPSTREAM_PREFIX + "x")
+        self.fleet.store.remove(UPSTREAM_PREFIX + "y")
+        await self.until(lambda: not any(is_listed("x")))
+        await self.stop()
