Test that nodes agree who counts beside addresses that say nothing

Sixty entries of a service that no configuration names, in a zone of their own, at whose addresses something accepts links and never answers. The test passes without a change of the product: a node that cannot be reached is not chosen to count, and a new configuration is in force everywhere.

--- a/tests/coordination/mesh/test_foreign_entries.py
+++ b/tests/coordination/mesh/test_foreign_entries.py
@@ -63,6 +63,13 @@
             self.put(f"&gone-{host}", self.entry(address=f"{host}:80"))
         return hosts
 
+    async def put_silent(self, number, **changes):
+        """Write entries of addresses that accept links and say nothing; return the listeners."""
+        hosts = [f"{self.fleet.network}.{100 + place}" for place in range(number)]
+        for host in hosts:
+            self.put(f"&silent-{host}", self.entry(address=f"{host}:80", **changes))
+        return [await asyncio.start_server(hold, host, PEER_PORT) for host in hosts]
+
     async def serves(self, node):
         """Wait until a node answers a request of a caller."""
         while (await self.call(node, "/stock/1")).status != 200:  # noqa: ASYNC110
@@ -128,15 +135,29 @@
         """Guards against a page whose nodes accept links and never answer."""
         for page in (2, 500):
             await self.start_nodes(page)
-            hosts = [f"{self.fleet.network}.{100 + number}" for number in range(4)]
-            listeners = [await asyncio.start_server(hold, host, PEER_PORT) for host in hosts]
-            for host in hosts:
-                self.put(f"&silent-{host}", self.entry(address=f"{host}:80"))
+            listeners = await self.put_silent(4)
             await self.restart()
             await self.stop()
             for listener in listeners:
                 listener.close()
 
+    async def test_nodes_agree_who_counts_beside_addresses_that_say_nothing(self):
+        """Guards against rates that nobody counts, as the chosen node is none."""
+        await self.start_nodes()
+        listeners = await self.put_silent(60, zone="elsewhere")
+        await self.restart()
+        nodes = [instance.sidecar for instance in self.fleet.instances.values()]
+        running = {node.settings.host for node in nodes}
+
+        def counting():
+            return {node.rate_sharing.counter_host for node in nodes}
+
+        await self.until(lambda: len(counting()) == 1 and counting() <= running, RECOVER_S)
+        await self.publish(2)
+        await self.stop()
+        for listener in listeners:
+            listener.close()
+
     async def test_restart_of_all_beside_keys_that_cannot_be_encoded(self):
         """Guards against a key with a lone surrogate, as JSON allows, that ends each read."""
         for page in (1, 4, 50):
