--- a/gentianthread/coordination/mesh/entry_sample.py
+++ b/gentianthread/coordination/mesh/entry_sample.py
@@ -19,7 +19,7 @@
     the list: entries of other programs may fill it, and its nodes may all be gone.
 
     Attributes:
-        is_whole: Whether all pages were requested at the last read, or were tried to be.
+        is_whole: Whether the last read covered the whole list, also if such a read failed.
     """
 
     def __init__(self, store: MetadataStore, reader: DocumentReader, metrics: Metrics):
@@ -34,7 +34,7 @@
         self._reader = reader
         self._metrics = metrics
         self.is_whole = False
-        # Key after which the first page begins that named nodes, where the next read begins.
+        # Key after which the first page with nodes begins; the next read skips the pages before it.
         self._first_after = ""
 
     async def read(self, *, whole: bool) -> HostsByZone:
--- a/gentianthread/coordination/mesh/follower.py
+++ b/gentianthread/coordination/mesh/follower.py
@@ -211,14 +211,13 @@
         return await self._turn.is_due()
 
     def _is_sample_due(self) -> bool:
-        """Return whether a starting node looks for other nodes before it calls the store itself.
+        """Return whether a starting node still looks for others instead of calling the store.
 
-        Nodes of a part of the list may all be gone. Before it calls the store, a node without a
-        feed looks for others in the whole list, once.
+        A node that has lost its feeds calls the store, but has looked into the whole list before:
+        the nodes of a part of it may all be gone.
         """
-        if self.feeds.is_lost() and self.feeds.plan.sources:
-            return not self._sample.is_whole
-        return True
+        has_lost_sources = bool(self.feeds.plan.sources) and self.feeds.is_lost()
+        return not (has_lost_sources and self._sample.is_whole)
 
     async def _look_for_nodes(self) -> None:
         """Find nodes to follow in the store's list; their feeds bring all documents."""
