Move the check of pages and the encoding of queries out of the platform's adapter

The check is right: whether a page leads to the next one, and how a query is encoded, are not the platform's words. Nothing else is changed; the tests of the store, its copies, restores and foreign entries pass.

--- a/gentianthread/platform/store.py
+++ b/gentianthread/platform/store.py
@@ -1,13 +1,11 @@
 """Read and watch the platform's metadata store over HTTP."""
 
 import base64
-import binascii
 import json
 import re
 from collections.abc import Callable
 from functools import partial
 from typing import Any
-from urllib.parse import quote, urlencode
 
 import attrs
 
@@ -16,6 +14,7 @@
 from ..events import STORE_ANSWER_MISMATCHED
 from ..logs import log
 from ..state.revisions import MAX_ERA, combine_revision, era_of, number_of
+from ..transport.http_query import encode_query
 from ..transport.metadata_store import (
     Document,
     HistoryLost,
@@ -23,6 +22,7 @@
     StoreAdapter,
     StorePage,
     StoreRead,
+    make_page,
     store_adapters,
 )
 from ..transport.target_connection import TargetRequest, make_request
@@ -147,23 +147,27 @@
         while after is not None:
             needs_plan = self._has_plan and prefix == OPERATOR_PREFIX and not after
             fits = partial(_is_page, prefix, after, self._last_revision, needs_plan=needs_plan)
-            page = await self._get(CALL_RANGE, _range_query(prefix, after), fits)
-            era = page.era if era is None else era
-            if page.era != era:
+            page = await self._read_page(prefix, after, fits)
+            era = era_of(page.revision) if era is None else era
+            if era_of(page.revision) != era:
                 raise PlatformUnavailable(CALL_RANGE, "the store was restored during the read")
-            revision = self._record_revision(page)
-            first_revision = revision if first_revision is None else first_revision
-            page_documents = _documents(page, _FIELD_ITEMS)
-            documents += page_documents
-            after = _next_after(page, page_documents, after)
+            self._last_revision = page.revision
+            first_revision = page.revision if first_revision is None else first_revision
+            documents += page.documents
+            after = page.next_after
         return documents, first_revision
 
+    async def _read_page(self, prefix: str, after: str, fits: _Fits, **options: str) -> StorePage:
+        query = {"prefix": prefix} | ({"after": after} if after else {}) | options
+        answer = await self._get(CALL_RANGE, query, fits)
+        documents = _documents(answer, _FIELD_ITEMS)
+        has_more = bool(answer.content.get("has_more"))
+        return make_page(CALL_RANGE, documents, _revision(answer), after, has_more=has_more)
+
     async def sample_entries(self, after: str = "") -> StorePage:
         """Read a page of entries, which the store may answer from an outdated copy."""
-        query = _range_query(UPSTREAM_PREFIX, after) | {"allow_stale": "1"}
-        page = await self._get(CALL_RANGE, query, partial(_is_page, UPSTREAM_PREFIX, after, 0))
-        documents = _documents(page, _FIELD_ITEMS)
-        return StorePage(tuple(documents), _revision(page), _next_after(page, documents, after))
+        fits = partial(_is_page, UPSTREAM_PREFIX, after, 0)
+        return await self._read_page(UPSTREAM_PREFIX, after, fits, allow_stale="1")
 
     async def watch(self, revision: int, wait_ms: float) -> StoreRead:
         """Wait for changes to any item."""
@@ -176,12 +180,8 @@
         if answer.era != era_of(revision):
             # The same number stands for another state in the restored store.
             raise HistoryLost(CALL_WATCH, f"the store was restored, its era is {answer.era}")
-        read_revision = self._record_revision(answer)
-        return StoreRead(tuple(_documents(answer, _FIELD_EVENTS)), read_revision)
-
-    def _record_revision(self, answer: _Answer) -> int:
         self._last_revision = _revision(answer)
-        return self._last_revision
+        return StoreRead(tuple(_documents(answer, _FIELD_EVENTS)), self._last_revision)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -195,7 +195,7 @@
         *,
         wait_ms: float = 0.0,
     ) -> _Answer:
-        path = f"{BASE_PATH}{call}?{_encode_query(query)}"
+        path = f"{BASE_PATH}{call}?{encode_query(query)}"
         request = make_request("GET", path, self._header_fields, b"", "", wait_ms + READ_TIMEOUT_MS)
         pooled = await self._exchange(call, request)
         answer = _read_answer(call, pooled)
@@ -240,36 +240,6 @@
     return all(document.key.startswith(prefix) and document.key > after for document in documents)
 
 
-def _encode_query(query: dict[str, str]) -> str:
-    """Return a query that may hold any key, also one with a surrogate, as JSON allows.
-
-    A blank is sent as %20, since a plus sign stands for it in forms only.
-    """
-    return urlencode(query, quote_via=quote, safe="", errors="surrogatepass")
-
-
-def _range_query(prefix: str, after: str) -> dict[str, str]:
-    return {"prefix": prefix} | ({"after": after} if after else {})
-
-
-def _next_after(page: _Answer, documents: list[Document], after: str) -> str | None:
-    """Return the key after which the next page of a range begins, or None after the last one.
-
-    Args:
-        page: A page.
-        documents: Its documents.
-        after: Key after which it begins.
-
-    Raises:
-        PlatformUnavailable: More items follow, and the page does not lead to them.
-    """
-    if not page.content.get("has_more"):
-        return None
-    if not documents or documents[-1].key <= after:
-        raise PlatformUnavailable(CALL_RANGE, "page does not lead to the next one")
-    return documents[-1].key
-
-
 def _has_plan(documents: list[Document]) -> bool:
     return any(document.key == PLAN_KEY for document in documents)
 
@@ -336,14 +306,7 @@
             # Encoders may leave out an empty value.
             data = base64.b64decode(item.get("value", ""), validate=True)
         return Document(str(item["key"]), data, combine_revision(era, int(item["revision"])))
-    except (
-        AttributeError,
-        KeyError,
-        OverflowError,
-        TypeError,
-        ValueError,
-        binascii.Error,
-    ) as error:
+    except (AttributeError, KeyError, OverflowError, TypeError, ValueError) as error:
         raise PlatformUnavailable("read", f"item is malformed: {error!r}") from error
 
 
--- a/gentianthread/transport/metadata_store.py
+++ b/gentianthread/transport/metadata_store.py
@@ -1,6 +1,7 @@
 """Define the interfaces for reading the documents of a platform's metadata store."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from enum import Enum
 
 import attrs
@@ -65,6 +66,27 @@
     next_after: str | None
 
 
+def make_page(
+    call: str, documents: Sequence[Document], revision: int, after: str, *, has_more: bool
+) -> StorePage:
+    """Return a page, after a check that it leads to the next one.
+
+    Args:
+        call: Call that read it, for the error.
+        documents: Its documents in the order of their keys.
+        revision: Revision of the store.
+        after: Key after which the page begins.
+        has_more: Whether more documents follow.
+
+    Raises:
+        PlatformUnavailable: More documents follow, and it is not known after which key.
+    """
+    next_after = documents[-1].key if has_more and documents else None
+    if has_more and (next_after is None or next_after <= after):
+        raise PlatformUnavailable(call, "page does not lead to the next one")
+    return StorePage(tuple(documents), revision, next_after)
+
+
 class MetadataStore(ABC):
     """Read the documents of a store, with a timeout for each call; nothing is written."""
 
