--- a/tests/coordination/mesh/follower_fleet.py
+++ b/tests/coordination/mesh/follower_fleet.py
@@ -78,9 +78,10 @@
             raise DocumentError(PLAN_KEY, "", "a version") from error
 
     def upstream(self, upstream_id, data):
-        if data == ODD_ENTRY:
-            raise DocumentError(upstream_id, "", "an entry")
-        host, zone, *rest = data.decode().split()
+        fields = data.decode().split()
+        if len(fields) < 2:
+            raise DocumentError(upstream_id, "", "a host and a zone")
+        host, zone, *rest = fields
         state, start, write = (*rest, *("ready", 0, 0)[len(rest) :])
         return UpstreamEntry(
             upstream_id,
